--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Command-line tool of tarragonpulley.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,20 @@
+//! What the platform gives: a transactional table service, an object store and
+//! a list of entry instances.
+//!
+//! The daemon sees them as the trait objects of this module. The clients speak
+//! published protocols: the table service the JSON gateway of the etcd v3 API,
+//! the object store the path-style S3 REST API without signatures, the list
+//! the catalogue API of a service registry.
+
+mod error;
+mod list;
+mod object;
+mod table;
+
+pub use error::PlatformError;
+pub use list::{InstanceList, ListedInstance, ListedState};
+pub use object::{ObjectKey, ObjectStore};
+pub use table::{
+    CommitOutcome, RowChange, RowCondition, RowKey, TableRow, TableService, TableSnapshot,
+    TableTransaction,
+};
--- /dev/null
+++ b/crates/policy/src/ids.rs
@@ -0,0 +1,365 @@
+//! Names and identities.
+//!
+//! Every name is a newtype, so that a team cannot be passed for a service.
+//! Names come from contract files and settings; [`FromStr`] checks them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name in bytes. Names travel in heartbeats, so they stay short.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Why a text is not a valid name or identity.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum IdError {
+    /// The text is empty.
+    #[error("a {kind} must not be empty")]
+    Empty {
+        /// What was parsed.
+        kind: &'static str,
+    },
+    /// The text is longer than [`MAX_NAME_BYTES`].
+    #[error("{kind} {text:?} is {length} bytes long; at most {MAX_NAME_BYTES} are allowed")]
+    TooLong {
+        /// What was parsed.
+        kind: &'static str,
+        /// The text.
+        text: String,
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// The text has a character that names do not allow.
+    #[error("{kind} {text:?} has {character:?}; only a-z, 0-9, '-', '_' and '.' are allowed")]
+    Character {
+        /// What was parsed.
+        kind: &'static str,
+        /// The text.
+        text: String,
+        /// The first character that is not allowed.
+        character: char,
+    },
+    /// The text does not have the form of this identity.
+    #[error("{text:?} is not a valid {kind}: {reason}")]
+    Form {
+        /// What was parsed.
+        kind: &'static str,
+        /// The text.
+        text: String,
+        /// What the form is.
+        reason: &'static str,
+    },
+}
+
+fn check_name(kind: &'static str, text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty { kind });
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(IdError::TooLong {
+            kind,
+            text: text.to_owned(),
+            length: text.len(),
+        });
+    }
+    let allowed =
+        |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|c| !allowed(c)) {
+        None => Ok(()),
+        Some(character) => Err(IdError::Character {
+            kind,
+            text: text.to_owned(),
+            character,
+        }),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $type:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $type(String);
+
+        impl $type {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_name($kind, text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $type {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(name: $type) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A region: data centres close to each other.
+    RegionName, "region name"
+);
+name_type!(
+    /// A data centre.
+    CentreName, "data centre name"
+);
+name_type!(
+    /// A customer: the owner of one contract.
+    CustomerName, "customer name"
+);
+name_type!(
+    /// A team of a customer: the tenant that a key belongs to.
+    TeamName, "team name"
+);
+name_type!(
+    /// A service of a customer.
+    ServiceName, "service name"
+);
+name_type!(
+    /// A backend server, unique within its service.
+    ServerName, "server name"
+);
+name_type!(
+    /// A version of a service's backend servers.
+    VersionName, "version name"
+);
+name_type!(
+    /// An entry instance.
+    InstanceName, "instance name"
+);
+name_type!(
+    /// A move, drain or rollout that an operator ordered.
+    MoveName, "move name"
+);
+
+/// A team within its customer. Written `customer/team`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TeamKey {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The team.
+    pub team: TeamName,
+}
+
+/// A service within its customer. Written `customer/service`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ServiceKey {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The service.
+    pub service: ServiceName,
+}
+
+/// A backend server within its service. Written `customer/service/server`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ServerKey {
+    /// The service and its customer.
+    pub service: ServiceKey,
+    /// The backend server.
+    pub server: ServerName,
+}
+
+/// One run of an entry instance. Written `name#number`.
+///
+/// A restart is a new incarnation with a higher number, so that messages and
+/// rights of the earlier run can be told apart and refused.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct IncarnationId {
+    /// The entry instance.
+    pub instance: InstanceName,
+    /// Grows with each start of the instance.
+    pub number: u64,
+}
+
+macro_rules! text_form {
+    ($type:ty) => {
+        impl TryFrom<String> for $type {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(id: $type) -> Self {
+                id.to_string()
+            }
+        }
+    };
+}
+
+text_form!(TeamKey);
+text_form!(ServiceKey);
+text_form!(ServerKey);
+text_form!(IncarnationId);
+
+fn split(
+    kind: &'static str,
+    text: &str,
+    separator: char,
+    reason: &'static str,
+) -> Result<(String, String), IdError> {
+    match text.rsplit_once(separator) {
+        Some((left, right)) => Ok((left.to_owned(), right.to_owned())),
+        None => Err(IdError::Form {
+            kind,
+            text: text.to_owned(),
+            reason,
+        }),
+    }
+}
+
+impl fmt::Display for TeamKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.customer, self.team)
+    }
+}
+
+impl FromStr for TeamKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let (customer, team) = split("team key", text, '/', "expected customer/team")?;
+        Ok(Self {
+            customer: customer.parse()?,
+            team: team.parse()?,
+        })
+    }
+}
+
+impl fmt::Display for ServiceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.customer, self.service)
+    }
+}
+
+impl FromStr for ServiceKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let (customer, service) = split("service key", text, '/', "expected customer/service")?;
+        Ok(Self {
+            customer: customer.parse()?,
+            service: service.parse()?,
+        })
+    }
+}
+
+impl fmt::Display for ServerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.server)
+    }
+}
+
+impl FromStr for ServerKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let form = "expected customer/service/server";
+        let (service, server) = split("server key", text, '/', form)?;
+        Ok(Self {
+            service: service.parse()?,
+            server: server.parse()?,
+        })
+    }
+}
+
+impl fmt::Display for IncarnationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.instance, self.number)
+    }
+}
+
+impl FromStr for IncarnationId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let form = "expected name#number";
+        let (instance, number) = split("incarnation", text, '#', form)?;
+        let number = number.parse().map_err(|_error| IdError::Form {
+            kind: "incarnation",
+            text: text.to_owned(),
+            reason: form,
+        })?;
+        Ok(Self {
+            instance: instance.parse()?,
+            number,
+        })
+    }
+}
+
+/// A limit that holds over the whole fleet.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LimitKey {
+    /// Rate and burst of a team.
+    Team(TeamKey),
+    /// Slots of a backend server.
+    Server(ServerKey),
+    /// Requests running in a region, for one customer.
+    Region(CustomerName, RegionName),
+}
+
+impl fmt::Display for LimitKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Team(team) => write!(f, "team:{team}"),
+            Self::Server(server) => write!(f, "server:{server}"),
+            Self::Region(customer, region) => write!(f, "region:{customer}/{region}"),
+        }
+    }
+}
+
+impl FromStr for LimitKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let form = "expected team:, server: or region: and a key";
+        let error = || IdError::Form {
+            kind: "limit key",
+            text: text.to_owned(),
+            reason: form,
+        };
+        let (kind, rest) = text.split_once(':').ok_or_else(error)?;
+        match kind {
+            "team" => Ok(Self::Team(rest.parse()?)),
+            "server" => Ok(Self::Server(rest.parse()?)),
+            "region" => {
+                let (customer, region) = split("limit key", rest, '/', form)?;
+                Ok(Self::Region(customer.parse()?, region.parse()?))
+            }
+            _ => Err(error()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions of tarragonpulley.
+//!
+//! Everything here is pure: state, an event and a time go in, an outcome comes
+//! out. There are no sockets and no runtime, so each decision can be tested
+//! with a manual clock and seeded input. The invariants that the fleet relies
+//! on are asserted here, also in release builds; a broken one stops the process.
+
+pub mod clock;
+pub mod contract;
+pub mod facts;
+pub mod ids;
+pub mod snapshot;
+pub mod timeline;
+pub mod units;
