--- a/crates/daemon/src/border.rs
+++ b/crates/daemon/src/border.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response};
 use futures_util::future::LocalBoxFuture;
 use tarragonpulley_platform::{ObjectStore, TableService};
 use tarragonpulley_policy::clock::TimeSource;
@@ -210,3 +212,13 @@
     pub(crate) table: Rc<dyn TableService>,
     pub(crate) objects: Rc<dyn ObjectStore>,
 }
+
+/// Answers the HTTP requests of one port.
+pub(crate) trait RequestHandler: Debug {
+    /// Answers one request. `peer` is the address of the connection's far end.
+    fn handle(
+        &self,
+        request: Request,
+        peer: Option<SocketAddr>,
+    ) -> LocalBoxFuture<'_, Response<BoxBody>>;
+}
