Add the fleet-wide limit engine

Each incarnation holds shares of every limit and gives them away by cumulative counters. Tokens are counted in parts of 1 / TOTAL_SHARES, so the cap share * burst and every transfer are whole numbers. Counters carry the generation, because a message of an earlier generation would otherwise create shares in a later one.

--- a/crates/policy/src/rights.rs
+++ b/crates/policy/src/rights.rs
@@ -5,17 +5,25 @@
 //! coordinator. A lost, late or repeated message causes under-use, never
 //! over-use. [`RightsLedger`] is the state of one incarnation.
 
+mod balance;
+mod bucket;
 mod counter;
+mod demand;
+mod holding;
 mod ledger;
+mod outcome;
 mod plan;
+mod rebalance;
+mod reclaim;
 mod record;
+mod sparing;
+mod transfer;
 
 pub use counter::{CounterUpdate, TransferCounter};
-pub use ledger::{
-    AdoptOutcome, PeerSummaries, ReceiveOutcome, RightsLedger, RightsOutcome, RightsSummary,
-    RightsWant,
+pub use ledger::RightsLedger;
+pub use outcome::{
+    AdoptOutcome, PeerSummaries, ReceiveOutcome, RightsOutcome, RightsSummary, RightsWant,
 };
 pub use plan::{LimitPlan, TOTAL_SHARES, limits_of};
-pub use record::{
-    FenceReport, GenerationRecord, PairAmounts, ReclaimError, ReclaimRecord, plan_reclaim,
-};
+pub use reclaim::plan_reclaim;
+pub use record::{FenceReport, GenerationRecord, PairAmounts, ReclaimError, ReclaimRecord};
--- a/crates/policy/src/rights/ledger.rs
+++ b/crates/policy/src/rights/ledger.rs
@@ -1,98 +1,81 @@
 //! The rights of one incarnation.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use super::{CounterUpdate, FenceReport, GenerationRecord, LimitPlan, TransferCounter};
+use super::counter::PairCounters;
+use super::holding::Holding;
+use super::outcome::{AdoptOutcome, RightsOutcome};
+use super::plan::{LimitPlan, TOTAL_SHARES};
+use super::record::{GenerationRecord, ReclaimRecord};
 use crate::ids::{IncarnationId, LimitKey};
 
-/// What a generation record changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdoptOutcome {
-    /// The record was news.
-    Adopted,
-    /// The record is known or older than the known one.
-    Unchanged,
-    /// This incarnation is in a dead set. The ledger has dropped everything
-    /// and grants nothing any more.
-    Fenced,
-}
-
-/// Whether a request is inside a limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RightsOutcome {
-    /// The request may go on; its token is spent.
-    Granted,
-    /// There is no token here.
-    Short {
-        /// How long the refill of this holder takes to make up a token;
-        /// [`Duration::MAX`] when its share is too small for one.
-        wait: Duration,
-    },
-    /// The configuration has no such rate limit.
-    Unknown,
-}
-
-/// What a holder asks peers for.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RightsWant {
-    /// Shares.
-    pub shares: u64,
-    /// Tokens, in parts of `1 / TOTAL_SHARES` token.
-    pub tokens: u64,
+/// The adopted generation.
+#[derive(Debug, Clone)]
+struct AdoptedGeneration {
+    number: u64,
+    first_holder: IncarnationId,
+    reclaims: usize,
 }
 
-/// Whether counters of a peer were applied.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReceiveOutcome {
-    /// All counters are accounted for; they may be acknowledged.
-    Applied {
-        /// Whether anything was received.
-        changed: bool,
-    },
-    /// The peer is fenced; nothing changed.
-    Fenced,
-    /// A counter went backwards or states an impossible amount; nothing changed.
-    Invalid,
-    /// The counters belong to a generation that is not the adopted one;
-    /// nothing changed.
-    OtherGeneration,
+/// Shares issued to this incarnation that are not usable yet.
+#[derive(Debug, Clone)]
+struct PendingAward {
+    usable_from: Instant,
+    amounts: BTreeMap<LimitKey, u64>,
 }
 
-/// What a holder has of a limit, as heartbeats state it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RightsSummary {
-    /// Shares held.
-    pub shares: u64,
-    /// Shares that the holder would give to a peer that asks.
-    pub spare: u64,
-    /// Recent demand in thousandths: of a request a second, or of a slot.
-    pub demand: u64,
+/// The right to all shares of every limit that was not issued before.
+#[derive(Debug, Clone)]
+struct UnlistedIssue {
+    usable_from: Instant,
+    /// Limits that were issued, here or to others.
+    issued: BTreeSet<LimitKey>,
 }
 
-/// The latest summary of each live peer. A limit that is left out has no
-/// shares and no demand there.
-pub type PeerSummaries = BTreeMap<IncarnationId, BTreeMap<LimitKey, RightsSummary>>;
-
 /// The rights of one incarnation.
+///
+/// The caller checks that the configuration is proved current before it
+/// admits, takes slots or gives.
 #[derive(Debug, Clone)]
 pub struct RightsLedger {
-    own: IncarnationId,
+    pub(super) own: IncarnationId,
+    pub(super) holdings: BTreeMap<LimitKey, Holding>,
+    pub(super) pairs: BTreeMap<IncarnationId, PairCounters>,
+    pub(super) fenced: BTreeSet<IncarnationId>,
+    /// Whether this incarnation itself is fenced.
+    pub(super) dropped: bool,
+    adopted: Option<AdoptedGeneration>,
+    pending: Vec<PendingAward>,
+    unlisted: Option<UnlistedIssue>,
 }
 
 impl RightsLedger {
     /// Creates the ledger of an incarnation that holds nothing.
     #[must_use]
-    pub fn new(own: IncarnationId) -> Self {
-        Self { own }
+    pub const fn new(own: IncarnationId) -> Self {
+        Self {
+            own,
+            holdings: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+            fenced: BTreeSet::new(),
+            dropped: false,
+            adopted: None,
+            pending: Vec::new(),
+            unlisted: None,
+        }
     }
 
-    /// The ledger of the next incarnation of the same process. It holds
-    /// nothing, but still counts the slots that run.
+    /// The ledger of the next incarnation of the same process, with the same
+    /// limits. It holds nothing, but still counts the slots that run.
     #[must_use]
     pub fn restarted(&self, own: IncarnationId) -> Self {
-        let _ = &self.own;
-        Self::new(own)
+        let mut next = Self::new(own);
+        next.holdings.clone_from(&self.holdings);
+        for holding in next.holdings.values_mut() {
+            holding.drop_shares();
+        }
+        next
     }
 
     /// The incarnation.
@@ -101,122 +84,262 @@
         &self.own
     }
 
-    /// Applies the limits of a configuration.
-    pub fn configure(&mut self, _plans: &BTreeMap<LimitKey, LimitPlan>, _now: Instant) {
-        todo!()
+    /// The adopted generation.
+    #[must_use]
+    pub fn generation(&self) -> Option<u64> {
+        self.adopted.as_ref().map(|adopted| adopted.number)
     }
 
-    /// Adopts a generation record. Shares that it issues to this incarnation
-    /// become usable at `usable_from`.
-    pub fn adopt(
-        &mut self,
-        _record: &GenerationRecord,
-        _usable_from: Instant,
-        _now: Instant,
-    ) -> AdoptOutcome {
-        todo!()
+    /// Shares held of a limit.
+    #[must_use]
+    pub fn shares(&self, limit: &LimitKey) -> u64 {
+        self.holdings.get(limit).map_or(0, Holding::shares)
     }
 
-    /// Spends one token of a rate limit, and counts the request as demand.
-    pub fn admit(&mut self, _limit: &LimitKey, _now: Instant) -> RightsOutcome {
-        todo!()
+    /// Tokens held of a rate limit at the last call that brought them up to
+    /// date, in parts of `1 / TOTAL_SHARES` token.
+    #[must_use]
+    pub fn tokens(&self, limit: &LimitKey) -> u64 {
+        self.holdings.get(limit).map_or(0, Holding::level)
     }
 
-    /// Like [`admit`](Self::admit) for a request that waited for tokens of
-    /// peers; it was counted as demand before.
-    pub fn admit_waiting(&mut self, _limit: &LimitKey, _now: Instant) -> RightsOutcome {
-        todo!()
+    /// Slots of a limit that run here.
+    #[must_use]
+    pub fn running(&self, limit: &LimitKey) -> u32 {
+        self.holdings.get(limit).map_or(0, Holding::running)
     }
 
-    /// Takes one slot of each limit, or none at all.
+    /// Slots of a limit that may be started here.
     #[must_use]
-    pub fn take_slots(&mut self, _limits: &[LimitKey]) -> bool {
-        todo!()
+    pub fn free_slots(&self, limit: &LimitKey) -> u32 {
+        let holding = self.holdings.get(limit);
+        holding.map_or(0, |h| h.allowed_slots().saturating_sub(h.running()))
     }
 
-    /// Gives back slots taken by [`take_slots`](Self::take_slots).
-    pub fn release_slots(&mut self, _limits: &[LimitKey]) {
-        todo!()
+    /// Applies the limits of a configuration. Shares are kept, also those of
+    /// limits that are left out; tokens are cut to the new burst.
+    pub fn configure(&mut self, plans: &BTreeMap<LimitKey, LimitPlan>, now: Instant) {
+        self.tick(now);
+        for (limit, holding) in &mut self.holdings {
+            holding.set_plan(plans.get(limit).copied(), now);
+        }
+        for (limit, plan) in plans {
+            if !self.holdings.contains_key(limit) {
+                let mut holding = Holding::default();
+                holding.set_plan(Some(*plan), now);
+                self.holdings.insert(limit.clone(), holding);
+            }
+        }
+        self.issue_unlisted(now);
     }
 
-    /// What to ask peers for, if this holder is short of a limit.
-    #[must_use]
-    pub fn want(&mut self, _limit: &LimitKey, _now: Instant) -> Option<RightsWant> {
-        todo!()
+    /// Adopts a generation record. Shares that it issues to this incarnation
+    /// become usable at `usable_from`, at level zero.
+    ///
+    /// # Panics
+    ///
+    /// If the generation is known with another first holder.
+    pub fn adopt(
+        &mut self,
+        record: &GenerationRecord,
+        usable_from: Instant,
+        now: Instant,
+    ) -> AdoptOutcome {
+        if self.dropped {
+            return AdoptOutcome::Fenced;
+        }
+        let known = self.adopted.as_ref().map_or(0, |adopted| adopted.reclaims);
+        let newer = self.generation().is_none_or(|own| record.number > own);
+        let stale = self.generation().is_some_and(|own| record.number < own);
+        if stale || (!newer && record.reclaims.len() <= known) {
+            return AdoptOutcome::Unchanged;
+        }
+        if record.reclaims.iter().any(|r| r.dead.contains(&self.own)) {
+            self.drop_everything();
+            self.dropped = true;
+            return AdoptOutcome::Fenced;
+        }
+        self.tick(now);
+        if newer {
+            self.begin_generation(record, usable_from);
+        }
+        if let Some(adopted) = &mut self.adopted {
+            assert!(
+                adopted.first_holder == record.first_holder,
+                "generation {} has two first holders, {} and {}",
+                record.number,
+                adopted.first_holder,
+                record.first_holder
+            );
+            let known = adopted.reclaims;
+            adopted.reclaims = record.reclaims.len();
+            for reclaim in &record.reclaims[known..] {
+                self.apply_reclaim(reclaim, usable_from);
+            }
+        }
+        self.tick(now);
+        AdoptOutcome::Adopted
     }
 
-    /// Peers to ask for a limit: those of `near` first, then by spare shares.
-    #[must_use]
-    pub fn ask_order(
-        &self,
-        _limit: &LimitKey,
-        _peers: &PeerSummaries,
-        _near: &BTreeSet<IncarnationId>,
-    ) -> Vec<IncarnationId> {
-        todo!()
-    }
-
-    /// Gives a peer what it wants, as far as it can be spared. Returns whether
-    /// the counters for the peer changed.
-    pub fn give(
-        &mut self,
-        _peer: &IncarnationId,
-        _limit: &LimitKey,
-        _want: &RightsWant,
-        _now: Instant,
-    ) -> bool {
-        todo!()
+    fn begin_generation(&mut self, record: &GenerationRecord, usable_from: Instant) {
+        self.drop_everything();
+        if record.first_holder == self.own {
+            self.unlisted = Some(UnlistedIssue {
+                usable_from,
+                issued: BTreeSet::new(),
+            });
+        }
+        self.adopted = Some(AdoptedGeneration {
+            number: record.number,
+            first_holder: record.first_holder.clone(),
+            reclaims: 0,
+        });
     }
 
-    /// All counters for a peer.
-    #[must_use]
-    pub fn counters_for(&self, _peer: &IncarnationId) -> BTreeMap<LimitKey, TransferCounter> {
-        todo!()
+    fn apply_reclaim(&mut self, reclaim: &ReclaimRecord, usable_from: Instant) {
+        self.fenced.extend(reclaim.dead.iter().cloned());
+        if reclaim.recipient != self.own {
+            return;
+        }
+        self.pending.push(PendingAward {
+            usable_from,
+            amounts: reclaim.amounts.clone(),
+        });
+        if reclaim.takes_unlisted {
+            assert!(
+                self.unlisted.is_none(),
+                "{} is issued all unlisted limits twice",
+                self.own
+            );
+            self.unlisted = Some(UnlistedIssue {
+                usable_from,
+                issued: reclaim.amounts.keys().cloned().collect(),
+            });
+        }
     }
 
-    /// The counters for a peer that changed since it last acknowledged.
-    #[must_use]
-    pub fn counters_since_ack(&self, _peer: &IncarnationId) -> CounterUpdate {
-        todo!()
+    /// Drops shares, tokens and counters; slots go on running.
+    fn drop_everything(&mut self) {
+        for holding in self.holdings.values_mut() {
+            holding.drop_shares();
+        }
+        self.pairs.clear();
+        self.fenced.clear();
+        self.pending.clear();
+        self.unlisted = None;
     }
 
-    /// Notes that a peer applied the update with this mark.
-    pub fn acknowledge(&mut self, _peer: &IncarnationId, _mark: u64) {
-        todo!()
+    /// Takes over issued shares that have become usable. Every call that is
+    /// told the time does so too.
+    pub fn tick(&mut self, now: Instant) {
+        if !self.pending.is_empty() {
+            let pending = std::mem::take(&mut self.pending);
+            for award in pending {
+                if award.usable_from > now {
+                    self.pending.push(award);
+                    continue;
+                }
+                for (limit, shares) in award.amounts {
+                    let holding = self.holdings.entry(limit).or_default();
+                    holding.add(shares, 0, now);
+                }
+            }
+            self.issue_unlisted(now);
+        }
+        if self.unlisted.as_ref().is_some_and(|u| u.issued.is_empty()) {
+            self.issue_unlisted(now);
+        }
     }
 
-    /// Takes what a peer's counters add to what was received from it before.
-    pub fn receive(
-        &mut self,
-        _peer: &IncarnationId,
-        _counters: &BTreeMap<LimitKey, TransferCounter>,
-        _now: Instant,
-    ) -> ReceiveOutcome {
-        todo!()
+    /// Issues the limits of the configuration that were never issued.
+    fn issue_unlisted(&mut self, now: Instant) {
+        let Some(unlisted) = &mut self.unlisted else {
+            return;
+        };
+        if unlisted.usable_from > now {
+            return;
+        }
+        for (limit, holding) in &mut self.holdings {
+            if holding.plan().is_some() && unlisted.issued.insert(limit.clone()) {
+                holding.add(TOTAL_SHARES, 0, now);
+            }
+        }
     }
 
-    /// What this holder has of each limit; limits without shares and demand
-    /// are left out.
-    #[must_use]
-    pub fn summary(&mut self, _now: Instant) -> BTreeMap<LimitKey, RightsSummary> {
-        todo!()
+    /// Shares of a limit that are issued to this incarnation and not held yet.
+    pub(super) fn not_yet_held(&self, limit: &LimitKey) -> u64 {
+        let unlisted = self.unlisted.as_ref();
+        let unlisted = unlisted.is_some_and(|u| !u.issued.contains(limit));
+        let pending = self.pending.iter().filter_map(|a| a.amounts.get(limit));
+        let all = if unlisted { TOTAL_SHARES } else { 0 };
+        pending.fold(all, |sum, shares| sum.saturating_add(*shares))
+    }
+
+    /// Spends one token of a rate limit, and counts the request as demand.
+    pub fn admit(&mut self, limit: &LimitKey, now: Instant) -> RightsOutcome {
+        if let Some(holding) = self.holdings.get_mut(limit) {
+            holding.rate_demand.count(now);
+        }
+        self.admit_waiting(limit, now)
     }
 
-    /// Moves shares to peers with higher demand. Returns the peers whose
-    /// counters changed.
-    pub fn rebalance(&mut self, _peers: &PeerSummaries, _now: Instant) -> BTreeSet<IncarnationId> {
-        todo!()
+    /// Like [`admit`](Self::admit) for a request that waited for tokens of
+    /// peers; it was counted as demand before.
+    pub fn admit_waiting(&mut self, limit: &LimitKey, now: Instant) -> RightsOutcome {
+        self.tick(now);
+        let Some(holding) = self.holdings.get_mut(limit) else {
+            return RightsOutcome::Unknown;
+        };
+        match holding.spend(now) {
+            None => RightsOutcome::Unknown,
+            Some(true) => {
+                holding.short_at = None;
+                RightsOutcome::Granted
+            }
+            Some(false) => {
+                holding.short_at = Some(now);
+                let wait = holding.wait();
+                RightsOutcome::Short { wait }
+            }
+        }
     }
 
-    /// Gives everything to a peer, except shares under running slots. Returns
-    /// whether nothing is left.
-    pub fn hand_over(&mut self, _peer: &IncarnationId, _now: Instant) -> bool {
-        todo!()
+    /// Takes one slot of each limit, or none at all.
+    #[must_use]
+    pub fn take_slots(&mut self, limits: &[LimitKey]) -> bool {
+        let mut counts: BTreeMap<&LimitKey, u32> = BTreeMap::new();
+        for limit in limits {
+            *counts.entry(limit).or_default() += 1;
+        }
+        let short = counts
+            .iter()
+            .find(|(limit, count)| self.free_slots(limit) < **count);
+        if let Some((limit, _count)) = short {
+            if let Some(holding) = self.holdings.get_mut(*limit) {
+                holding.slot_demand.refuse();
+            }
+            return false;
+        }
+        for (limit, count) in counts {
+            if let Some(holding) = self.holdings.get_mut(limit) {
+                holding.start(count);
+            }
+        }
+        true
     }
 
-    /// Refuses all later messages of dead incarnations and reports what went
-    /// between them and this incarnation.
-    pub fn fence(&mut self, _dead: &BTreeSet<IncarnationId>) -> FenceReport {
-        todo!()
+    /// Gives back slots taken by [`take_slots`](Self::take_slots).
+    ///
+    /// # Panics
+    ///
+    /// If a slot is released that does not run.
+    pub fn release_slots(&mut self, limits: &[LimitKey]) {
+        for limit in limits {
+            let holding = self.holdings.get_mut(limit);
+            assert!(holding.is_some(), "{limit}: released a slot never taken");
+            if let Some(holding) = holding {
+                holding.finish();
+            }
+        }
     }
 }
--- a/crates/policy/src/rights/plan.rs
+++ b/crates/policy/src/rights/plan.rs
@@ -10,6 +10,10 @@
 /// split between that many holders is exact.
 pub const TOTAL_SHARES: u64 = 720_720_000;
 
+/// Parts of one token. A token is counted in the same number of parts as a
+/// limit has shares, so that `share * burst` is a whole number of parts.
+pub(crate) const TOKEN_PARTS: u64 = TOTAL_SHARES;
+
 /// What a limit allows over the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitPlan {
--- /dev/null
+++ b/crates/policy/src/rights/rebalance.rs
@@ -0,0 +1,165 @@
+//! Summaries of heartbeats, and the moves that follow from them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use super::balance::{Position, gifts};
+use super::holding::{Holding, shares_for, slots_of};
+use super::ledger::RightsLedger;
+use super::outcome::{PeerSummaries, RightsSummary};
+use super::plan::{LimitPlan, TOTAL_SHARES};
+use super::sparing::{fragment, rate_need, scarce, slot_gift, slot_need, spare_rate, spare_slots};
+use crate::ids::{IncarnationId, LimitKey};
+use crate::units::SlotCount;
+
+impl RightsLedger {
+    /// What this holder has of each limit; limits without shares and demand
+    /// are left out.
+    #[must_use]
+    pub fn summary(&mut self, now: Instant) -> BTreeMap<LimitKey, RightsSummary> {
+        self.tick(now);
+        let holdings = self.holdings.iter_mut();
+        let summaries = holdings.map(|(limit, holding)| (limit.clone(), summarise(holding, now)));
+        summaries
+            .filter(|(_, summary)| *summary != RightsSummary::default())
+            .collect()
+    }
+
+    /// Moves shares to peers with higher demand. Returns the peers whose
+    /// counters changed.
+    ///
+    /// A peer gets nothing more of a limit until it acknowledged what it was
+    /// given before, because its summary does not show that yet.
+    pub fn rebalance(&mut self, peers: &PeerSummaries, now: Instant) -> BTreeSet<IncarnationId> {
+        let own = self.summary(now);
+        let alive = peers.keys();
+        let alive: Vec<_> = alive
+            .filter(|peer| **peer != self.own && !self.fenced.contains(*peer))
+            .cloned()
+            .collect();
+        let mut changed = BTreeSet::new();
+        for (limit, summary) in own.iter().filter(|(_, summary)| summary.shares > 0) {
+            let Some(plan) = self.holdings.get(limit).and_then(Holding::plan) else {
+                continue;
+            };
+            let find = |peer: &IncarnationId| peers.get(peer).and_then(|l| l.get(limit).copied());
+            let others = alive.iter().map(|peer| find(peer).unwrap_or_default());
+            let all: Vec<_> = std::iter::once(*summary).chain(others).collect();
+            for (peer, shares) in self.gifts_of(limit, plan, &all, &alive) {
+                let pair = self.pairs.get(&peer);
+                if pair.is_none_or(|pair| !pair.in_flight(limit))
+                    && self.transfer_shares(&peer, limit, shares, now)
+                {
+                    changed.insert(peer);
+                }
+            }
+        }
+        changed
+    }
+
+    /// What to give of a limit to each peer. `all` starts with this holder and
+    /// goes on with the peers of `alive`.
+    fn gifts_of(
+        &self,
+        limit: &LimitKey,
+        plan: LimitPlan,
+        all: &[RightsSummary],
+        alive: &[IncarnationId],
+    ) -> Vec<(IncarnationId, u64)> {
+        let Some(holding) = self.holdings.get(limit) else {
+            return Vec::new();
+        };
+        let shares = match plan {
+            // Each request collects its tokens by asking.
+            LimitPlan::Rate { .. } if scarce(plan) => return Vec::new(),
+            LimitPlan::Rate { rate, burst } => {
+                gifts(&positions(all, |demand| rate_need(demand, rate, burst)), 0)
+            }
+            LimitPlan::Slots(slots) if scarce(plan) => {
+                return self.scarce_slot_gifts(holding, slots, all, alive);
+            }
+            LimitPlan::Slots(slots) => {
+                let need = |demand| shares_for(slot_need(demand).saturating_add(1), slots);
+                gifts(&positions(all, need), 0)
+            }
+        };
+        let mut free = holding.allowed_slots().saturating_sub(holding.running());
+        let peers = alive.iter().cloned().zip(shares.into_iter().skip(1));
+        let whole = peers.map(|(peer, shares)| match plan {
+            LimitPlan::Rate { .. } => (peer, shares),
+            LimitPlan::Slots(slots) => {
+                let count = slots_of(shares, slots).min(free);
+                free -= count;
+                (peer, shares_for(count, slots))
+            }
+        });
+        whole.filter(|(_, shares)| *shares > 0).collect()
+    }
+
+    /// One slot for one peer whose demand exceeds its slots, if this holder
+    /// has one that its own demand does not need. Holders that could give and
+    /// peers that need are matched by order, so that two holders do not serve
+    /// the same peer. Fragments go to the first holder, which joins them to
+    /// whole slots.
+    fn scarce_slot_gifts(
+        &self,
+        holding: &Holding,
+        slots: SlotCount,
+        all: &[RightsSummary],
+        alive: &[IncarnationId],
+    ) -> Vec<(IncarnationId, u64)> {
+        let names: Vec<_> = std::iter::once(&self.own).chain(alive).collect();
+        let mut order: Vec<_> = (0..all.len()).collect();
+        order.sort_by_key(|index| names[*index]);
+        let balance = |index: &usize| {
+            let summary = all[*index];
+            let held = slots_of(summary.shares.min(TOTAL_SHARES), slots);
+            i64::from(held) - i64::from(slot_need(summary.demand))
+        };
+        let givers: Vec<_> = order.iter().filter(|i| balance(i) > 0).collect();
+        let takers: Vec<_> = order.iter().filter(|i| balance(i) < 0).collect();
+        let rank = givers.iter().position(|index| **index == 0);
+        let taker = rank.and_then(|rank| takers.get(rank));
+        let free = holding.allowed_slots().saturating_sub(holding.running());
+        if let (Some(taker), true) = (taker, free > 0) {
+            return vec![(names[**taker].clone(), slot_gift(holding, slots, 1))];
+        }
+        let rest = fragment(holding, slots);
+        let first = order.iter().find(|index| all[**index].shares > 0);
+        match first {
+            Some(first) if *first != 0 && rest > 0 => vec![(names[*first].clone(), rest)],
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn positions(all: &[RightsSummary], need: impl Fn(u64) -> u64) -> Vec<Position> {
+    let position = |summary: &RightsSummary| Position {
+        held: summary.shares.min(TOTAL_SHARES),
+        need: need(summary.demand).min(TOTAL_SHARES),
+    };
+    all.iter().map(position).collect()
+}
+
+fn summarise(holding: &mut Holding, now: Instant) -> RightsSummary {
+    holding.refill(now);
+    let shares = holding.shares();
+    match (holding.plan(), holding.rate_share()) {
+        (Some(LimitPlan::Slots(slots)), _) => {
+            let spare = spare_slots(holding, slots, now);
+            RightsSummary {
+                shares,
+                spare: slot_gift(holding, slots, spare),
+                demand: holding
+                    .slot_demand
+                    .slots(holding.running(), slots.get(), now),
+            }
+        }
+        (_, Some(share)) => RightsSummary {
+            shares,
+            spare: spare_rate(holding, &share, true, now).shares,
+            demand: holding.rate_demand.per_second(now),
+        },
+        _ => RightsSummary::default(),
+    }
+}
--- a/crates/policy/src/rights/record.rs
+++ b/crates/policy/src/rights/record.rs
@@ -108,21 +108,3 @@
         award: i128,
     },
 }
-
-/// Plans the award of everything that the dead set held or was sent.
-///
-/// `dead` is the dead set of the whole generation, instances that stopped
-/// gracefully included. `reports` has one report of every incarnation of the
-/// generation that is not dead.
-///
-/// # Errors
-///
-/// [`ReclaimError`] when the reports are incomplete or contradict the record.
-pub fn plan_reclaim(
-    _record: &GenerationRecord,
-    _dead: &BTreeSet<IncarnationId>,
-    _recipient: &IncarnationId,
-    _reports: &BTreeMap<IncarnationId, FenceReport>,
-) -> Result<ReclaimRecord, ReclaimError> {
-    todo!()
-}
--- /dev/null
+++ b/crates/policy/src/rights/transfer.rs
@@ -0,0 +1,267 @@
+//! Giving, receiving and fencing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use super::counter::{CounterUpdate, PairCounters, TransferCounter};
+use super::ledger::RightsLedger;
+use super::outcome::{PeerSummaries, ReceiveOutcome, RightsWant};
+use super::plan::{LimitPlan, TOTAL_SHARES};
+use super::record::FenceReport;
+use super::sparing::{
+    Spare, gift_of_rate, gift_of_slots, note_ask, spare_rate, spare_slots, want_of_rate,
+    want_of_slots,
+};
+use crate::ids::{IncarnationId, LimitKey};
+
+impl RightsLedger {
+    /// What to ask peers for. `None` when this holder is not short of the
+    /// limit, or asked a moment ago.
+    #[must_use]
+    pub fn want(&mut self, limit: &LimitKey, now: Instant) -> Option<RightsWant> {
+        self.tick(now);
+        if self.dropped {
+            return None;
+        }
+        let holding = self.holdings.get_mut(limit)?;
+        holding.refill(now);
+        let want = match (holding.plan()?, holding.rate_share()) {
+            (LimitPlan::Slots(slots), _) => want_of_slots(holding, slots, now),
+            (LimitPlan::Rate { .. }, Some(share)) => want_of_rate(holding, &share, now),
+            (LimitPlan::Rate { .. }, None) => None,
+        };
+        if want.is_some() {
+            note_ask(holding, now);
+        }
+        want
+    }
+
+    /// Peers to ask for a limit: those of `near` first, then by spare shares.
+    /// Peers without any are left out.
+    #[must_use]
+    pub fn ask_order(
+        &self,
+        limit: &LimitKey,
+        peers: &PeerSummaries,
+        near: &BTreeSet<IncarnationId>,
+    ) -> Vec<IncarnationId> {
+        let mut order: Vec<_> = peers
+            .iter()
+            .filter(|(peer, _)| **peer != self.own && !self.fenced.contains(*peer))
+            .filter_map(|(peer, limits)| Some((peer, limits.get(limit)?.spare)))
+            .filter(|(_, spare)| *spare > 0)
+            .collect();
+        order.sort_by(|(a, a_spare), (b, b_spare)| {
+            let far = |peer: &IncarnationId| !near.contains(peer);
+            (far(a), b_spare, a).cmp(&(far(b), a_spare, b))
+        });
+        order.into_iter().map(|(peer, _)| peer.clone()).collect()
+    }
+
+    /// Gives a peer what it wants, as far as it can be spared. Returns whether
+    /// the counters for the peer changed.
+    pub fn give(
+        &mut self,
+        peer: &IncarnationId,
+        limit: &LimitKey,
+        want: &RightsWant,
+        now: Instant,
+    ) -> bool {
+        self.tick(now);
+        let yields = self.own > *peer;
+        let Some(holding) = self.holdings.get_mut(limit) else {
+            return false;
+        };
+        holding.refill(now);
+        let gift = match (holding.plan(), holding.rate_share()) {
+            (Some(LimitPlan::Slots(slots)), _) => {
+                let spare = spare_slots(holding, slots, now);
+                Spare {
+                    shares: gift_of_slots(holding, slots, spare, want),
+                    tokens: 0,
+                }
+            }
+            (_, Some(share)) => {
+                let most = spare_rate(holding, &share, yields, now);
+                gift_of_rate(holding, &share, most, want)
+            }
+            _ => return false,
+        };
+        self.transfer(peer, limit, gift, now)
+    }
+
+    /// Moves a gift from the holding to the peer's counters.
+    fn transfer(
+        &mut self,
+        peer: &IncarnationId,
+        limit: &LimitKey,
+        gift: Spare,
+        now: Instant,
+    ) -> bool {
+        let Some(generation) = self.generation() else {
+            return false;
+        };
+        if self.dropped || *peer == self.own || self.fenced.contains(peer) {
+            return false;
+        }
+        let Some(holding) = self.holdings.get_mut(limit) else {
+            return false;
+        };
+        let shares = gift.shares.min(holding.movable());
+        if shares == 0 {
+            return false;
+        }
+        holding.take(shares, gift.tokens, now);
+        let pair = self.pairs.entry(peer.clone()).or_default();
+        pair.give(limit, generation, shares, gift.tokens);
+        true
+    }
+
+    /// All counters for a peer.
+    #[must_use]
+    pub fn counters_for(&self, peer: &IncarnationId) -> BTreeMap<LimitKey, TransferCounter> {
+        if self.fenced.contains(peer) {
+            return BTreeMap::new();
+        }
+        self.pairs
+            .get(peer)
+            .map_or_else(BTreeMap::new, PairCounters::all)
+    }
+
+    /// The counters for a peer that changed since it last acknowledged.
+    #[must_use]
+    pub fn counters_since_ack(&self, peer: &IncarnationId) -> CounterUpdate {
+        if self.fenced.contains(peer) {
+            return CounterUpdate::default();
+        }
+        let pair = self.pairs.get(peer);
+        pair.map_or_else(CounterUpdate::default, PairCounters::update)
+    }
+
+    /// Notes that a peer applied the update with this mark.
+    pub fn acknowledge(&mut self, peer: &IncarnationId, mark: u64) {
+        if let Some(pair) = self.pairs.get_mut(peer) {
+            pair.acknowledge(mark);
+        }
+    }
+
+    /// Takes what a peer's counters add to what was received from it before.
+    ///
+    /// Counters of an earlier message that arrives late are
+    /// [`Invalid`](ReceiveOutcome::Invalid) too, as they go backwards.
+    pub fn receive(
+        &mut self,
+        peer: &IncarnationId,
+        counters: &BTreeMap<LimitKey, TransferCounter>,
+        now: Instant,
+    ) -> ReceiveOutcome {
+        if self.dropped || self.fenced.contains(peer) {
+            return ReceiveOutcome::Fenced;
+        }
+        self.tick(now);
+        let generation = self.generation();
+        if counters.values().any(|c| Some(c.generation) != generation) {
+            return ReceiveOutcome::OtherGeneration;
+        }
+        let Some(news) = self.news(peer, counters) else {
+            return ReceiveOutcome::Invalid;
+        };
+        let changed = !news.is_empty();
+        for (limit, shares, tokens) in news {
+            let holding = self.holdings.entry(limit.clone()).or_default();
+            holding.add(shares, tokens, now);
+            holding.asked_at = None;
+            let pair = self.pairs.entry(peer.clone()).or_default();
+            pair.set_received(limit, counters[limit]);
+        }
+        ReceiveOutcome::Applied { changed }
+    }
+
+    /// What counters add, or `None` when one of them is impossible.
+    fn news<'a>(
+        &self,
+        peer: &IncarnationId,
+        counters: &'a BTreeMap<LimitKey, TransferCounter>,
+    ) -> Option<Vec<(&'a LimitKey, u64, u128)>> {
+        if *peer == self.own {
+            return None;
+        }
+        let fresh = PairCounters::default();
+        let pair = self.pairs.get(peer).unwrap_or(&fresh);
+        let mut news = Vec::new();
+        for (limit, counter) in counters {
+            let (shares, tokens) = pair.news(limit, counter)?;
+            let held = self.shares(limit).saturating_add(self.not_yet_held(limit));
+            let most = u128::from(shares) * u128::from(u32::MAX);
+            if held.saturating_add(shares) > TOTAL_SHARES || tokens > most {
+                return None;
+            }
+            if shares > 0 {
+                news.push((limit, shares, tokens));
+            }
+        }
+        Some(news)
+    }
+
+    /// Gives shares with their part of the tokens.
+    pub(super) fn transfer_shares(
+        &mut self,
+        peer: &IncarnationId,
+        limit: &LimitKey,
+        shares: u64,
+        now: Instant,
+    ) -> bool {
+        let Some(holding) = self.holdings.get_mut(limit) else {
+            return false;
+        };
+        holding.refill(now);
+        let (level, held) = (u128::from(holding.level()), u128::from(holding.shares()));
+        // Rounded up, so that the rest stays inside its cap.
+        let tokens = (level * u128::from(shares)).div_ceil(held.max(1));
+        let tokens = u64::try_from(tokens).unwrap_or(u64::MAX);
+        self.transfer(peer, limit, Spare { shares, tokens }, now)
+    }
+
+    /// Gives everything to a peer, except shares under running slots. Returns
+    /// whether nothing is left.
+    pub fn hand_over(&mut self, peer: &IncarnationId, now: Instant) -> bool {
+        self.tick(now);
+        let limits: Vec<_> = self.holdings.keys().cloned().collect();
+        let mut left = 0;
+        for limit in limits {
+            let Some(holding) = self.holdings.get(&limit) else {
+                continue;
+            };
+            let shares = holding.movable();
+            self.transfer_shares(peer, &limit, shares, now);
+            left += self.shares(&limit);
+        }
+        left == 0
+    }
+
+    /// Refuses all later messages of dead incarnations and reports what went
+    /// between them and this incarnation.
+    pub fn fence(&mut self, dead: &BTreeSet<IncarnationId>) -> FenceReport {
+        let dead = dead.iter().filter(|dead| **dead != self.own);
+        self.fenced.extend(dead.cloned());
+        let mut amounts = BTreeMap::new();
+        let mut peers = BTreeSet::new();
+        for (peer, pair) in &self.pairs {
+            let pair = pair.amounts();
+            if pair.is_empty() {
+                continue;
+            }
+            if self.fenced.contains(peer) {
+                amounts.insert(peer.clone(), pair);
+            } else {
+                peers.insert(peer.clone());
+            }
+        }
+        FenceReport {
+            generation: self.generation().unwrap_or(0),
+            fenced: self.fenced.clone(),
+            amounts,
+            peers,
+        }
+    }
+}
