--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod clock;
 pub mod contract;
 pub mod facts;
+pub mod freshness;
 pub mod ids;
+pub mod membership;
 pub mod snapshot;
 pub mod timeline;
 pub mod units;
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,259 @@
+//! Which entry instances there are.
+//!
+//! The platform's list lags, and a silent instance may only be cut off, so
+//! neither is enough to call an incarnation gone. It is gone when the list does
+//! not show its instance and it does not answer, or when a newer incarnation
+//! has its name.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::freshness::RequiredSet;
+use crate::ids::{CentreName, IncarnationId, InstanceName};
+
+/// An incarnation that has been silent for this long does not answer. Five
+/// heartbeat intervals, so that one lost heartbeat does not count as silence.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Where an instance is and how it is reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberPlace {
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Where callers reach it.
+    pub service_address: SocketAddr,
+    /// Where other instances reach it.
+    pub peer_address: SocketAddr,
+}
+
+/// An instance as the platform's list shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedMember {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its place.
+    pub place: MemberPlace,
+    /// Whether it is about to be stopped.
+    pub leaving: bool,
+}
+
+/// Whether an instance takes part in the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberState {
+    /// It is running, or at least not known to be gone.
+    Live,
+    /// It is about to stop.
+    Leaving,
+    /// It has ended.
+    Gone,
+}
+
+/// An instance as this table knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberEntry {
+    /// Its place: from the list, or else from its own messages.
+    pub place: MemberPlace,
+    /// Whether the newest list shows it.
+    pub listed: bool,
+    /// Whether the list calls it leaving.
+    pub leaving: bool,
+    /// Its newest incarnation, once heard from.
+    pub incarnation: Option<IncarnationId>,
+    /// When the newest incarnation was heard from last.
+    pub heard: Option<Instant>,
+}
+
+impl MemberEntry {
+    const fn new(place: MemberPlace) -> Self {
+        Self {
+            place,
+            listed: false,
+            leaving: false,
+            incarnation: None,
+            heard: None,
+        }
+    }
+
+    /// Whether it was heard from lately.
+    #[must_use]
+    pub fn answers(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE_LIMIT)
+    }
+
+    fn gone(&self, now: Instant) -> bool {
+        !self.listed && !self.answers(now)
+    }
+
+    /// Its state.
+    #[must_use]
+    pub fn state(&self, now: Instant) -> MemberState {
+        match (self.gone(now), self.leaving) {
+            (true, _) => MemberState::Gone,
+            (false, true) => MemberState::Leaving,
+            (false, false) => MemberState::Live,
+        }
+    }
+}
+
+/// All other instances that this one knows of.
+#[derive(Debug, Clone)]
+pub struct MemberTable {
+    own: InstanceName,
+    entries: BTreeMap<InstanceName, MemberEntry>,
+    replaced: BTreeSet<IncarnationId>,
+    list_known: bool,
+}
+
+impl MemberTable {
+    /// Creates the table of the instance `own`, which is never an entry.
+    #[must_use]
+    pub const fn new(own: InstanceName) -> Self {
+        Self {
+            own,
+            entries: BTreeMap::new(),
+            replaced: BTreeSet::new(),
+            list_known: false,
+        }
+    }
+
+    /// Takes over a new reading of the platform's list.
+    pub fn list_read(&mut self, listed: Vec<ListedMember>) {
+        self.list_known = true;
+        for entry in self.entries.values_mut() {
+            entry.listed = false;
+        }
+        for member in listed {
+            if member.instance != self.own {
+                self.take_listed(member);
+            }
+        }
+    }
+
+    fn take_listed(&mut self, member: ListedMember) {
+        let entry = self
+            .entries
+            .entry(member.instance)
+            .or_insert_with(|| MemberEntry::new(member.place.clone()));
+        entry.place = member.place;
+        entry.listed = true;
+        entry.leaving = member.leaving;
+    }
+
+    /// Notes a message of `incarnation` at `now`. Returns `false`, and changes
+    /// nothing, when a newer incarnation of the same instance is known or the
+    /// instance is this one.
+    pub fn heard(
+        &mut self,
+        incarnation: &IncarnationId,
+        place: &MemberPlace,
+        now: Instant,
+    ) -> bool {
+        if incarnation.instance == self.own {
+            return false;
+        }
+        let entry = self
+            .entries
+            .entry(incarnation.instance.clone())
+            .or_insert_with(|| MemberEntry::new(place.clone()));
+        if let Some(known) = &entry.incarnation {
+            if known.number > incarnation.number {
+                return false;
+            }
+            if known.number < incarnation.number {
+                self.replaced.insert(known.clone());
+            }
+        }
+        entry.incarnation = Some(incarnation.clone());
+        entry.heard = Some(now);
+        true
+    }
+
+    /// The other instances, in name order.
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceName, &MemberEntry)> {
+        self.entries.iter()
+    }
+
+    /// One other instance.
+    #[must_use]
+    pub fn get(&self, instance: &InstanceName) -> Option<&MemberEntry> {
+        self.entries.get(instance)
+    }
+
+    /// Whether the platform's list was ever read.
+    #[must_use]
+    pub const fn list_known(&self) -> bool {
+        self.list_known
+    }
+
+    /// Whether `incarnation` is gone.
+    #[must_use]
+    pub fn is_gone(&self, incarnation: &IncarnationId, now: Instant) -> bool {
+        if incarnation.instance == self.own {
+            return false;
+        }
+        match self.entries.get(&incarnation.instance) {
+            // Heard of through others or the table only. Without a list there
+            // is no evidence that it ended.
+            None => self.list_known,
+            Some(entry) => match &entry.incarnation {
+                Some(known) if known.number > incarnation.number => true,
+                Some(known) if known.number == incarnation.number => entry.gone(now),
+                _ => !entry.listed && !entry.answers(now),
+            },
+        }
+    }
+
+    /// The known incarnations that are gone.
+    #[must_use]
+    pub fn gone(&self, now: Instant) -> BTreeSet<IncarnationId> {
+        let ended = self
+            .entries
+            .values()
+            .filter(|entry| self.list_known && entry.gone(now))
+            .filter_map(|entry| entry.incarnation.clone());
+        self.replaced.iter().cloned().chain(ended).collect()
+    }
+
+    /// The newest incarnations that are not gone.
+    #[must_use]
+    pub fn present(&self, now: Instant) -> BTreeSet<IncarnationId> {
+        self.required_set(now).incarnations
+    }
+
+    /// Whose attestations proof (c) needs: each listed instance, and each
+    /// incarnation heard from that is not gone. `None` before the list was
+    /// read, because any number of instances may be missing then.
+    #[must_use]
+    pub fn required(&self, now: Instant) -> Option<RequiredSet> {
+        self.list_known.then(|| self.required_set(now))
+    }
+
+    fn required_set(&self, now: Instant) -> RequiredSet {
+        let mut required = RequiredSet::default();
+        for (instance, entry) in &self.entries {
+            match &entry.incarnation {
+                Some(_) if self.list_known && entry.gone(now) => {}
+                Some(incarnation) => {
+                    required.incarnations.insert(incarnation.clone());
+                }
+                None if entry.listed => {
+                    required.unheard.insert(instance.clone());
+                }
+                None => {}
+            }
+        }
+        required
+    }
+
+    /// Drops instances that are gone, and what is known of replaced ones, once
+    /// `settled` accepts them.
+    pub fn prune(&mut self, now: Instant, settled: &dyn Fn(&IncarnationId) -> bool) {
+        self.replaced.retain(|incarnation| !settled(incarnation));
+        self.entries.retain(|_instance, entry| {
+            let done = entry.incarnation.as_ref().is_none_or(settled);
+            !(entry.gone(now) && done)
+        });
+    }
+}
