--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,93 @@
+//! The state that the instances of a fleet share.
+//!
+//! [`FleetState`] runs the table reader, the list reader and the heartbeats of
+//! one instance, and implements the borders for configuration, limits, facts,
+//! members and events on top of them. All of it runs on one thread; no borrow
+//! of the shared state is held across an await.
+
+mod config;
+mod core;
+mod events;
+mod facts;
+mod members;
+mod sync;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use tarragonpulley_platform::{InstanceList, TableService};
+use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::ids::{CentreName, IncarnationId};
+
+use self::core::FleetCore;
+use crate::border::{ConfigSource, EventSink, FactBoard, MemberSource};
+
+/// What a [`FleetState`] is started with.
+#[derive(Debug)]
+pub(crate) struct FleetOptions {
+    /// This run of the instance.
+    pub(crate) own: IncarnationId,
+    /// The data centre of the instance.
+    pub(crate) centre: CentreName,
+    /// Where callers reach the instance.
+    pub(crate) service_address: SocketAddr,
+    /// Time.
+    pub(crate) clock: Rc<dyn TimeSource>,
+    /// The platform's table.
+    pub(crate) table: Rc<dyn TableService>,
+    /// The platform's list of instances.
+    pub(crate) list: Rc<dyn InstanceList>,
+}
+
+/// The running state of one instance. Dropping it ends its tasks.
+#[derive(Debug)]
+pub(crate) struct FleetState {
+    core: Rc<FleetCore>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl FleetState {
+    /// Starts the readers and the heartbeats on the present thread's runtime.
+    pub(crate) fn start(options: FleetOptions) -> Self {
+        let core = Rc::new(FleetCore::new(options));
+        let tasks = vec![
+            actix_rt::spawn(sync::read_table(Rc::clone(&core))),
+            actix_rt::spawn(sync::read_list(Rc::clone(&core))),
+        ];
+        Self { core, tasks }
+    }
+
+    /// The configuration and its proof.
+    pub(crate) fn config(&self) -> Rc<dyn ConfigSource> {
+        Rc::<FleetCore>::clone(&self.core)
+    }
+
+    /// Facts that travel between instances.
+    pub(crate) fn facts(&self) -> Rc<dyn FactBoard> {
+        Rc::<FleetCore>::clone(&self.core)
+    }
+
+    /// The entry instances.
+    pub(crate) fn members(&self) -> Rc<dyn MemberSource> {
+        Rc::<FleetCore>::clone(&self.core)
+    }
+
+    /// The time line.
+    pub(crate) fn events(&self) -> Rc<dyn EventSink> {
+        Rc::<FleetCore>::clone(&self.core)
+    }
+
+    /// Resolves once the configuration has been proved current.
+    pub(crate) async fn ready(&self) {
+        self.core.wait_for(|core| core.proof_age().is_some()).await;
+    }
+}
+
+impl Drop for FleetState {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/config.rs
@@ -0,0 +1,116 @@
+//! The configuration in force and its proof.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::freshness::ConfigFreshness;
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest};
+use tarragonpulley_policy::units::ConfigRevision;
+use tarragonpulley_wire::rows::{self, ConfigRows, RowError};
+
+use super::core::FleetCore;
+use crate::border::{ChangeOutcome, ConfigEdit, ConfigSource, ProofState};
+
+/// The configuration that one instance has in force.
+#[derive(Debug, Default)]
+pub(super) struct ConfigState {
+    /// The rows of the revision in force, passed on to peers as they are.
+    pub(super) rows: Rc<ConfigRows>,
+    pub(super) snapshot: Rc<ConfigSnapshot>,
+    pub(super) freshness: ConfigFreshness,
+    /// Rows of the revision in force that keep an earlier value.
+    pub(super) faults: Vec<RowError>,
+}
+
+impl FleetCore {
+    /// The revision in force.
+    pub(super) fn revision(&self) -> ConfigRevision {
+        self.config.borrow().freshness.revision()
+    }
+
+    /// Puts rows in force when their revision is higher than the present one.
+    /// Returns whether they are in force now or an equal revision was already.
+    pub(super) fn adopt_rows(&self, rows: ConfigRows) -> Result<bool, RowError> {
+        let last = self.snapshot_now();
+        let revision = rows::head_revision(&rows)?;
+        if revision <= last.revision {
+            return Ok(revision == last.revision);
+        }
+        let (snapshot, faults) = rows::read_config(&rows, &last)?;
+        let withdrawn = newly_withdrawn(&last, &snapshot);
+        let described = describe(&faults);
+        {
+            let mut config = self.config.borrow_mut();
+            config.freshness.adopt(revision);
+            config.rows = Rc::new(rows);
+            config.snapshot = Rc::new(snapshot);
+            config.faults = faults;
+        }
+        for digest in withdrawn {
+            self.state_fact(FactKey::KeyWithdrawn(digest), FactValue::Latched, true);
+        }
+        self.record_event("revision_adopted", &revision.to_string(), &described);
+        self.progressed();
+        Ok(true)
+    }
+
+    /// Notes a reading of `config/head` that began at `started`.
+    pub(super) fn note_table_read(&self, revision: ConfigRevision, started: Instant) {
+        let proved = self
+            .config
+            .borrow_mut()
+            .freshness
+            .table_read(revision, started);
+        if proved {
+            self.progressed();
+        }
+    }
+
+    pub(super) fn snapshot_now(&self) -> Rc<ConfigSnapshot> {
+        Rc::clone(&self.config.borrow().snapshot)
+    }
+}
+
+/// Keys withdrawn since `last`. The first configuration of an instance has
+/// none: its peers know those already.
+fn newly_withdrawn(last: &ConfigSnapshot, next: &ConfigSnapshot) -> Vec<KeyDigest> {
+    if last.revision == ConfigRevision::default() {
+        return Vec::new();
+    }
+    let known = |digest: &KeyDigest| last.keys.get(digest).is_some_and(|grant| grant.withdrawn);
+    let withdrawn = next.keys.iter().filter(|(_digest, grant)| grant.withdrawn);
+    withdrawn
+        .map(|(digest, _grant)| *digest)
+        .filter(|digest| !known(digest))
+        .collect()
+}
+
+fn describe(faults: &[RowError]) -> String {
+    let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
+impl ConfigSource for FleetCore {
+    fn snapshot(&self) -> Rc<ConfigSnapshot> {
+        self.snapshot_now()
+    }
+
+    fn proof(&self) -> ProofState {
+        self.proof_age()
+            .map_or(ProofState::Missing, ProofState::Proved)
+    }
+
+    fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        let passed_on = FactKey::KeyWithdrawn(*digest);
+        let snapshot = self.snapshot_now();
+        snapshot.keys.get(digest).is_some_and(|key| key.withdrawn)
+            || self.facts.borrow().get(&passed_on).is_some()
+    }
+
+    fn change(&self, edit: ConfigEdit) -> LocalBoxFuture<'_, ChangeOutcome> {
+        async move { ChangeOutcome::Unavailable(format!("{edit:?}: not served yet")) }.boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/facts.rs
@@ -0,0 +1,34 @@
+//! The board of facts that instances tell each other.
+
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+
+use super::core::FleetCore;
+use crate::border::FactBoard;
+
+impl FleetCore {
+    /// Merges a fact; when it is news and `urgent`, peers hear of it at once.
+    pub(super) fn state_fact(&self, key: FactKey, value: FactValue, urgent: bool) {
+        let news = self.facts.borrow_mut().merge(key, value);
+        if news && urgent {
+            self.progressed();
+        }
+    }
+}
+
+impl FactBoard for FleetCore {
+    fn state(&self, key: FactKey, value: FactValue, urgent: bool) {
+        self.state_fact(key, value, urgent);
+    }
+
+    fn get(&self, key: &FactKey) -> Option<FactValue> {
+        self.facts.borrow().get(key).cloned()
+    }
+
+    fn select(&self, select: &dyn Fn(&FactKey) -> bool) -> Vec<(FactKey, FactValue)> {
+        let facts = self.facts.borrow();
+        let chosen = facts.iter().filter(|(key, _value)| select(key));
+        chosen
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect()
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,3 +7,5 @@
 
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
+#[allow(dead_code, reason = "the wiring of the instance is being added")]
+mod fleet;
--- a/crates/wire/src/rows.rs
+++ b/crates/wire/src/rows.rs
@@ -41,7 +41,7 @@
 }
 
 impl RowError {
-    fn new(key: &str, reason: impl ToString) -> Self {
+    fn new(key: &str, reason: &dyn ToString) -> Self {
         Self {
             key: key.to_owned(),
             reason: reason.to_string(),
@@ -238,7 +238,7 @@
 ///
 /// [`RowError`] when the bytes are not JSON of the row's form.
 pub fn decode<R: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<R, RowError> {
-    serde_json::from_slice(bytes).map_err(|e| RowError::new(key, e))
+    serde_json::from_slice(bytes).map_err(|e| RowError::new(key, &e))
 }
 
 /// The rows under [`CONFIG_PREFIX`], by key.
@@ -299,7 +299,7 @@
     } else if let Some(name) = key.strip_prefix(MOVE_PREFIX) {
         let name = parse_name(key, name)?;
         let record = decode::<MoveRow>(key, bytes)
-            .and_then(|row| MoveRecord::try_from(row).map_err(|e| RowError::new(key, e)));
+            .and_then(|row| MoveRecord::try_from(row).map_err(|e| RowError::new(key, &e)));
         keep_last(&mut snapshot.moves, &last.moves, name, record)
     } else if let Some(name) = key.strip_prefix(DRAIN_PREFIX) {
         snapshot.drains.insert(parse_drain(key, name)?);
@@ -307,7 +307,7 @@
     } else if key == HEAD_KEY {
         Ok(())
     } else {
-        Err(RowError::new(key, "no such kind of configuration row"))
+        Err(RowError::new(key, &"no such kind of configuration row"))
     }
 }
 
@@ -332,7 +332,7 @@
     N: std::str::FromStr<Err: ToString>,
 {
     name.parse()
-        .map_err(|e: <N as std::str::FromStr>::Err| RowError::new(key, e.to_string()))
+        .map_err(|e: <N as std::str::FromStr>::Err| RowError::new(key, &e))
 }
 
 fn read_contract(
@@ -342,7 +342,7 @@
 ) -> Result<CustomerContract, RowError> {
     let row = decode::<ContractRow>(key, bytes)?;
     let contract =
-        CustomerContract::parse(&row.file, &row.text).map_err(|e| RowError::new(key, e))?;
+        CustomerContract::parse(&row.file, &row.text).map_err(|e| RowError::new(key, &e))?;
     if contract.customer == *customer {
         Ok(contract)
     } else {
@@ -350,7 +350,7 @@
             "the contract is of customer {:?}",
             contract.customer.as_str()
         );
-        Err(RowError::new(key, reason))
+        Err(RowError::new(key, &reason))
     }
 }
 
@@ -361,7 +361,7 @@
     let (customer, centre) = target
         .strip_prefix("centre:")
         .and_then(|names| names.split_once('/'))
-        .ok_or_else(|| RowError::new(key, "expected instance:name or centre:customer/centre"))?;
+        .ok_or_else(|| RowError::new(key, &"expected instance:name or centre:customer/centre"))?;
     Ok(DrainTarget::Centre(
         parse_name(key, customer)?,
         parse_name(key, centre)?,
