--- a/crates/daemon/src/fleet/members.rs
+++ b/crates/daemon/src/fleet/members.rs
@@ -38,13 +38,9 @@
             service_address: entry.place.service_address,
             answering: entry.answers(now),
             leaving: leaving || entry.state(now) == MemberState::Leaving,
-            revision: self.revision_of(instance),
+            revision: ConfigRevision::default(),
         }
     }
-
-    fn revision_of(&self, _instance: &InstanceName) -> ConfigRevision {
-        ConfigRevision::default()
-    }
 }
 
 impl MemberSource for FleetCore {
