--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod freshness;
 pub mod ids;
 pub mod membership;
+pub mod rights;
 pub mod snapshot;
 pub mod timeline;
 pub mod units;
