--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -15,11 +15,24 @@
 /// with a link cut, which leaves half a second for passing the change on.
 pub const PROOF_LIFETIME: Duration = Duration::from_millis(2500);
 
+/// How far the record of the fleet-wide limits has advanced: its generation and
+/// the reclaims in it. A proof covers the record too, so that an incarnation
+/// whose shares were reclaimed cannot prove that it may still spend them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RightsVersion {
+    /// The number of the generation; zero before the first one.
+    pub generation: u64,
+    /// Reclaims within the generation.
+    pub reclaims: u64,
+}
+
 /// What a peer says about its own configuration in a heartbeat answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerStatement {
     /// The newest committed revision that the peer has in force.
     pub revision: ConfigRevision,
+    /// The rights record that the peer has adopted.
+    pub rights: RightsVersion,
     /// The age of the peer's proof when it answered.
     pub proof_age: Option<Duration>,
     /// Whether the peer ever had a proof. One that never had cannot know of
@@ -40,6 +53,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Attestation {
     revision: ConfigRevision,
+    rights: RightsVersion,
     started: Instant,
 }
 
@@ -47,6 +61,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConfigFreshness {
     revision: ConfigRevision,
+    rights: RightsVersion,
     proved: Option<Instant>,
     attestations: BTreeMap<IncarnationId, Attestation>,
 }
@@ -74,10 +89,31 @@
         newer
     }
 
+    /// Notes that the rights record has advanced. Returns `false`, and changes
+    /// nothing, when it is not newer than the known one.
+    pub fn adopt_rights(&mut self, rights: RightsVersion) -> bool {
+        let newer = rights > self.rights;
+        if newer {
+            self.rights = rights;
+        }
+        newer
+    }
+
+    /// The rights record adopted.
+    #[must_use]
+    pub const fn rights(&self) -> RightsVersion {
+        self.rights
+    }
+
     /// Proof (a): the table, in a read that began at `started`, was at
-    /// `revision`. It proves nothing unless that is the revision in force.
-    pub fn table_read(&mut self, revision: ConfigRevision, started: Instant) -> bool {
-        let current = revision == self.revision;
+    /// `revision` and `rights`. It proves nothing unless both are adopted.
+    pub fn table_read(
+        &mut self,
+        revision: ConfigRevision,
+        rights: RightsVersion,
+        started: Instant,
+    ) -> bool {
+        let current = revision == self.revision && rights == self.rights;
         if current {
             self.prove(started);
         }
@@ -95,11 +131,12 @@
         if statement.based {
             let attestation = Attestation {
                 revision: statement.revision,
+                rights: statement.rights,
                 started,
             };
             self.attestations.insert(peer.clone(), attestation);
         }
-        if statement.revision > self.revision {
+        if statement.revision > self.revision || statement.rights > self.rights {
             return;
         }
         let date = statement.proof_age.and_then(|age| started.checked_sub(age));
@@ -119,7 +156,7 @@
         let mut oldest = now;
         for incarnation in &required.incarnations {
             match self.attestations.get(incarnation) {
-                Some(found) if found.revision <= self.revision => {
+                Some(found) if found.revision <= self.revision && found.rights <= self.rights => {
                     oldest = oldest.min(found.started);
                 }
                 _ => return false,
@@ -142,8 +179,8 @@
         self.proved.is_some()
     }
 
-    /// Takes back all proofs and attestations that count for this incarnation,
-    /// because the fleet fenced it. The revision stays.
+    /// Takes back all proofs and attestations, because the fleet fenced the
+    /// incarnation that they were given to. The revision stays.
     pub fn revoke(&mut self) {
         self.proved = None;
         self.attestations.clear();
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -102,7 +102,8 @@
 pub struct MemberTable {
     own: InstanceName,
     entries: BTreeMap<InstanceName, MemberEntry>,
-    replaced: BTreeSet<IncarnationId>,
+    /// Incarnations that were replaced, or that only others heard from.
+    others: BTreeSet<IncarnationId>,
     list_known: bool,
 }
 
@@ -113,7 +114,7 @@
         Self {
             own,
             entries: BTreeMap::new(),
-            replaced: BTreeSet::new(),
+            others: BTreeSet::new(),
             list_known: false,
         }
     }
@@ -162,14 +163,35 @@
                 return false;
             }
             if known.number < incarnation.number {
-                self.replaced.insert(known.clone());
+                self.others.insert(known.clone());
             }
         }
         entry.incarnation = Some(incarnation.clone());
         entry.heard = Some(now);
+        self.others.remove(incarnation);
         true
     }
 
+    /// Notes an incarnation that a peer knows of.
+    pub fn heard_of(&mut self, incarnation: &IncarnationId) {
+        if incarnation.instance != self.own && !self.knows(incarnation) {
+            self.others.insert(incarnation.clone());
+        }
+    }
+
+    fn knows(&self, incarnation: &IncarnationId) -> bool {
+        let entry = self.entries.get(&incarnation.instance);
+        entry.is_some_and(|entry| entry.incarnation.as_ref() == Some(incarnation))
+    }
+
+    /// Every incarnation that this table knows of, gone or not.
+    #[must_use]
+    pub fn known(&self) -> BTreeSet<IncarnationId> {
+        let newest = self.entries.values();
+        let newest = newest.filter_map(|entry| entry.incarnation.clone());
+        self.others.iter().cloned().chain(newest).collect()
+    }
+
     /// The other instances, in name order.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceName, &MemberEntry)> {
         self.entries.iter()
@@ -193,33 +215,29 @@
         if incarnation.instance == self.own {
             return false;
         }
-        match self.entries.get(&incarnation.instance) {
-            // Heard of through others or the table only. Without a list there
-            // is no evidence that it ended.
-            None => self.list_known,
-            Some(entry) => match &entry.incarnation {
-                Some(known) if known.number > incarnation.number => true,
-                Some(known) if known.number == incarnation.number => entry.gone(now),
-                _ => !entry.listed && !entry.answers(now),
-            },
+        let Some(entry) = self.entries.get(&incarnation.instance) else {
+            // Only others heard from it. Without a list nothing shows its end.
+            return self.list_known;
+        };
+        match &entry.incarnation {
+            Some(known) if known.number > incarnation.number => true,
+            _ => self.list_known && entry.gone(now),
         }
     }
 
     /// The known incarnations that are gone.
     #[must_use]
     pub fn gone(&self, now: Instant) -> BTreeSet<IncarnationId> {
-        let ended = self
-            .entries
-            .values()
-            .filter(|entry| self.list_known && entry.gone(now))
-            .filter_map(|entry| entry.incarnation.clone());
-        self.replaced.iter().cloned().chain(ended).collect()
+        let mut known = self.known();
+        known.retain(|incarnation| self.list_known && self.is_gone(incarnation, now));
+        known
     }
 
-    /// The newest incarnations that are not gone.
+    /// The known incarnations that are not gone.
     #[must_use]
     pub fn present(&self, now: Instant) -> BTreeSet<IncarnationId> {
-        self.required_set(now).incarnations
+        let gone = self.gone(now);
+        self.known().difference(&gone).cloned().collect()
     }
 
     /// Whose attestations proof (c) needs: each listed instance, and each
@@ -231,26 +249,18 @@
     }
 
     fn required_set(&self, now: Instant) -> RequiredSet {
-        let mut required = RequiredSet::default();
-        for (instance, entry) in &self.entries {
-            match &entry.incarnation {
-                Some(_) if self.list_known && entry.gone(now) => {}
-                Some(incarnation) => {
-                    required.incarnations.insert(incarnation.clone());
-                }
-                None if entry.listed => {
-                    required.unheard.insert(instance.clone());
-                }
-                None => {}
-            }
+        let unheard = self.entries.iter();
+        let unheard = unheard.filter(|(_name, entry)| entry.listed && entry.incarnation.is_none());
+        RequiredSet {
+            incarnations: self.present(now),
+            unheard: unheard.map(|(instance, _entry)| instance.clone()).collect(),
         }
-        required
     }
 
     /// Drops instances that are gone, and what is known of replaced ones, once
     /// `settled` accepts them.
     pub fn prune(&mut self, now: Instant, settled: &dyn Fn(&IncarnationId) -> bool) {
-        self.replaced.retain(|incarnation| !settled(incarnation));
+        self.others.retain(|incarnation| !settled(incarnation));
         self.entries.retain(|_instance, entry| {
             let done = entry.incarnation.as_ref().is_none_or(settled);
             !(entry.gone(now) && done)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,4 +5,5 @@
 //! the program cannot change a message by accident, and each value from the
 //! network is checked once, where it enters.
 
+pub mod peer;
 pub mod rows;
--- /dev/null
+++ b/crates/wire/src/peer/convert.rs
@@ -0,0 +1,469 @@
+//! Conversions between messages and domain types.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tarragonpulley_policy::facts::{FactKey, FactValue, ServerReport};
+use tarragonpulley_policy::freshness::{PeerStatement, RightsVersion};
+use tarragonpulley_policy::ids::{IdError, IncarnationId, LimitKey, ServiceKey};
+use tarragonpulley_policy::membership::MemberPlace;
+use tarragonpulley_policy::rights::{
+    FenceReport, PairAmounts, RightsSummary, RightsWant, TransferCounter,
+};
+use tarragonpulley_policy::snapshot::KeyDigest;
+use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
+use tarragonpulley_policy::units::ConfigRevision;
+
+use super::message::{
+    CounterEntry, EventEntry, FactEntry, FactKeyEntry, FactValueEntry, FenceAnswer,
+    IncarnationEntry, PairEntry, PlaceEntry, RightsAskRequest, StampEntry, StatementEntry,
+    SummaryEntry,
+};
+use super::{MAX_EVENTS, MAX_FACTS, MAX_INCARNATIONS, MAX_LIMITS, MAX_TEXT_BYTES};
+
+/// Why a message was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum WireError {
+    /// The bytes are not a message of this protocol.
+    #[error("the bytes are not a peer message: {0}")]
+    Codec(String),
+    /// A name or key is not valid.
+    #[error(transparent)]
+    Id(#[from] IdError),
+    /// A list or text is too long.
+    #[error("{what} has {found} entries or bytes; at most {most} are allowed")]
+    TooLarge {
+        /// The list or text.
+        what: &'static str,
+        /// Its length.
+        found: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// The value does not belong to the key.
+    #[error("the value of a fact does not fit its key {0}")]
+    FactMismatch(String),
+}
+
+impl WireError {
+    pub(super) fn codec(error: &dyn ToString) -> Self {
+        Self::Codec(error.to_string())
+    }
+}
+
+fn check_length(what: &'static str, found: usize, most: usize) -> Result<(), WireError> {
+    if found > most {
+        return Err(WireError::TooLarge { what, found, most });
+    }
+    Ok(())
+}
+
+fn check_text(what: &'static str, text: String) -> Result<String, WireError> {
+    check_length(what, text.len(), MAX_TEXT_BYTES)?;
+    Ok(text)
+}
+
+/// The longest start of `text` within [`MAX_TEXT_BYTES`].
+fn cut_text(mut text: String) -> String {
+    if text.len() > MAX_TEXT_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+    }
+    text
+}
+
+impl From<&IncarnationId> for IncarnationEntry {
+    fn from(id: &IncarnationId) -> Self {
+        Self {
+            instance: id.instance.as_str().to_owned(),
+            number: id.number,
+        }
+    }
+}
+
+impl TryFrom<IncarnationEntry> for IncarnationId {
+    type Error = WireError;
+
+    fn try_from(entry: IncarnationEntry) -> Result<Self, WireError> {
+        Ok(Self {
+            instance: entry.instance.parse()?,
+            number: entry.number,
+        })
+    }
+}
+
+/// Converts a list of incarnations.
+///
+/// # Errors
+///
+/// [`WireError`] when the list is too long or a name is not valid.
+pub fn read_incarnations(
+    entries: Vec<IncarnationEntry>,
+) -> Result<BTreeSet<IncarnationId>, WireError> {
+    check_length("a list of incarnations", entries.len(), MAX_INCARNATIONS)?;
+    entries.into_iter().map(TryInto::try_into).collect()
+}
+
+impl From<&MemberPlace> for PlaceEntry {
+    fn from(place: &MemberPlace) -> Self {
+        Self {
+            centre: place.centre.as_str().to_owned(),
+            service_address: place.service_address,
+            peer_address: place.peer_address,
+        }
+    }
+}
+
+impl TryFrom<PlaceEntry> for MemberPlace {
+    type Error = WireError;
+
+    fn try_from(entry: PlaceEntry) -> Result<Self, WireError> {
+        Ok(Self {
+            centre: entry.centre.parse()?,
+            service_address: entry.service_address,
+            peer_address: entry.peer_address,
+        })
+    }
+}
+
+impl From<HybridStamp> for StampEntry {
+    fn from(stamp: HybridStamp) -> Self {
+        Self {
+            millis: stamp.millis,
+            counter: stamp.counter,
+        }
+    }
+}
+
+impl From<StampEntry> for HybridStamp {
+    fn from(entry: StampEntry) -> Self {
+        Self {
+            millis: entry.millis,
+            counter: entry.counter,
+        }
+    }
+}
+
+/// Rounds up, because a proof must never look younger than it is.
+fn age_micros(age: Duration) -> u64 {
+    let micros = age.as_nanos().div_ceil(1000);
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
+impl From<PeerStatement> for StatementEntry {
+    fn from(statement: PeerStatement) -> Self {
+        Self {
+            revision: statement.revision.get(),
+            generation: statement.rights.generation,
+            reclaims: statement.rights.reclaims,
+            proof_age_us: statement.proof_age.map(age_micros),
+            based: statement.based,
+        }
+    }
+}
+
+impl From<StatementEntry> for PeerStatement {
+    fn from(entry: StatementEntry) -> Self {
+        Self {
+            revision: ConfigRevision::new(entry.revision),
+            rights: RightsVersion {
+                generation: entry.generation,
+                reclaims: entry.reclaims,
+            },
+            proof_age: entry.proof_age_us.map(Duration::from_micros),
+            based: entry.based,
+        }
+    }
+}
+
+impl From<&FactKey> for FactKeyEntry {
+    fn from(key: &FactKey) -> Self {
+        match key {
+            FactKey::ServerReport(server, reporter) => {
+                Self::ServerReport(server.to_string(), reporter.into())
+            }
+            FactKey::CrashCount(fingerprint, reporter) => {
+                Self::CrashCount(*fingerprint, reporter.into())
+            }
+            FactKey::VersionFault(service, version) => {
+                Self::VersionFault(service.to_string(), version.to_string())
+            }
+            FactKey::KeyWithdrawn(digest) => Self::KeyWithdrawn(*digest.as_bytes()),
+            FactKey::InstanceLeaving(instance) => Self::InstanceLeaving(instance.into()),
+        }
+    }
+}
+
+impl TryFrom<FactKeyEntry> for FactKey {
+    type Error = WireError;
+
+    fn try_from(entry: FactKeyEntry) -> Result<Self, WireError> {
+        Ok(match entry {
+            FactKeyEntry::ServerReport(server, reporter) => {
+                Self::ServerReport(server.parse()?, reporter.try_into()?)
+            }
+            FactKeyEntry::CrashCount(fingerprint, reporter) => {
+                Self::CrashCount(fingerprint, reporter.try_into()?)
+            }
+            FactKeyEntry::VersionFault(service, version) => {
+                let service: ServiceKey = service.parse()?;
+                Self::VersionFault(service, version.parse()?)
+            }
+            FactKeyEntry::KeyWithdrawn(digest) => Self::KeyWithdrawn(KeyDigest::from_bytes(digest)),
+            FactKeyEntry::InstanceLeaving(instance) => Self::InstanceLeaving(instance.try_into()?),
+        })
+    }
+}
+
+impl From<&FactValue> for FactValueEntry {
+    fn from(value: &FactValue) -> Self {
+        match value {
+            FactValue::Server(report) => Self::Server {
+                sequence: report.sequence,
+                healthy: report.healthy,
+                leaving: report.leaving,
+                load: report.load,
+                uptime_ms: u64::try_from(report.uptime.as_millis()).unwrap_or(u64::MAX),
+            },
+            FactValue::Count(count) => Self::Count(*count),
+            FactValue::Latched => Self::Latched,
+            FactValue::LatchedBecause(reason) => Self::LatchedBecause(cut_text(reason.clone())),
+        }
+    }
+}
+
+impl TryFrom<FactValueEntry> for FactValue {
+    type Error = WireError;
+
+    fn try_from(entry: FactValueEntry) -> Result<Self, WireError> {
+        Ok(match entry {
+            FactValueEntry::Server {
+                sequence,
+                healthy,
+                leaving,
+                load,
+                uptime_ms,
+            } => Self::Server(ServerReport {
+                sequence,
+                healthy,
+                leaving,
+                load,
+                uptime: Duration::from_millis(uptime_ms),
+            }),
+            FactValueEntry::Count(count) => Self::Count(count),
+            FactValueEntry::Latched => Self::Latched,
+            FactValueEntry::LatchedBecause(reason) => {
+                Self::LatchedBecause(check_text("a reason", reason)?)
+            }
+        })
+    }
+}
+
+impl FactEntry {
+    /// The entry of a fact.
+    #[must_use]
+    pub fn new(key: &FactKey, value: &FactValue) -> Self {
+        Self {
+            key: key.into(),
+            value: value.into(),
+        }
+    }
+}
+
+impl TryFrom<FactEntry> for (FactKey, FactValue) {
+    type Error = WireError;
+
+    fn try_from(entry: FactEntry) -> Result<Self, WireError> {
+        let (key, value) = (FactKey::try_from(entry.key)?, entry.value.try_into()?);
+        let fits = match (&key, &value) {
+            (FactKey::ServerReport(..), FactValue::Server(_))
+            | (FactKey::CrashCount(..), FactValue::Count(_)) => true,
+            (FactKey::ServerReport(..) | FactKey::CrashCount(..), _) => false,
+            (_, value) => matches!(value, FactValue::Latched | FactValue::LatchedBecause(_)),
+        };
+        if fits {
+            Ok((key, value))
+        } else {
+            Err(WireError::FactMismatch(format!("{key:?}")))
+        }
+    }
+}
+
+/// Converts the facts of a heartbeat.
+///
+/// # Errors
+///
+/// [`WireError`] when the list is too long or a fact is not valid.
+pub fn read_facts(entries: Vec<FactEntry>) -> Result<Vec<(FactKey, FactValue)>, WireError> {
+    check_length("a list of facts", entries.len(), MAX_FACTS)?;
+    entries.into_iter().map(TryInto::try_into).collect()
+}
+
+/// The entries of transfer counters.
+#[must_use]
+pub fn write_counters(counters: &BTreeMap<LimitKey, TransferCounter>) -> Vec<CounterEntry> {
+    let entry = |(limit, counter): (&LimitKey, &TransferCounter)| CounterEntry {
+        limit: limit.to_string(),
+        generation: counter.generation,
+        shares: counter.shares,
+        tokens: counter.tokens,
+    };
+    counters.iter().map(entry).collect()
+}
+
+/// Converts transfer counters.
+///
+/// # Errors
+///
+/// [`WireError`] when the list is too long or a key is not valid.
+pub fn read_counters(
+    entries: Vec<CounterEntry>,
+) -> Result<BTreeMap<LimitKey, TransferCounter>, WireError> {
+    check_length("a list of counters", entries.len(), MAX_LIMITS)?;
+    let counter = |entry: CounterEntry| {
+        let counter = TransferCounter {
+            generation: entry.generation,
+            shares: entry.shares,
+            tokens: entry.tokens,
+        };
+        Ok((entry.limit.parse()?, counter))
+    };
+    entries.into_iter().map(counter).collect()
+}
+
+impl SummaryEntry {
+    /// The entry of a summary.
+    #[must_use]
+    pub fn new(limit: &LimitKey, summary: &RightsSummary) -> Self {
+        Self {
+            limit: limit.to_string(),
+            shares: summary.shares,
+            spare: summary.spare,
+            demand: summary.demand,
+        }
+    }
+}
+
+/// Converts summaries.
+///
+/// # Errors
+///
+/// [`WireError`] when the list is too long or a key is not valid.
+pub fn read_summaries(
+    entries: Vec<SummaryEntry>,
+) -> Result<BTreeMap<LimitKey, RightsSummary>, WireError> {
+    check_length("a list of summaries", entries.len(), MAX_LIMITS)?;
+    let summary = |entry: SummaryEntry| {
+        let summary = RightsSummary {
+            shares: entry.shares,
+            spare: entry.spare,
+            demand: entry.demand,
+        };
+        Ok((entry.limit.parse()?, summary))
+    };
+    entries.into_iter().map(summary).collect()
+}
+
+impl TryFrom<RightsAskRequest> for (IncarnationId, LimitKey, RightsWant) {
+    type Error = WireError;
+
+    fn try_from(ask: RightsAskRequest) -> Result<Self, WireError> {
+        let want = RightsWant {
+            shares: ask.shares,
+            tokens: ask.tokens,
+        };
+        Ok((ask.sender.try_into()?, ask.limit.parse()?, want))
+    }
+}
+
+impl FenceAnswer {
+    /// The message of a report.
+    #[must_use]
+    pub fn new(
+        sender: &IncarnationId,
+        report: &FenceReport,
+        known: &BTreeSet<IncarnationId>,
+    ) -> Self {
+        let list = |ids: &BTreeSet<IncarnationId>| ids.iter().map(Into::into).collect();
+        let pairs = report.amounts.iter().flat_map(|(dead, amounts)| {
+            amounts.iter().map(|(limit, pair)| PairEntry {
+                dead: dead.into(),
+                limit: limit.to_string(),
+                given: pair.given,
+                received: pair.received,
+            })
+        });
+        Self {
+            sender: sender.into(),
+            generation: report.generation,
+            fenced: list(&report.fenced),
+            pairs: pairs.collect(),
+            peers: list(&report.peers),
+            known: list(known),
+        }
+    }
+
+    /// The reporter, its report and the incarnations that it knows of.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] when a list is too long or a key is not valid.
+    pub fn read(self) -> Result<(IncarnationId, FenceReport, BTreeSet<IncarnationId>), WireError> {
+        let most = MAX_LIMITS * MAX_INCARNATIONS;
+        check_length("a list of pairs", self.pairs.len(), most)?;
+        let mut amounts = BTreeMap::<_, BTreeMap<_, _>>::new();
+        for pair in self.pairs {
+            let limit: LimitKey = pair.limit.parse()?;
+            let pair_amounts = PairAmounts {
+                given: pair.given,
+                received: pair.received,
+            };
+            let of_dead = amounts.entry(pair.dead.try_into()?).or_default();
+            of_dead.insert(limit, pair_amounts);
+        }
+        let report = FenceReport {
+            generation: self.generation,
+            fenced: read_incarnations(self.fenced)?,
+            amounts,
+            peers: read_incarnations(self.peers)?,
+        };
+        let known = read_incarnations(self.known)?;
+        Ok((self.sender.try_into()?, report, known))
+    }
+}
+
+impl From<EventRecord> for EventEntry {
+    fn from(event: EventRecord) -> Self {
+        Self {
+            stamp: event.stamp.into(),
+            origin: (&event.origin).into(),
+            kind: cut_text(event.kind),
+            subject: cut_text(event.subject),
+            detail: cut_text(event.detail),
+        }
+    }
+}
+
+impl TryFrom<EventEntry> for EventRecord {
+    type Error = WireError;
+
+    fn try_from(entry: EventEntry) -> Result<Self, WireError> {
+        Ok(Self {
+            stamp: entry.stamp.into(),
+            origin: entry.origin.try_into()?,
+            kind: check_text("the kind of an event", entry.kind)?,
+            subject: check_text("the subject of an event", entry.subject)?,
+            detail: check_text("the detail of an event", entry.detail)?,
+        })
+    }
+}
+
+/// Converts the events of an answer.
+///
+/// # Errors
+///
+/// [`WireError`] when the list is too long or an event is not valid.
+pub fn read_events(entries: Vec<EventEntry>) -> Result<Vec<EventRecord>, WireError> {
+    check_length("a list of events", entries.len(), MAX_EVENTS)?;
+    entries.into_iter().map(TryInto::try_into).collect()
+}
