--- /dev/null
+++ b/crates/daemon/src/http_server/watch.rs
@@ -0,0 +1,160 @@
+//! What one connection is doing, and whether a time limit has passed.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use actix_rt::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
+
+use super::{DRAIN_IDLE_GRACE, ServerLimits};
+
+/// The first head of a connection is answered with 408 at the limit; the
+/// connection is closed only after that answer had time to leave.
+const HEAD_CLOSE_MARGIN: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+pub(super) struct ConnectionWatch {
+    running: Cell<u32>,
+    /// When the first byte of a head arrived that is not complete yet.
+    head_since: Cell<Option<Instant>>,
+    idle_since: Cell<Instant>,
+    /// Since when the far end takes no more of an answer.
+    blocked_since: Cell<Option<Instant>>,
+    stop: Notify,
+}
+
+impl ConnectionWatch {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            running: Cell::new(0),
+            head_since: Cell::new(None),
+            idle_since: Cell::new(now),
+            blocked_since: Cell::new(None),
+            stop: Notify::new(),
+        }
+    }
+
+    /// Notes that a request head is complete. The guard ends the request.
+    pub(super) fn begin_request(self: &Rc<Self>) -> RunningRequest {
+        self.running.set(self.running.get() + 1);
+        self.head_since.set(None);
+        RunningRequest(Rc::clone(self))
+    }
+
+    pub(super) fn close(&self) {
+        self.stop.notify_one();
+    }
+
+    pub(super) async fn closed(&self) {
+        self.stop.notified().await;
+    }
+
+    /// Since when the connection has been idle, unless it is busy.
+    pub(super) fn idle_since(&self) -> Option<Instant> {
+        let busy = self.running.get() > 0
+            || self.head_since.get().is_some()
+            || self.blocked_since.get().is_some();
+        (!busy).then(|| self.idle_since.get())
+    }
+
+    pub(super) fn must_close(
+        &self,
+        now: Instant,
+        limits: &ServerLimits,
+        draining: Option<Instant>,
+    ) -> bool {
+        let passed = |since: Instant, limit: Duration| now.duration_since(since) > limit;
+        if let Some(since) = self.blocked_since.get() {
+            return passed(since, limits.write_time);
+        }
+        if self.running.get() > 0 {
+            return false;
+        }
+        if let Some(since) = self.head_since.get() {
+            return passed(since, limits.header_time + HEAD_CLOSE_MARGIN);
+        }
+        let idle = self.idle_since.get();
+        let drained = draining
+            .is_some_and(|drain| passed(drain, DRAIN_IDLE_GRACE) && passed(idle, DRAIN_IDLE_GRACE));
+        drained || passed(idle, limits.idle_time + HEAD_CLOSE_MARGIN)
+    }
+
+    fn note_read(&self, bytes: usize) {
+        if bytes > 0 && self.running.get() == 0 && self.head_since.get().is_none() {
+            self.head_since.set(Some(Instant::now()));
+        }
+    }
+
+    fn note_write(&self, blocked: bool) {
+        match (blocked, self.blocked_since.get()) {
+            (true, None) => self.blocked_since.set(Some(Instant::now())),
+            (false, Some(_)) => self.blocked_since.set(None),
+            _ => {}
+        }
+    }
+}
+
+/// Ends the request of a connection when dropped.
+#[derive(Debug)]
+pub(super) struct RunningRequest(Rc<ConnectionWatch>);
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        let watch = &self.0;
+        watch.running.set(watch.running.get().saturating_sub(1));
+        watch.idle_since.set(Instant::now());
+    }
+}
+
+/// A TCP stream that tells its watch about reads and writes.
+#[derive(Debug)]
+pub(super) struct WatchedStream {
+    stream: TcpStream,
+    watch: Rc<ConnectionWatch>,
+}
+
+impl WatchedStream {
+    pub(super) const fn new(stream: TcpStream, watch: Rc<ConnectionWatch>) -> Self {
+        Self { stream, watch }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            self.watch.note_read(buf.filled().len() - before);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch.note_write(written.is_pending());
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,3 +7,7 @@
 
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod errors;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod http_server;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,8 +7,12 @@
 
 pub mod clock;
 pub mod contract;
+pub mod credential;
 pub mod facts;
 pub mod ids;
+pub mod retry;
+pub mod routing;
 pub mod snapshot;
+pub mod steering;
 pub mod timeline;
 pub mod units;
