--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,3 +11,7 @@
 mod errors;
 #[allow(dead_code, reason = "the wiring is being added")]
 mod http_server;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod metrics;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod upstream;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,13 @@
 //! with a manual clock and seeded input. The invariants that the fleet relies
 //! on are asserted here, also in release builds; a broken one stops the process.
 
+pub mod claim;
 pub mod clock;
 pub mod contract;
 pub mod credential;
 pub mod facts;
 pub mod ids;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
 pub mod snapshot;
