--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,5 +7,13 @@
 
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod errors;
 #[allow(dead_code, reason = "the wiring of the instance is being added")]
 mod fleet;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod http_server;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod metrics;
+#[allow(dead_code, reason = "the wiring is being added")]
+mod upstream;
