Read and check the settings of an instance and log JSON lines

Every mistake is reported at once with its flag or variable. The platform timeout is at most 2 s, since a slower read cannot prove the configuration current. TARRAGONPULLEY_OPERATOR belongs to the command-line tool and is ignored by the daemon.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,3 +7,29 @@
 
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
+mod logging;
+mod settings;
+
+pub use logging::{LoggingError, start_logging};
+pub use settings::{
+    EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, PlatformUrl, SettingMistake, SettingsError,
+    SettingsOutcome,
+};
+
+/// Runs an instance until it is stopped.
+///
+/// # Errors
+///
+/// An error when the instance cannot start or cannot go on.
+#[expect(
+    clippy::unused_async,
+    reason = "the servers that it awaits are being added"
+)]
+pub async fn run(settings: InstanceSettings) -> eyre::Result<()> {
+    log::info!(
+        "instance {} in data centre {}: settings read",
+        settings.instance,
+        settings.data_centre
+    );
+    Ok(())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,52 @@
 //! Starts the entry instance.
+//!
+//! Exit codes: 0 stopped in order (or `--help`, `--version`), 1 failed while
+//! running, 2 wrong settings.
 
-fn main() {}
+use std::collections::BTreeMap;
+use std::env;
+use std::process::ExitCode;
+
+use tarragonpulley_daemon::{
+    EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, SettingsOutcome, run, start_logging,
+};
+
+fn main() -> ExitCode {
+    // A text that is not UTF-8 keeps its replacement characters and fails its check.
+    let arguments: Vec<String> = env::args_os()
+        .skip(1)
+        .map(|a| a.to_string_lossy().into_owned())
+        .collect();
+    let variables: BTreeMap<String, String> = env::vars_os()
+        .map(|(name, value)| {
+            (
+                name.to_string_lossy().into(),
+                value.to_string_lossy().into(),
+            )
+        })
+        .collect();
+    match InstanceSettings::read(&arguments, &variables) {
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+        Ok(SettingsOutcome::Print(text)) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(SettingsOutcome::Run(settings)) => start(*settings),
+    }
+}
+
+fn start(settings: InstanceSettings) -> ExitCode {
+    let result = start_logging(settings.log_level)
+        .map_err(eyre::Report::from)
+        .and_then(|()| actix_rt::System::new().block_on(run(settings)));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tarragonpulleyd: {error:#}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/flags.rs
@@ -0,0 +1,149 @@
+//! Reads flags and variables into one text value per setting.
+
+use std::collections::BTreeMap;
+
+use gumdrop::Options;
+
+use super::SettingMistake;
+
+const VARIABLE_PREFIX: &str = "TARRAGONPULLEY_";
+/// Set for the command-line tool, often in the same shell.
+const TOOL_VARIABLE: &str = "TARRAGONPULLEY_OPERATOR";
+
+#[derive(Debug, Default, Options)]
+pub(super) struct InstanceFlags {
+    #[options(no_short, meta = "NAME", help = "name of the instance")]
+    instance: Option<String>,
+    #[options(no_short, meta = "NAME", help = "data centre of the instance")]
+    data_centre: Option<String>,
+    #[options(no_short, meta = "IP:PORT", help = "where callers reach it")]
+    service_address: Option<String>,
+    #[options(no_short, meta = "IP:PORT", help = "where operators reach it")]
+    operator_address: Option<String>,
+    #[options(no_short, meta = "IP:PORT", help = "where other instances reach it")]
+    peer_address: Option<String>,
+    #[options(no_short, meta = "URL", help = "the platform's table service")]
+    table_url: Option<String>,
+    #[options(no_short, meta = "URL", help = "the platform's object store")]
+    object_url: Option<String>,
+    #[options(no_short, meta = "URL", help = "the platform's list of instances")]
+    list_url: Option<String>,
+    #[options(
+        no_short,
+        meta = "TIME",
+        help = "deadline of a platform call, 50ms to 2s (default 1s)"
+    )]
+    platform_timeout: Option<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most connections of callers, 1 to 65536 (default 4096)"
+    )]
+    max_connections: Option<String>,
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "error, warn, info, debug or trace (default info)"
+    )]
+    log_level: Option<String>,
+    #[options(no_short, help = "print this text")]
+    pub(super) help: bool,
+    #[options(no_short, help = "print the version")]
+    pub(super) version: bool,
+}
+
+/// One setting as it was given.
+#[derive(Debug)]
+pub(super) struct GivenValue {
+    /// The flag, for messages about a missing value.
+    pub(super) flag: &'static str,
+    /// The flag or variable that gave the value.
+    pub(super) source: String,
+    pub(super) value: Option<String>,
+}
+
+/// All settings by flag name.
+pub(super) type GivenValues = BTreeMap<&'static str, GivenValue>;
+
+pub(super) fn help_text() -> String {
+    format!(
+        "Usage: tarragonpulleyd [OPTIONS]\n\n{}\n\n\
+         Each option can also be set by a variable, as in {VARIABLE_PREFIX}DATA_CENTRE for\n\
+         --data-centre; the option wins.\n\n\
+         Exit codes: 0 stopped in order, 1 failed while running, 2 wrong settings.",
+        InstanceFlags::usage()
+    )
+}
+
+/// Parses flag by flag, so that one mistake does not hide the next.
+pub(super) fn parse(arguments: &[String], mistakes: &mut Vec<SettingMistake>) -> InstanceFlags {
+    let mut valid: Vec<&String> = Vec::new();
+    let mut rest = arguments;
+    while let Some(first) = rest.first() {
+        let more = rest[1..].iter().take_while(|a| !a.starts_with('-'));
+        let (chunk, later) = rest.split_at(1 + more.count());
+        rest = later;
+        match InstanceFlags::parse_args_default(chunk) {
+            Ok(_) => valid.extend(chunk),
+            Err(error) => mistakes.push(SettingMistake {
+                source: first.clone(),
+                message: error.to_string(),
+            }),
+        }
+    }
+    InstanceFlags::parse_args_default(&valid).unwrap_or_default()
+}
+
+/// Joins flags and variables and reports unknown variables.
+pub(super) fn collect(
+    flags: InstanceFlags,
+    variables: &BTreeMap<String, String>,
+    mistakes: &mut Vec<SettingMistake>,
+) -> GivenValues {
+    let by_flag = [
+        ("--instance", flags.instance),
+        ("--data-centre", flags.data_centre),
+        ("--service-address", flags.service_address),
+        ("--operator-address", flags.operator_address),
+        ("--peer-address", flags.peer_address),
+        ("--table-url", flags.table_url),
+        ("--object-url", flags.object_url),
+        ("--list-url", flags.list_url),
+        ("--platform-timeout", flags.platform_timeout),
+        ("--max-connections", flags.max_connections),
+        ("--log-level", flags.log_level),
+    ];
+    let mut unknown: BTreeMap<&String, &String> = variables
+        .iter()
+        .filter(|(name, _)| name.starts_with(VARIABLE_PREFIX) && *name != TOOL_VARIABLE)
+        .collect();
+    let mut given = GivenValues::new();
+    for (flag, value) in by_flag {
+        let variable = variable_of(flag);
+        let of_variable = unknown.remove(&variable).cloned();
+        let source = if value.is_none() && of_variable.is_some() {
+            variable
+        } else {
+            flag.to_owned()
+        };
+        let value = value.or(of_variable);
+        given.insert(
+            flag,
+            GivenValue {
+                flag,
+                source,
+                value,
+            },
+        );
+    }
+    mistakes.extend(unknown.into_keys().map(|name| SettingMistake {
+        source: name.clone(),
+        message: "is not a known variable".to_owned(),
+    }));
+    given
+}
+
+fn variable_of(flag: &str) -> String {
+    let name = flag.trim_start_matches('-').replace('-', "_");
+    format!("{VARIABLE_PREFIX}{}", name.to_ascii_uppercase())
+}
