Add the operator API: apply, grant, withdraw, status, timeline, metrics

A change runs in a task of its own, so that it goes on when the operator disconnects. Keys have 16 to 256 visible ASCII bytes, since only a digest without salt is stored. An unknown key may be withdrawn, so that it can never be granted.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,8 @@
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
 mod logging;
+#[allow(dead_code, reason = "`run` does not serve the operator port yet")]
+mod operator;
 mod settings;
 
 pub use logging::{LoggingError, start_logging};
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,104 @@
+//! The operator API.
+//!
+//! JSON over HTTP on the operator port. Every change goes through
+//! [`ConfigSource::change`](crate::border::ConfigSource::change), and its
+//! outcome decides the status: an operator is told "accepted" only after a
+//! confirmed commit, and "nothing changed" only when that is certain.
+
+mod body;
+mod changes;
+mod checks;
+mod metrics;
+mod views;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use prometheus_client::registry::Registry;
+use tarragonpulley_wire::operator::{ErrorAnswer, ErrorKind};
+
+use crate::border::{InstanceContext, RequestHandler};
+
+/// An answer, or the error that takes its place.
+type ApiResult = Result<Response<BoxBody>, ErrorAnswer>;
+
+/// Answers the requests of operators.
+#[derive(Debug)]
+pub(crate) struct OperatorApi {
+    context: InstanceContext,
+    registry: Rc<Registry>,
+}
+
+impl OperatorApi {
+    /// Creates the handler. `registry` holds the metrics of the other modules.
+    #[expect(clippy::new_ret_no_self, reason = "callers need only the trait object")]
+    pub(crate) fn new(context: InstanceContext, registry: Rc<Registry>) -> Rc<dyn RequestHandler> {
+        Rc::new(Self { context, registry })
+    }
+
+    async fn answer(&self, mut request: Request) -> ApiResult {
+        let method = request.method().clone();
+        let path = request.path().to_owned();
+        let allowed = allowed_methods(&path)
+            .ok_or_else(|| error(ErrorKind::NotFound, format!("there is no path {path}")))?;
+        if !allowed.contains(&method) {
+            let message = format!("{path} does not know the method {method}");
+            return Err(error(ErrorKind::MethodNotAllowed, message));
+        }
+        match (path.as_str(), &method) {
+            ("/v1/apply", _) => self.apply(body::read(&mut request).await?).await,
+            ("/v1/keys/grant", _) => self.grant(body::read(&mut request).await?).await,
+            ("/v1/keys/withdraw", _) => self.withdraw(body::read(&mut request).await?).await,
+            ("/v1/status", _) => self.status(),
+            ("/v1/timeline", _) => self.timeline(request.uri().query()).await,
+            ("/metrics", _) => self.metrics(),
+            _ => Err(error(
+                ErrorKind::NotFound,
+                format!("there is no path {path}"),
+            )),
+        }
+    }
+}
+
+fn allowed_methods(path: &str) -> Option<&'static [Method]> {
+    match path {
+        "/v1/apply" | "/v1/keys/grant" | "/v1/keys/withdraw" => Some(&[Method::POST]),
+        "/v1/status" | "/v1/timeline" | "/metrics" => Some(&[Method::GET]),
+        _ => None,
+    }
+}
+
+impl RequestHandler for OperatorApi {
+    fn handle(
+        &self,
+        request: Request,
+        _peer: Option<SocketAddr>,
+    ) -> LocalBoxFuture<'_, Response<BoxBody>> {
+        async {
+            let result = self.answer(request).await;
+            result.unwrap_or_else(|answer| body::error_response(&answer))
+        }
+        .boxed_local()
+    }
+}
+
+fn error(kind: ErrorKind, message: impl Into<String>) -> ErrorAnswer {
+    ErrorAnswer {
+        error: kind,
+        message: message.into(),
+        mistakes: Vec::new(),
+        revision: None,
+    }
+}
+
+fn refused(mistakes: Vec<String>) -> ErrorAnswer {
+    let message = "the change breaks rules; nothing changed";
+    ErrorAnswer {
+        mistakes,
+        ..error(ErrorKind::Refused, message)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator/body.rs
@@ -0,0 +1,87 @@
+//! Bodies of operator requests and answers.
+
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{Request, Response, StatusCode};
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarragonpulley_wire::operator::{ErrorAnswer, ErrorKind};
+
+use super::error;
+
+/// Contract files of all customers of a fleet fit in this.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// A sender that stops in the middle must not hold a connection for ever.
+const BODY_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Reads a JSON body.
+pub(super) async fn read<T: DeserializeOwned>(request: &mut Request) -> Result<T, ErrorAnswer> {
+    let late = |_elapsed| {
+        error(
+            ErrorKind::MalformedRequest,
+            "the body did not arrive in time",
+        )
+    };
+    let bytes = actix_rt::time::timeout(BODY_DEADLINE, collect(request))
+        .await
+        .map_err(late)??;
+    serde_json::from_slice(&bytes)
+        .map_err(|e| error(ErrorKind::MalformedRequest, format!("body: {e}")))
+}
+
+async fn collect(request: &mut Request) -> Result<Vec<u8>, ErrorAnswer> {
+    let mut payload = request.take_payload();
+    let mut bytes = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|e| error(ErrorKind::MalformedRequest, format!("body: {e}")))?;
+        if bytes.len() + chunk.len() > MAX_BODY_BYTES {
+            let message = format!("the body has more than {MAX_BODY_BYTES} bytes");
+            return Err(error(ErrorKind::BodyTooLarge, message));
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
+
+/// A JSON answer.
+pub(super) fn json(
+    status: StatusCode,
+    body: &impl Serialize,
+) -> Result<Response<BoxBody>, ErrorAnswer> {
+    let text = serde_json::to_string(body).map_err(|e| {
+        error(
+            ErrorKind::Unavailable,
+            format!("encoding the answer failed: {e}"),
+        )
+    })?;
+    Ok(text_response(status, "application/json", text))
+}
+
+/// An answer of the given media type.
+pub(super) fn text_response(
+    status: StatusCode,
+    media_type: &'static str,
+    text: String,
+) -> Response<BoxBody> {
+    let mut response = Response::with_body(status, BoxBody::new(text));
+    let media_type = HeaderValue::from_static(media_type);
+    response.headers_mut().insert(CONTENT_TYPE, media_type);
+    response
+}
+
+pub(super) fn error_response(answer: &ErrorAnswer) -> Response<BoxBody> {
+    let status = match answer.error {
+        ErrorKind::MalformedRequest => StatusCode::BAD_REQUEST,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        ErrorKind::Conflict => StatusCode::CONFLICT,
+        ErrorKind::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ErrorKind::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+        ErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        ErrorKind::UnknownOutcome => StatusCode::GATEWAY_TIMEOUT,
+    };
+    json(status, answer).unwrap_or_else(|_error| Response::with_body(status, BoxBody::new(())))
+}
--- /dev/null
+++ b/crates/daemon/src/operator/changes.rs
@@ -0,0 +1,114 @@
+//! Calls that change the configuration.
+
+use std::rc::Rc;
+
+use actix_http::StatusCode;
+use tarragonpulley_policy::ids::TeamKey;
+use tarragonpulley_policy::snapshot::KeyDigest;
+use tarragonpulley_wire::operator::{
+    ApplyRequest, ChangeAnswer, ErrorAnswer, ErrorKind, GrantRequest, OperatorError,
+    WithdrawRequest,
+};
+
+use super::{ApiResult, OperatorApi, body, checks, error, refused};
+use crate::border::{ChangeOutcome, ConfigEdit};
+
+impl OperatorApi {
+    pub(super) async fn apply(&self, request: ApplyRequest) -> ApiResult {
+        let (files, base) = request.into_parts();
+        if files.is_empty() {
+            return Err(malformed(&"files: must name at least one file"));
+        }
+        let mistakes = checks::contracts(&self.context.config.snapshot(), &files);
+        if !mistakes.is_empty() {
+            return Err(refused(mistakes));
+        }
+        let names: Vec<&str> = files.iter().map(|(file, _)| file.as_str()).collect();
+        let subject = names.join(", ");
+        let edit = ConfigEdit::PutContracts { files, base };
+        self.change(edit, "operator_apply", subject).await
+    }
+
+    pub(super) async fn grant(&self, request: GrantRequest) -> ApiResult {
+        let (digest, team): (KeyDigest, TeamKey) = request.try_into().map_err(|e| invalid(&e))?;
+        let snapshot = self.context.config.snapshot();
+        let withdrawn = self.context.config.is_withdrawn(&digest);
+        let mistakes = checks::grant(&snapshot, &digest, &team, withdrawn);
+        if !mistakes.is_empty() {
+            return Err(refused(mistakes));
+        }
+        let subject = format!("{team} {digest}");
+        let edit = ConfigEdit::GrantKey(digest, team);
+        self.change(edit, "operator_grant", subject).await
+    }
+
+    // An unknown key may be withdrawn, so that it can never be granted.
+    pub(super) async fn withdraw(&self, request: WithdrawRequest) -> ApiResult {
+        let digest = KeyDigest::try_from(request).map_err(|e| invalid(&e))?;
+        let edit = ConfigEdit::WithdrawKey(digest);
+        self.change(edit, "operator_withdraw", digest.to_string())
+            .await
+    }
+
+    /// Makes a change and records its outcome on the time line.
+    pub(super) async fn change(
+        &self,
+        edit: ConfigEdit,
+        kind: &'static str,
+        subject: String,
+    ) -> ApiResult {
+        let config = Rc::clone(&self.context.config);
+        // A task of its own: the change goes on when the operator disconnects.
+        let task = actix_rt::spawn(async move { config.change(edit).await });
+        let outcome = task.await.unwrap_or_else(|error| {
+            ChangeOutcome::Unknown(format!("the change was interrupted: {error}"))
+        });
+        let detail = describe(&outcome);
+        self.context.events.record(kind, &subject, &detail);
+        answer(outcome)
+    }
+}
+
+fn malformed(message: &dyn std::fmt::Display) -> ErrorAnswer {
+    error(ErrorKind::MalformedRequest, message.to_string())
+}
+
+pub(super) fn invalid(message: &OperatorError) -> ErrorAnswer {
+    malformed(message)
+}
+
+fn describe(outcome: &ChangeOutcome) -> String {
+    match outcome {
+        ChangeOutcome::Accepted(revision) => format!("accepted as {revision}"),
+        ChangeOutcome::Refused(reason) => format!("refused: {reason}"),
+        ChangeOutcome::Conflict(revision) => format!("conflict with {revision}"),
+        ChangeOutcome::Unavailable(reason) => format!("unavailable: {reason}"),
+        ChangeOutcome::Unknown(reason) => format!("outcome unknown: {reason}"),
+    }
+}
+
+fn answer(outcome: ChangeOutcome) -> ApiResult {
+    Err(match outcome {
+        ChangeOutcome::Accepted(revision) => {
+            let answer = ChangeAnswer {
+                revision: revision.get(),
+            };
+            return body::json(StatusCode::OK, &answer);
+        }
+        ChangeOutcome::Refused(reason) => refused(vec![reason]),
+        ChangeOutcome::Conflict(revision) => ErrorAnswer {
+            revision: Some(revision.get()),
+            ..error(
+                ErrorKind::Conflict,
+                format!("another change came first ({revision}); nothing changed"),
+            )
+        },
+        ChangeOutcome::Unavailable(reason) => {
+            error(ErrorKind::Unavailable, format!("nothing changed: {reason}"))
+        }
+        ChangeOutcome::Unknown(reason) => error(
+            ErrorKind::UnknownOutcome,
+            format!("the change may have been made; check the status: {reason}"),
+        ),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/operator/checks.rs
@@ -0,0 +1,54 @@
+//! Checks of changes against the configuration that this instance knows.
+//!
+//! The table decides in the end; these checks give an operator every mistake
+//! before anything is written.
+
+use std::collections::BTreeMap;
+
+use tarragonpulley_policy::contract::CustomerContract;
+use tarragonpulley_policy::ids::TeamKey;
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest};
+
+/// Every mistake in contract files.
+pub(super) fn contracts(_snapshot: &ConfigSnapshot, files: &[(String, String)]) -> Vec<String> {
+    let mut mistakes = Vec::new();
+    let mut seen = BTreeMap::new();
+    for (file, text) in files {
+        match CustomerContract::parse(file, text) {
+            Err(error) => mistakes.extend(error.to_string().lines().map(str::to_owned)),
+            Ok(contract) => {
+                if let Some(other) = seen.insert(contract.customer.clone(), file) {
+                    let customer = contract.customer;
+                    mistakes.push(format!(
+                        "{file}: customer: {customer:?}: is also in {other}"
+                    ));
+                }
+            }
+        }
+    }
+    mistakes
+}
+
+/// Every mistake in the grant of a key.
+pub(super) fn grant(
+    snapshot: &ConfigSnapshot,
+    digest: &KeyDigest,
+    team: &TeamKey,
+    withdrawn: bool,
+) -> Vec<String> {
+    let mut mistakes = Vec::new();
+    match snapshot.contracts.get(&team.customer) {
+        None => mistakes.push(format!("team: there is no customer {}", team.customer)),
+        Some(contract) if !contract.teams.contains_key(&team.team) => {
+            mistakes.push(format!("team: there is no team {team}"));
+        }
+        Some(_) => {}
+    }
+    let known = snapshot.keys.get(digest);
+    if withdrawn || known.is_some_and(|grant| grant.withdrawn) {
+        mistakes.push("key: was withdrawn and cannot be granted again".to_owned());
+    } else if let Some(grant) = known.filter(|grant| grant.team != *team) {
+        mistakes.push(format!("key: belongs to team {}", grant.team));
+    }
+    mistakes
+}
--- /dev/null
+++ b/crates/daemon/tests/fakes/mod.rs
@@ -0,0 +1,270 @@
+//! Small fakes behind the borders of an instance.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, ready};
+use tarragonpulley_platform::{
+    CommitOutcome, ObjectKey, ObjectStore, PlatformError, RowKey, TableService, TableSnapshot,
+    TableTransaction,
+};
+use tarragonpulley_policy::clock::ManualClock;
+use tarragonpulley_policy::contract::CustomerContract;
+use tarragonpulley_policy::facts::{FactKey, FactStore, FactValue};
+use tarragonpulley_policy::ids::LimitKey;
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
+use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
+use tarragonpulley_policy::units::ConfigRevision;
+
+use crate::border::{
+    AdmitOutcome, AttemptReport, ChangeOutcome, ConfigEdit, ConfigSource, EventSink, EvidenceSink,
+    FactBoard, InstanceContext, MemberSource, MemberView, ProofState, RightsSource, SlotGuard,
+};
+
+/// Applies edits to a snapshot, or gives scripted outcomes.
+#[derive(Debug, Default)]
+pub(crate) struct FakeConfig {
+    pub(crate) snapshot: RefCell<ConfigSnapshot>,
+    pub(crate) script: RefCell<VecDeque<ChangeOutcome>>,
+    pub(crate) edits: RefCell<Vec<ConfigEdit>>,
+    pub(crate) unproved: Cell<bool>,
+    pub(crate) withdrawn: RefCell<BTreeSet<KeyDigest>>,
+}
+
+impl FakeConfig {
+    fn commit(&self, edit: ConfigEdit) -> ChangeOutcome {
+        let mut snapshot = self.snapshot.borrow_mut();
+        match edit {
+            ConfigEdit::PutContracts { files, .. } => {
+                for (file, text) in files {
+                    let contract = CustomerContract::parse(&file, &text).expect("valid");
+                    let customer = contract.customer.clone();
+                    snapshot.contracts.insert(customer, contract);
+                }
+            }
+            ConfigEdit::GrantKey(digest, team) => {
+                let withdrawn = false;
+                snapshot.keys.insert(digest, KeyGrant { team, withdrawn });
+            }
+            ConfigEdit::WithdrawKey(digest) => {
+                if let Some(grant) = snapshot.keys.get_mut(&digest) {
+                    grant.withdrawn = true;
+                }
+            }
+            ConfigEdit::PutMove {
+                name,
+                epoch,
+                record,
+            } => {
+                if snapshot.moves.get(&name).map_or(0, |m| m.epoch) != epoch {
+                    return ChangeOutcome::Conflict(snapshot.revision);
+                }
+                snapshot.moves.insert(name, record);
+            }
+            ConfigEdit::StartDrain(target) => {
+                snapshot.drains.insert(target);
+            }
+            ConfigEdit::EndDrain(target) => {
+                snapshot.drains.remove(&target);
+            }
+        }
+        snapshot.revision = snapshot.revision.next();
+        ChangeOutcome::Accepted(snapshot.revision)
+    }
+}
+
+impl ConfigSource for FakeConfig {
+    fn snapshot(&self) -> Rc<ConfigSnapshot> {
+        Rc::new(self.snapshot.borrow().clone())
+    }
+
+    fn proof(&self) -> ProofState {
+        if self.unproved.get() {
+            ProofState::Missing
+        } else {
+            ProofState::Proved(Duration::from_millis(40))
+        }
+    }
+
+    fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        self.withdrawn.borrow().contains(digest)
+    }
+
+    fn change(&self, edit: ConfigEdit) -> LocalBoxFuture<'_, ChangeOutcome> {
+        self.edits.borrow_mut().push(edit.clone());
+        let scripted = self.script.borrow_mut().pop_front();
+        let outcome = scripted.unwrap_or_else(|| self.commit(edit));
+        ready(outcome).boxed_local()
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct FakeFacts(pub(crate) RefCell<FactStore>);
+
+impl FactBoard for FakeFacts {
+    fn state(&self, key: FactKey, value: FactValue, _urgent: bool) {
+        self.0.borrow_mut().merge(key, value);
+    }
+
+    fn get(&self, key: &FactKey) -> Option<FactValue> {
+        self.0.borrow().get(key).cloned()
+    }
+
+    fn select(&self, select: &dyn Fn(&FactKey) -> bool) -> Vec<(FactKey, FactValue)> {
+        let facts = self.0.borrow();
+        let chosen = facts.iter().filter(|(key, _)| select(key));
+        chosen.map(|(k, v)| (k.clone(), v.clone())).collect()
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct FakeEvents(pub(crate) RefCell<Vec<(String, String, String)>>);
+
+impl EventSink for FakeEvents {
+    fn record(&self, kind: &str, subject: &str, detail: &str) {
+        let event = (kind.to_owned(), subject.to_owned(), detail.to_owned());
+        self.0.borrow_mut().push(event);
+    }
+
+    fn local_events(&self, _after: HybridStamp, _most: usize) -> Vec<EventRecord> {
+        Vec::new()
+    }
+
+    fn fleet_events(
+        &self,
+        after: HybridStamp,
+        most: usize,
+    ) -> LocalBoxFuture<'_, Vec<EventRecord>> {
+        let event = EventRecord {
+            stamp: after,
+            origin: "edge-1#1".parse().expect("valid"),
+            kind: "seen".to_owned(),
+            subject: most.to_string(),
+            detail: String::new(),
+        };
+        ready(vec![event]).boxed_local()
+    }
+}
+
+/// Everything else: members, and sources that these tests do not use.
+#[derive(Debug, Default)]
+pub(crate) struct FakeRest(pub(crate) Vec<MemberView>);
+
+impl MemberSource for FakeRest {
+    fn members(&self) -> Vec<MemberView> {
+        self.0.clone()
+    }
+}
+
+impl EvidenceSink for FakeRest {
+    fn note(&self, _attempt: &AttemptReport) {}
+}
+
+impl RightsSource for FakeRest {
+    fn admit(&self, _limit: LimitKey, _deadline: Instant) -> LocalBoxFuture<'_, AdmitOutcome> {
+        ready(AdmitOutcome::NotReady).boxed_local()
+    }
+
+    fn take_slots(&self, _limits: &[LimitKey]) -> Option<Box<dyn SlotGuard>> {
+        None
+    }
+
+    fn request_slots(&self, _: Vec<LimitKey>, _: Instant) -> LocalBoxFuture<'_, ()> {
+        ready(()).boxed_local()
+    }
+}
+
+fn unreached() -> PlatformError {
+    PlatformError::NotReached("fake".to_owned())
+}
+
+impl TableService for FakeRest {
+    fn read(&self, _prefix: RowKey) -> LocalBoxFuture<'_, Result<TableSnapshot, PlatformError>> {
+        ready(Err(unreached())).boxed_local()
+    }
+
+    fn commit(&self, _transaction: TableTransaction) -> LocalBoxFuture<'_, CommitOutcome> {
+        ready(CommitOutcome::NotApplied(unreached())).boxed_local()
+    }
+}
+
+impl ObjectStore for FakeRest {
+    fn put(&self, _key: ObjectKey, _body: Bytes) -> LocalBoxFuture<'_, Result<(), PlatformError>> {
+        ready(Err(unreached())).boxed_local()
+    }
+
+    fn get(&self, _key: ObjectKey) -> LocalBoxFuture<'_, Result<Option<Bytes>, PlatformError>> {
+        ready(Err(unreached())).boxed_local()
+    }
+
+    fn delete(&self, _key: ObjectKey) -> LocalBoxFuture<'_, Result<(), PlatformError>> {
+        ready(Err(unreached())).boxed_local()
+    }
+}
+
+/// An instance made of fakes.
+#[derive(Debug)]
+pub(crate) struct FakeInstance {
+    pub(crate) context: InstanceContext,
+    pub(crate) config: Rc<FakeConfig>,
+    pub(crate) facts: Rc<FakeFacts>,
+    pub(crate) events: Rc<FakeEvents>,
+    pub(crate) clock: Rc<ManualClock>,
+}
+
+pub(crate) fn member(name: &str, centre: &str) -> MemberView {
+    MemberView {
+        incarnation: Some(format!("{name}#1").parse().expect("valid")),
+        instance: name.parse().expect("valid"),
+        centre: centre.parse().expect("valid"),
+        service_address: ([127, 0, 0, 1], 7000).into(),
+        answering: true,
+        leaving: false,
+        revision: ConfigRevision::new(0),
+    }
+}
+
+impl FakeInstance {
+    pub(crate) fn new() -> Self {
+        let config = Rc::new(FakeConfig::default());
+        let facts = Rc::new(FakeFacts::default());
+        let events = Rc::new(FakeEvents::default());
+        let clock = Rc::new(ManualClock::new());
+        let members = vec![member("edge-1", "taipei-a"), member("edge-2", "tainan-a")];
+        let rest = Rc::new(FakeRest(members));
+        let context = InstanceContext {
+            own: "edge-1#1".parse().expect("valid"),
+            centre: "taipei-a".parse().expect("valid"),
+            clock: Rc::<ManualClock>::clone(&clock),
+            config: Rc::<FakeConfig>::clone(&config),
+            rights: Rc::<FakeRest>::clone(&rest),
+            facts: Rc::<FakeFacts>::clone(&facts),
+            members: Rc::<FakeRest>::clone(&rest),
+            events: Rc::<FakeEvents>::clone(&events),
+            evidence: Rc::<FakeRest>::clone(&rest),
+            table: Rc::<FakeRest>::clone(&rest),
+            objects: rest,
+        };
+        Self {
+            context,
+            config,
+            facts,
+            events,
+            clock,
+        }
+    }
+
+    /// Puts a contract in force, as if it had been applied.
+    pub(crate) fn put_contract(&self, text: &str) {
+        let contract = CustomerContract::parse("test", text).expect("valid");
+        let mut snapshot = self.config.snapshot.borrow_mut();
+        snapshot
+            .contracts
+            .insert(contract.customer.clone(), contract);
+        snapshot.revision = snapshot.revision.next();
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/operator.rs
@@ -0,0 +1,204 @@
+//! The operator API over fakes of the configuration and the fleet.
+#![allow(dead_code, reason = "each test uses a part of the modules and fakes")]
+
+#[path = "../src"]
+mod daemon {
+    pub(crate) mod border;
+    pub(crate) mod operator;
+}
+mod fakes;
+
+use actix_http::body::to_bytes;
+use actix_http::{Method, Payload, Request};
+use daemon::{border, operator};
+use fakes::FakeInstance;
+use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
+use std::rc::Rc;
+use tarragonpulley_policy::units::ConfigRevision;
+use yare::parameterized;
+
+use border::ChangeOutcome;
+
+const LUNWAN: &str = include_str!("../../../contracts/lunwan.toml");
+const KEY: &str = "a-key-of-sufficient-length";
+const TEAM: &str = "lunwan/keelung-carriage";
+
+fn request(method: &str, path: &str, body: String) -> Request {
+    let mut request = Request::with_payload(Payload::from(body.into_bytes()));
+    request.head_mut().method = Method::from_bytes(method.as_bytes()).expect("method");
+    request.head_mut().uri = path.parse().expect("path");
+    request
+}
+
+/// Sends a request and gives the status and the JSON body.
+fn call(instance: &FakeInstance, method: &str, path: &str, body: &Value) -> (u16, Value) {
+    let text = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    let (status, bytes) = send(instance, request(method, path, text));
+    (
+        status,
+        serde_json::from_slice(&bytes).expect("a JSON answer"),
+    )
+}
+
+fn send(instance: &FakeInstance, request: Request) -> (u16, Vec<u8>) {
+    actix_rt::System::new().block_on(async {
+        let registry = Rc::new(Registry::default());
+        let api = operator::OperatorApi::new(instance.context.clone(), registry);
+        let response = api.handle(request, None).await;
+        let status = response.status().as_u16();
+        let bytes = to_bytes(response.into_body()).await.expect("a body");
+        (status, bytes.to_vec())
+    })
+}
+
+fn with_contract() -> FakeInstance {
+    let instance = FakeInstance::new();
+    instance.put_contract(LUNWAN);
+    instance
+}
+
+// Guards against an outcome that is told to the operator as another one,
+// above all "nothing changed" when the change may have been made.
+#[parameterized(
+    accepted = { ChangeOutcome::Accepted(ConfigRevision::new(9)), 200, "" },
+    refused = { ChangeOutcome::Refused("no".to_owned()), 422, "refused" },
+    conflict = { ChangeOutcome::Conflict(ConfigRevision::new(9)), 409, "conflict" },
+    unavailable = { ChangeOutcome::Unavailable("down".to_owned()), 503, "unavailable" },
+    unknown = { ChangeOutcome::Unknown("lost".to_owned()), 504, "unknown_outcome" },
+)]
+fn each_outcome_has_its_status(outcome: ChangeOutcome, status: u16, error: &str) {
+    let instance = with_contract();
+    instance.config.script.borrow_mut().push_back(outcome);
+    let body = json!({"team": TEAM, "key": KEY});
+    let (got, answer) = call(&instance, "POST", "/v1/keys/grant", &body);
+    assert_eq!(got, status);
+    assert_eq!(answer["error"].as_str().unwrap_or_default(), error);
+    if matches!(status, 200 | 409) {
+        assert_eq!(answer["revision"], 9);
+    }
+    assert_eq!(
+        instance.events.0.borrow().len(),
+        1,
+        "the outcome is on the time line"
+    );
+}
+
+// Guards against a malformed or refused request that reaches the table.
+#[parameterized(
+    not_json = { "POST", "/v1/apply", json!("text"), 400, "body: " },
+    unknown_field = { "POST", "/v1/apply", json!({"files": [], "bass": 1}), 400, "bass" },
+    no_files = { "POST", "/v1/apply", json!({"files": []}), 400, "files" },
+    short_key = { "POST", "/v1/keys/grant", json!({"team": TEAM, "key": "short"}), 400, "key: must have from 16" },
+    spaced_key = { "POST", "/v1/keys/grant", json!({"team": TEAM, "key": "a key with some spaces"}), 400, "visible" },
+    team_form = { "POST", "/v1/keys/grant", json!({"team": "lunwan", "key": KEY}), 400, "team: " },
+    no_team = { "POST", "/v1/keys/grant", json!({"team": "lunwan/x", "key": KEY}), 422, "no team lunwan/x" },
+    no_customer = { "POST", "/v1/keys/grant", json!({"team": "x/x", "key": KEY}), 422, "no customer x" },
+    neither = { "POST", "/v1/keys/withdraw", json!({}), 400, "either key or digest" },
+    digest = { "POST", "/v1/keys/withdraw", json!({"digest": "ab"}), 400, "64 hexadecimal" },
+    bad_after = { "GET", "/v1/timeline?after=x", Value::Null, 400, "after: " },
+    bad_most = { "GET", "/v1/timeline?most=0", Value::Null, 400, "most: must be from 1" },
+    bad_query = { "GET", "/v1/timeline?since=1", Value::Null, 400, "since: " },
+    bad_path = { "GET", "/v1/nothing", Value::Null, 404, "/v1/nothing" },
+    bad_method = { "PUT", "/v1/apply", Value::Null, 405, "PUT" },
+)]
+fn a_wrong_request_changes_nothing(
+    method: &str,
+    path: &str,
+    body: Value,
+    status: u16,
+    message: &str,
+) {
+    let instance = with_contract();
+    let (got, answer) = call(&instance, method, path, &body);
+    assert_eq!(got, status, "{answer}");
+    assert!(answer.to_string().contains(message), "{answer}");
+    assert!(!answer.to_string().contains(KEY), "the key is not repeated");
+    assert!(instance.config.edits.borrow().is_empty());
+}
+
+// Guards against reporting one file's mistakes and hiding another's.
+#[test]
+fn apply_reports_the_mistakes_of_all_files() {
+    let instance = FakeInstance::new();
+    let wrong = LUNWAN.replace("megabits = 4000", "megabits = 0");
+    let files = json!([
+        {"file": "a.toml", "text": wrong},
+        {"file": "b.toml", "text": "customer = 1"},
+        {"file": "c.toml", "text": LUNWAN},
+        {"file": "d.toml", "text": LUNWAN},
+    ]);
+    let (status, answer) = call(&instance, "POST", "/v1/apply", &json!({"files": files}));
+    assert_eq!(status, 422);
+    let text = answer["mistakes"].to_string();
+    for part in [
+        "a.toml: link[north-central].megabits",
+        "b.toml",
+        "d.toml: customer",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
+
+// Guards against a grant that revives a withdrawn key, or moves a key from
+// team to team, including withdrawals that only a peer has reported yet.
+#[test]
+fn a_withdrawn_or_foreign_key_is_not_granted() {
+    let instance = with_contract();
+    let grant = |team: &str| {
+        let body = json!({"team": team, "key": KEY});
+        call(&instance, "POST", "/v1/keys/grant", &body).0
+    };
+    assert_eq!(grant(TEAM), 200);
+    assert_eq!(grant(TEAM), 200, "a repeated grant is harmless");
+    assert_eq!(grant("lunwan/lukang-buggies"), 422);
+    let digest = tarragonpulley_policy::snapshot::KeyDigest::of_key(KEY);
+    instance.config.withdrawn.borrow_mut().insert(digest);
+    assert_eq!(grant(TEAM), 422, "a peer reported the withdrawal");
+    instance.config.withdrawn.borrow_mut().clear();
+    let body = json!({"digest": digest.to_string()});
+    assert_eq!(call(&instance, "POST", "/v1/keys/withdraw", &body).0, 200);
+    assert_eq!(grant(TEAM), 422);
+}
+
+// Guards against a body that fills the memory of the instance.
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    let instance = FakeInstance::new();
+    let body = json!("x".repeat(4 * 1024 * 1024));
+    assert_eq!(call(&instance, "POST", "/v1/apply", &body).0, 413);
+}
+
+// Guards against a status that hides a missing proof or another instance.
+#[test]
+fn the_status_shows_proof_keys_and_members() {
+    let instance = with_contract();
+    let (status, answer) = call(&instance, "GET", "/v1/status", &Value::Null);
+    assert_eq!(status, 200);
+    assert_eq!(answer["proof_age_ms"], 40);
+    assert_eq!(answer["customers"], json!(["lunwan"]));
+    assert_eq!(answer["members"][1]["instance"], "edge-2");
+    instance.config.unproved.set(true);
+    let answer = call(&instance, "GET", "/v1/status", &Value::Null).1;
+    assert_eq!(answer["proof_age_ms"], Value::Null);
+}
+
+// Guards against paging that ignores its parameters, and metrics that a
+// scraper cannot read.
+#[test]
+fn the_timeline_and_metrics_answer() {
+    let instance = FakeInstance::new();
+    let path = "/v1/timeline?after=12.3&most=7";
+    let (_, answer) = call(&instance, "GET", path, &Value::Null);
+    assert_eq!(answer["events"][0]["stamp"], "12.3");
+    assert_eq!(answer["events"][0]["subject"], "7");
+    let (status, text) = send(&instance, request("GET", "/metrics", String::new()));
+    let text = String::from_utf8(text).expect("text");
+    assert_eq!(status, 200);
+    assert!(text.contains("tarragonpulley_members_known 2\n"), "{text}");
+    assert!(text.ends_with("# EOF\n"), "{text}");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,3 +4,5 @@
 //! has its own types here with `From` and `TryFrom`, so that a change inside
 //! the program cannot change a message by accident, and each value from the
 //! network is checked once, where it enters.
+
+pub mod operator;
