--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,35 @@
 mod fleet;
 #[allow(dead_code, reason = "the wiring is being added")]
 mod http_server;
+mod logging;
 #[allow(dead_code, reason = "the wiring is being added")]
 mod metrics;
+#[allow(dead_code, reason = "`run` does not serve the operator port yet")]
+mod operator;
+mod settings;
 #[allow(dead_code, reason = "the wiring is being added")]
 mod upstream;
+
+pub use logging::{LoggingError, start_logging};
+pub use settings::{
+    EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, PlatformUrl, SettingMistake, SettingsError,
+    SettingsOutcome,
+};
+
+/// Runs an instance until it is stopped.
+///
+/// # Errors
+///
+/// An error when the instance cannot start or cannot go on.
+#[expect(
+    clippy::unused_async,
+    reason = "the servers that it awaits are being added"
+)]
+pub async fn run(settings: InstanceSettings) -> eyre::Result<()> {
+    log::info!(
+        "instance {} in data centre {}: settings read",
+        settings.instance,
+        settings.data_centre
+    );
+    Ok(())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,5 +5,6 @@
 //! the program cannot change a message by accident, and each value from the
 //! network is checked once, where it enters.
 
+pub mod operator;
 pub mod peer;
 pub mod rows;
