--- /dev/null
+++ b/crates/platform/src/http_list.rs
@@ -0,0 +1,102 @@
+//! The client of the instance list.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use serde::Deserialize;
+use tarragonpulley_policy::ids::{CentreName, InstanceName};
+
+use crate::transport::{HttpTransport, PlatformRequest};
+use crate::{InstanceList, ListedInstance, ListedState, PlatformError};
+
+const LIST_PATH: &str = "/v1/catalog/service/tarragonpulley";
+/// Some thousand times the size of one entry.
+const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+
+/// The instance list, reached through the catalogue API of a service registry.
+#[derive(Debug)]
+pub struct HttpList {
+    transport: HttpTransport,
+}
+
+#[derive(Debug, Deserialize)]
+struct CatalogEntry {
+    #[serde(rename = "ServiceID")]
+    name: InstanceName,
+    #[serde(rename = "ServiceAddress")]
+    address: IpAddr,
+    #[serde(rename = "ServicePort")]
+    port: u16,
+    #[serde(rename = "ServiceMeta")]
+    meta: CatalogMeta,
+}
+
+#[derive(Debug, Deserialize)]
+struct CatalogMeta {
+    data_centre: CentreName,
+    peer_address: SocketAddr,
+    state: CatalogState,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum CatalogState {
+    Live,
+    Leaving,
+}
+
+impl From<CatalogEntry> for ListedInstance {
+    fn from(entry: CatalogEntry) -> Self {
+        Self {
+            instance: entry.name,
+            centre: entry.meta.data_centre,
+            service_address: SocketAddr::new(entry.address, entry.port),
+            peer_address: entry.meta.peer_address,
+            state: match entry.meta.state {
+                CatalogState::Live => ListedState::Live,
+                CatalogState::Leaving => ListedState::Leaving,
+            },
+        }
+    }
+}
+
+impl HttpList {
+    /// Creates a client of the registry at `base_url`, as in
+    /// `http://10.0.0.1:8500`. Each call ends within `deadline`.
+    #[must_use]
+    pub fn new(base_url: impl Into<String>, deadline: Duration) -> Self {
+        Self {
+            transport: HttpTransport::new(base_url, deadline),
+        }
+    }
+
+    async fn fetch(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+        let request = PlatformRequest {
+            method: Method::GET,
+            path: LIST_PATH.to_owned(),
+            content_type: "",
+            body: Bytes::new(),
+            max_answer: MAX_LIST_BYTES,
+        };
+        let answer = self.transport.call(request).await?;
+        if answer.status != StatusCode::OK {
+            let text = format!("instance list: {}", answer.status);
+            return Err(PlatformError::NoAnswer(text));
+        }
+        // One unreadable entry makes the list invalid: leaving it out would
+        // let the others take a live instance for gone.
+        let entries: Vec<CatalogEntry> = serde_json::from_slice(&answer.body)
+            .map_err(|error| PlatformError::InvalidAnswer(format!("instance list: {error}")))?;
+        Ok(entries.into_iter().map(ListedInstance::from).collect())
+    }
+}
+
+impl InstanceList for HttpList {
+    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>> {
+        self.fetch().boxed_local()
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,11 +7,19 @@
 //! the catalogue API of a service registry.
 
 mod error;
+mod gateway;
+mod http_list;
+mod http_object;
+mod http_table;
 mod list;
 mod object;
 mod table;
+mod transport;
 
 pub use error::PlatformError;
+pub use http_list::HttpList;
+pub use http_object::HttpObjects;
+pub use http_table::{HttpTable, TRANSACTION_LIMIT};
 pub use list::{InstanceList, ListedInstance, ListedState};
 pub use object::{ObjectKey, ObjectStore};
 pub use table::{
--- /dev/null
+++ b/crates/testkit/src/bin/standin-backend.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
