Store a block's data centre as an index in the block table

Cause: each entry of the block table owned its data centre's name, a heap allocation a block. At 1.9 million blocks and 1,400 data centres the table took 130.3 MB, over the 128 MB that a node may use for control. Ruled out: a sorted vector (smaller, but the house style uses ordered maps, and the map fits).

--- a/crates/policy/src/steering.rs
+++ b/crates/policy/src/steering.rs
@@ -15,10 +15,12 @@
 ///
 /// Blocks may lie inside each other; the longest prefix wins. One ordered map
 /// by prefix length and address holds all of them, so a look-up costs one
-/// search for each length in use.
+/// search for each length in use. Blocks name their data centre by its index
+/// in `centres`: a name in each of 1.9 million blocks takes 130 MB.
 #[derive(Debug, Clone, Default)]
 pub struct BlockTable {
-    blocks: BTreeMap<(u8, u32), CentreName>,
+    centres: Vec<CentreName>,
+    blocks: BTreeMap<(u8, u32), u32>,
     lengths: BTreeSet<u8>,
 }
 
@@ -26,11 +28,19 @@
     /// Builds the table of a contract.
     #[must_use]
     pub fn new(blocks: &[ClientBlock]) -> Self {
+        let mut indexes = BTreeMap::new();
+        let mut centres = Vec::new();
+        let mut table = BTreeMap::new();
+        for block in blocks {
+            let index = *indexes.entry(&block.centre).or_insert_with(|| {
+                centres.push(block.centre.clone());
+                u32::try_from(centres.len() - 1).unwrap_or(u32::MAX)
+            });
+            table.insert((block.prefix, block.first), index);
+        }
         Self {
-            blocks: blocks
-                .iter()
-                .map(|block| ((block.prefix, block.first), block.centre.clone()))
-                .collect(),
+            centres,
+            blocks: table,
             lengths: blocks.iter().map(|block| block.prefix).collect(),
         }
     }
@@ -46,7 +56,8 @@
         self.lengths.iter().rev().find_map(|length| {
             let shift = u32::from(IPV4_BITS - length);
             let mask = u32::MAX.checked_shl(shift).unwrap_or(0);
-            self.blocks.get(&(*length, address & mask))
+            let index = self.blocks.get(&(*length, address & mask))?;
+            self.centres.get(usize::try_from(*index).ok()?)
         })
     }
 }
