--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,18 +9,26 @@
 mod core;
 mod events;
 mod facts;
+mod heartbeat;
+mod link;
 mod members;
+mod metrics;
+mod peering;
+mod serve;
 mod sync;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_rt::task::JoinHandle;
+use prometheus_client::registry::Registry;
 use tarragonpulley_platform::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::ids::{CentreName, IncarnationId};
+use tokio::net::TcpListener;
 
 use self::core::FleetCore;
+use self::metrics::FleetMetrics;
 use crate::border::{ConfigSource, EventSink, FactBoard, MemberSource};
 
 /// What a [`FleetState`] is started with.
@@ -32,6 +40,10 @@
     pub(crate) centre: CentreName,
     /// Where callers reach the instance.
     pub(crate) service_address: SocketAddr,
+    /// Where other instances reach the instance.
+    pub(crate) peer_address: SocketAddr,
+    /// Listens at `peer_address`.
+    pub(crate) listener: TcpListener,
     /// Time.
     pub(crate) clock: Rc<dyn TimeSource>,
     /// The platform's table.
@@ -49,9 +61,12 @@
 
 impl FleetState {
     /// Starts the readers and the heartbeats on the present thread's runtime.
-    pub(crate) fn start(options: FleetOptions) -> Self {
-        let core = Rc::new(FleetCore::new(options));
+    /// Its metrics go into `registry`.
+    pub(crate) fn start(options: FleetOptions, registry: &mut Registry) -> Self {
+        let (core, listener) = FleetCore::new(options, FleetMetrics::register(registry));
+        let core = Rc::new(core);
         let tasks = vec![
+            actix_rt::spawn(peering::serve(Rc::clone(&core), listener)),
             actix_rt::spawn(sync::read_table(Rc::clone(&core))),
             actix_rt::spawn(sync::read_list(Rc::clone(&core))),
         ];
@@ -89,5 +104,8 @@
         for task in &self.tasks {
             task.abort();
         }
+        for link in self.core.all_links() {
+            link.stop();
+        }
     }
 }
--- a/crates/daemon/src/fleet/config.rs
+++ b/crates/daemon/src/fleet/config.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::freshness::{ConfigFreshness, RightsVersion};
+use tarragonpulley_policy::freshness::ConfigFreshness;
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest};
 use tarragonpulley_policy::units::ConfigRevision;
 use tarragonpulley_wire::rows::{self, ConfigRows, RowError};
@@ -59,11 +59,10 @@
 
     /// Notes a reading of `config/head` that began at `started`.
     pub(super) fn note_table_read(&self, revision: ConfigRevision, started: Instant) {
-        let proved = self.config.borrow_mut().freshness.table_read(
-            revision,
-            RightsVersion::default(),
-            started,
-        );
+        let mut config = self.config.borrow_mut();
+        let rights = config.freshness.rights();
+        let proved = config.freshness.table_read(revision, rights, started);
+        drop(config);
         if proved {
             self.progressed();
         }
--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -1,19 +1,25 @@
 //! The shared state behind all borders of a [`super::FleetState`].
 
-use std::cell::{Ref, RefCell};
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tarragonpulley_platform::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::FactStore;
-use tarragonpulley_policy::ids::IncarnationId;
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
 use tarragonpulley_policy::membership::{MemberPlace, MemberTable};
+use tarragonpulley_policy::units::ConfigRevision;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::FleetOptions;
 use super::config::ConfigState;
 use super::events::EventLog;
+use super::heartbeat::{PeerRecord, SentHeartbeat};
+use super::link::PeerLink;
+use super::metrics::FleetMetrics;
 
 /// The state of one instance.
 #[derive(Debug)]
@@ -27,6 +33,17 @@
     pub(super) members: RefCell<MemberTable>,
     pub(super) facts: RefCell<FactStore>,
     pub(super) log: EventLog,
+    pub(super) metrics: FleetMetrics,
+    pub(super) peers: RefCell<BTreeMap<InstanceName, PeerRecord>>,
+    pub(super) links: RefCell<BTreeMap<InstanceName, Rc<PeerLink>>>,
+    /// The change of the fact store that peers must hear of at once.
+    pub(super) urgent_facts: Cell<u64>,
+    /// The revision that peers must hear of at once.
+    pub(super) urgent_revision: Cell<ConfigRevision>,
+    /// The revision that a change waits for peers to have; zero when none.
+    pub(super) spreading: Cell<ConfigRevision>,
+    /// Counts reasons to send heartbeats at once.
+    heartbeat_wake: watch::Sender<u64>,
     /// Counts events that a waiting task may want to see.
     progress: watch::Sender<u64>,
     /// Counts reasons to read the table at once.
@@ -34,12 +51,12 @@
 }
 
 impl FleetCore {
-    pub(super) fn new(options: FleetOptions) -> Self {
-        Self {
+    pub(super) fn new(options: FleetOptions, metrics: FleetMetrics) -> (Self, TcpListener) {
+        let core = Self {
             place: MemberPlace {
                 centre: options.centre,
                 service_address: options.service_address,
-                peer_address: options.service_address,
+                peer_address: options.peer_address,
             },
             clock: options.clock,
             table: options.table,
@@ -49,9 +66,17 @@
             facts: RefCell::default(),
             log: EventLog::new(options.own.clone()),
             own: RefCell::new(options.own),
+            metrics,
+            peers: RefCell::default(),
+            links: RefCell::default(),
+            urgent_facts: Cell::default(),
+            urgent_revision: Cell::default(),
+            spreading: Cell::default(),
+            heartbeat_wake: watch::Sender::new(0),
             progress: watch::Sender::new(0),
             table_wake: watch::Sender::new(0),
-        }
+        };
+        (core, options.listener)
     }
 
     /// The present incarnation.
@@ -82,6 +107,37 @@
         self.table_wake.subscribe()
     }
 
+    /// Has peers that lack something urgent get a heartbeat at once.
+    pub(super) fn wake_heartbeats(&self) {
+        self.heartbeat_wake.send_modify(|count| *count += 1);
+    }
+
+    pub(super) fn heartbeat_wakes(&self) -> watch::Receiver<u64> {
+        self.heartbeat_wake.subscribe()
+    }
+
+    /// The link to an instance.
+    pub(super) fn link(&self, instance: &InstanceName) -> Option<Rc<PeerLink>> {
+        self.links.borrow().get(instance).cloned()
+    }
+
+    /// All links, in name order.
+    pub(super) fn all_links(&self) -> Vec<Rc<PeerLink>> {
+        self.links.borrow().values().cloned().collect()
+    }
+
+    /// Notes that a peer refused a heartbeat of this incarnation as fenced.
+    pub(super) fn note_fenced_by(&self, instance: &InstanceName, _sent: &SentHeartbeat) {
+        let detail = self.own().to_string();
+        self.record_event("fenced", instance.as_str(), &detail);
+    }
+
+    /// Whether messages of an incarnation are refused.
+    pub(super) fn is_fenced(&self, _incarnation: &IncarnationId) -> bool {
+        let _ = &self.own;
+        false
+    }
+
     /// Resolves once `condition` holds.
     pub(super) async fn wait_for(&self, condition: impl Fn(&Self) -> bool) {
         let mut progress = self.progress.subscribe();
--- a/crates/daemon/src/fleet/facts.rs
+++ b/crates/daemon/src/fleet/facts.rs
@@ -8,9 +8,13 @@
 impl FleetCore {
     /// Merges a fact; when it is news and `urgent`, peers hear of it at once.
     pub(super) fn state_fact(&self, key: FactKey, value: FactValue, urgent: bool) {
-        let news = self.facts.borrow_mut().merge(key, value);
+        let mut facts = self.facts.borrow_mut();
+        let news = facts.merge(key, value);
+        let change = facts.last_change();
+        drop(facts);
         if news && urgent {
-            self.progressed();
+            self.urgent_facts.set(change);
+            self.wake_heartbeats();
         }
     }
 }
--- a/crates/daemon/src/fleet/members.rs
+++ b/crates/daemon/src/fleet/members.rs
@@ -38,9 +38,17 @@
             service_address: entry.place.service_address,
             answering: entry.answers(now),
             leaving: leaving || entry.state(now) == MemberState::Leaving,
-            revision: ConfigRevision::default(),
+            revision: self.revision_of(instance),
         }
     }
+
+    fn revision_of(&self, instance: &InstanceName) -> ConfigRevision {
+        let peers = self.peers.borrow();
+        peers
+            .get(instance)
+            .map(|peer| peer.revision)
+            .unwrap_or_default()
+    }
 }
 
 impl MemberSource for FleetCore {
--- /dev/null
+++ b/crates/daemon/src/fleet/peering/client.rs
@@ -0,0 +1,111 @@
+//! The client end of a connection.
+
+use std::io;
+use std::net::SocketAddr;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::{Request, StatusCode};
+use tarragonpulley_wire::peer::{
+    MAX_ANSWER_BYTES, PeerAnswer, PeerRequest, WireError, decode_answer, encode_request,
+};
+use tokio::net::TcpStream;
+
+use super::counted::CountedStream;
+use super::{BodyError, MAX_HEADER_BYTES, PROTOCOL_PATH, WINDOW_BYTES, read_body};
+use crate::fleet::metrics::FleetMetrics;
+
+/// Why a call to a peer failed.
+#[derive(Debug, thiserror::Error)]
+pub(in crate::fleet) enum PeerError {
+    /// No connection.
+    #[error("no connection: {0}")]
+    Connect(#[from] io::Error),
+    /// The connection broke.
+    #[error("the connection failed: {0}")]
+    Stream(#[from] h2::Error),
+    /// The answer could not be read.
+    #[error("the answer cannot be read: {0}")]
+    Body(#[from] BodyError),
+    /// The request or the answer is not a valid message.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// The peer refused the request.
+    #[error("the peer refused the request: {0}")]
+    Refused(String),
+    /// The answer does not belong to the request.
+    #[error("the peer gave an answer of another kind")]
+    OtherAnswer,
+    /// The peer has fenced this incarnation.
+    #[error("the peer has fenced this incarnation")]
+    Fenced,
+    /// No answer within the deadline.
+    #[error("no answer within the deadline")]
+    Deadline,
+    /// The list names no address for the instance.
+    #[error("the peer is not in the list of instances")]
+    NoAddress,
+}
+
+/// A connection to a peer. Dropping it closes it and fails its calls.
+#[derive(Debug)]
+pub(in crate::fleet) struct PeerConnection {
+    sender: SendRequest<Bytes>,
+    driver: JoinHandle<()>,
+}
+
+impl PeerConnection {
+    /// Connects to a peer. Has no deadline of its own.
+    pub(in crate::fleet) async fn open(
+        address: SocketAddr,
+        metrics: &FleetMetrics,
+    ) -> Result<Self, PeerError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let received = metrics.peer_bytes_received.clone();
+        let stream = CountedStream::new(stream, received, metrics.peer_bytes_sent.clone());
+        let (sender, connection) = h2::client::Builder::new()
+            .max_header_list_size(MAX_HEADER_BYTES)
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .enable_push(false)
+            .handshake(stream)
+            .await?;
+        let driver = actix_rt::spawn(async move {
+            // The calls on the connection report its failure.
+            let _ended = connection.await;
+        });
+        Ok(Self { sender, driver })
+    }
+
+    /// Sends a request and reads its answer. Has no deadline of its own.
+    pub(in crate::fleet) async fn call(
+        &self,
+        request: &PeerRequest,
+    ) -> Result<PeerAnswer, PeerError> {
+        let bytes = encode_request(request)?;
+        let mut sender = self.sender.clone().ready().await?;
+        let mut head = Request::new(());
+        *head.method_mut() = http::Method::POST;
+        *head.uri_mut() = http::Uri::from_static(PROTOCOL_PATH);
+        let (answer, mut body) = sender.send_request(head, false)?;
+        body.send_data(bytes.into(), true)?;
+        let answer = answer.await?;
+        if answer.status() != StatusCode::OK {
+            return Err(PeerError::Refused(answer.status().to_string()));
+        }
+        let bytes = read_body(answer.into_body(), MAX_ANSWER_BYTES).await?;
+        match decode_answer(&bytes)? {
+            PeerAnswer::Fenced => Err(PeerError::Fenced),
+            PeerAnswer::Refused(reason) => Err(PeerError::Refused(reason)),
+            answer => Ok(answer),
+        }
+    }
+}
+
+impl Drop for PeerConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/peering/server.rs
@@ -0,0 +1,157 @@
+//! The server end of connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::{Connection, SendResponse};
+use http::{Request, Response, StatusCode};
+use log::{debug, warn};
+use tarragonpulley_wire::peer::{MAX_REQUEST_BYTES, PeerAnswer, decode_request, encode_answer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::counted::CountedStream;
+use super::{MAX_HEADER_BYTES, WINDOW_BYTES, read_body};
+use crate::fleet::core::FleetCore;
+
+/// Most connections at a time: ten for each of 12 instances and some for
+/// connections that their peers have replaced.
+const MAX_CONNECTIONS: usize = 128;
+
+/// Most streams of a connection at a time.
+const MAX_STREAMS: u32 = 64;
+
+/// Time for the h2 handshake.
+const HANDSHAKE_DEADLINE: Duration = Duration::from_secs(2);
+
+/// A connection without requests for this long is closed; a live peer sends a
+/// heartbeat every half second.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time for one request, from its headers to the end of its answer.
+const REQUEST_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Wait after a failed accept, such as when there are no file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves peers for as long as the instance runs.
+pub(in crate::fleet) async fn serve(core: Rc<FleetCore>, listener: TcpListener) {
+    // Dropping the set, when this task ends, closes the connections.
+    let mut connections = JoinSet::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                while connections.try_join_next().is_some() {}
+                if connections.len() < MAX_CONNECTIONS {
+                    connections.spawn_local(serve_connection(Rc::clone(&core), stream));
+                } else {
+                    warn!("connection of a peer refused: {MAX_CONNECTIONS} are open");
+                }
+            }
+            Err(error) => {
+                warn!("connection of a peer not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(core: Rc<FleetCore>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("connection of a peer without TCP_NODELAY: {error}");
+    }
+    let metrics = &core.metrics;
+    let received = metrics.peer_bytes_received.clone();
+    let stream = CountedStream::new(stream, received, metrics.peer_bytes_sent.clone());
+    let handshake = h2::server::Builder::new()
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake(stream);
+    match timeout(HANDSHAKE_DEADLINE, handshake).await {
+        Ok(Ok(connection)) => serve_streams(core, connection).await,
+        Ok(Err(error)) => core.refuse_message(&error),
+        Err(_elapsed) => core.refuse_message(&"no h2 handshake within its deadline"),
+    }
+}
+
+async fn serve_streams(core: Rc<FleetCore>, mut connection: Connection<CountedStream, Bytes>) {
+    let mut streams = JoinSet::new();
+    loop {
+        match timeout(IDLE_LIMIT, connection.accept()).await {
+            Ok(Some(Ok((request, respond)))) => {
+                while streams.try_join_next().is_some() {}
+                streams.spawn_local(serve_stream(Rc::clone(&core), request, respond));
+            }
+            Ok(Some(Err(error))) => {
+                debug!("connection of a peer failed: {error}");
+                return;
+            }
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
+
+async fn serve_stream(
+    core: Rc<FleetCore>,
+    request: Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+) {
+    let served = timeout(REQUEST_DEADLINE, answer_stream(&core, request, respond)).await;
+    match served {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => debug!("answer to a peer not sent: {error}"),
+        Err(_elapsed) => debug!("request of a peer not served within its deadline"),
+    }
+}
+
+async fn answer_stream(
+    core: &FleetCore,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) -> Result<(), h2::Error> {
+    let body = match read_body(request.into_body(), MAX_REQUEST_BYTES).await {
+        Ok(body) => body,
+        Err(error) => {
+            core.refuse_message(&error);
+            return refuse(&mut respond, StatusCode::PAYLOAD_TOO_LARGE);
+        }
+    };
+    let answer = match decode_request(&body) {
+        Ok(request) => core.serve_request(request),
+        Err(error) => Err(error),
+    };
+    match answer.and_then(|answer| encode_answer(&answer)) {
+        Ok(bytes) => {
+            let mut stream = respond.send_response(Response::new(()), false)?;
+            stream.send_data(bytes.into(), true)
+        }
+        Err(error) => {
+            core.refuse_message(&error);
+            refuse(&mut respond, StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), h2::Error> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    respond.send_response(response, true).map(drop)
+}
+
+impl FleetCore {
+    /// Counts and logs bytes that are not a valid message.
+    fn refuse_message(&self, reason: &dyn std::fmt::Display) {
+        self.metrics.messages_refused.inc();
+        warn!("message of a peer refused: {reason}");
+    }
+}
+
+/// The answer to a request that cannot be served now.
+pub(in crate::fleet) fn refused(reason: &str) -> PeerAnswer {
+    PeerAnswer::Refused(reason.to_owned())
+}
--- a/crates/daemon/src/fleet/sync.rs
+++ b/crates/daemon/src/fleet/sync.rs
@@ -5,11 +5,13 @@
 
 use log::warn;
 use tarragonpulley_platform::{ListedInstance, ListedState, PlatformError, RowKey, TableSnapshot};
-use tarragonpulley_policy::membership::{ListedMember, MemberPlace};
+use tarragonpulley_policy::ids::InstanceName;
+use tarragonpulley_policy::membership::{ListedMember, MemberPlace, MemberState};
 use tarragonpulley_policy::units::ConfigRevision;
 use tarragonpulley_wire::rows::{self, ConfigRows, HeadRow, RowError};
 
 use super::core::FleetCore;
+use super::link::PeerLink;
 
 /// Time between two readings of the table. A proof is then at most this old
 /// plus the time of one reading while the table answers.
@@ -36,6 +38,8 @@
         if let Err(error) = core.sync_table().await {
             warn!("table not read: {error}");
         }
+        core.attest();
+        core.update_gauges();
         let _woken = tokio::time::timeout(TABLE_INTERVAL, wakes.changed()).await;
     }
 }
@@ -43,8 +47,9 @@
 /// Reads the list for as long as the instance runs.
 pub(super) async fn read_list(core: Rc<FleetCore>) {
     loop {
+        let started = core.now();
         match core.list.read().await {
-            Ok(listed) => core.take_list(listed),
+            Ok(listed) => take_list(&core, listed, started),
             Err(error) => warn!("list of instances not read: {error}"),
         }
         tokio::time::sleep(LIST_INTERVAL).await;
@@ -79,6 +84,7 @@
     /// Reads the head row, and all configuration when it is newer.
     async fn sync_table(&self) -> Result<(), SyncError> {
         let started = self.now();
+        self.metrics.table_reads.inc();
         let head = self.table.read(RowKey::new(rows::HEAD_KEY)).await?;
         let (head, _modified) = read_head(&head)?;
         if head.revision > self.revision() {
@@ -91,6 +97,7 @@
 
     /// Reads all configuration rows in a reading that begins at `started`.
     pub(super) async fn load_config(&self, started: Instant) -> Result<(), SyncError> {
+        self.metrics.table_reads.inc();
         let read = self.table.read(RowKey::new(rows::CONFIG_PREFIX)).await?;
         let rows = plain_rows(read);
         let revision = rows::head_revision(&rows)?;
@@ -99,12 +106,58 @@
         Ok(())
     }
 
-    /// Takes over a reading of the list.
-    pub(super) fn take_list(&self, listed: Vec<ListedInstance>) {
-        let members = listed.into_iter().map(listed_member).collect();
-        self.members.borrow_mut().list_read(members);
-        self.progressed();
+    /// Ends the links to instances that are gone.
+    fn update_links(&self) {
+        let now = self.now();
+        let members = self.members.borrow();
+        let present = |instance: &InstanceName| {
+            let entry = members.get(instance);
+            entry.is_some_and(|entry| entry.state(now) != MemberState::Gone)
+        };
+        self.links.borrow_mut().retain(|instance, link| {
+            let present = present(instance);
+            if !present {
+                link.stop();
+            }
+            present
+        });
     }
+
+    fn update_gauges(&self) {
+        let age = self.proof_age().map_or(-1.0, |age| age.as_secs_f64());
+        self.metrics.proof_age.set(age);
+        let revision = i64::try_from(self.revision().get()).unwrap_or(i64::MAX);
+        self.metrics.revision.set(revision);
+        let faults = self.config.borrow().faults.len();
+        self.metrics
+            .row_faults
+            .set(i64::try_from(faults).unwrap_or(i64::MAX));
+    }
+}
+
+/// Takes over a reading of the list: its members get links.
+fn take_list(core: &Rc<FleetCore>, listed: Vec<ListedInstance>, started: Instant) {
+    let members = listed.into_iter().map(listed_member).collect();
+    core.members.borrow_mut().list_read(members, started);
+    core.update_links();
+    let addresses: Vec<_> = {
+        let members = core.members.borrow();
+        let listed = members.iter().filter(|(_name, entry)| entry.listed);
+        listed
+            .map(|(name, entry)| (name.clone(), entry.place.peer_address))
+            .collect()
+    };
+    for (instance, address) in addresses {
+        let link = core.link(&instance);
+        if let Some(link) = link {
+            link.move_to(address);
+        } else {
+            let link = PeerLink::start(core, instance.clone(), address);
+            core.links.borrow_mut().insert(instance, link);
+        }
+    }
+    core.attest();
+    core.progressed();
 }
 
 fn listed_member(listed: ListedInstance) -> ListedMember {
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -41,8 +41,11 @@
 }
 
 /// Whose attestations proof (c) needs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequiredSet {
+    /// The latest date of a proof by this set. An instance that is alone dates
+    /// it at its reading of the list: nothing else shows that it is alone.
+    pub latest: Instant,
     /// Incarnations that must have answered.
     pub incarnations: BTreeSet<IncarnationId>,
     /// Listed instances that were never heard from; while there is one, there
@@ -147,13 +150,12 @@
 
     /// Proof (c): all required incarnations attest that no newer revision was
     /// accepted. Needs an earlier proof: without one, this instance cannot know
-    /// of changes accepted through instances that are gone by now. `now` dates
-    /// the proof of an instance that is alone.
-    pub fn attest(&mut self, required: &RequiredSet, now: Instant) -> bool {
+    /// of changes accepted through instances that are gone by now.
+    pub fn attest(&mut self, required: &RequiredSet) -> bool {
         if self.proved.is_none() || !required.unheard.is_empty() {
             return false;
         }
-        let mut oldest = now;
+        let mut oldest = required.latest;
         for incarnation in &required.incarnations {
             match self.attestations.get(incarnation) {
                 Some(found) if found.revision <= self.revision && found.rights <= self.rights => {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -104,7 +104,7 @@
     entries: BTreeMap<InstanceName, MemberEntry>,
     /// Incarnations that were replaced, or that only others heard from.
     others: BTreeSet<IncarnationId>,
-    list_known: bool,
+    list_read: Option<Instant>,
 }
 
 impl MemberTable {
@@ -115,13 +115,13 @@
             own,
             entries: BTreeMap::new(),
             others: BTreeSet::new(),
-            list_known: false,
+            list_read: None,
         }
     }
 
-    /// Takes over a new reading of the platform's list.
-    pub fn list_read(&mut self, listed: Vec<ListedMember>) {
-        self.list_known = true;
+    /// Takes over a reading of the platform's list that began at `started`.
+    pub fn list_read(&mut self, listed: Vec<ListedMember>, started: Instant) {
+        self.list_read = Some(started);
         for entry in self.entries.values_mut() {
             entry.listed = false;
         }
@@ -206,7 +206,7 @@
     /// Whether the platform's list was ever read.
     #[must_use]
     pub const fn list_known(&self) -> bool {
-        self.list_known
+        self.list_read.is_some()
     }
 
     /// Whether `incarnation` is gone.
@@ -217,11 +217,11 @@
         }
         let Some(entry) = self.entries.get(&incarnation.instance) else {
             // Only others heard from it. Without a list nothing shows its end.
-            return self.list_known;
+            return self.list_known();
         };
         match &entry.incarnation {
             Some(known) if known.number > incarnation.number => true,
-            _ => self.list_known && entry.gone(now),
+            _ => self.list_known() && entry.gone(now),
         }
     }
 
@@ -229,7 +229,7 @@
     #[must_use]
     pub fn gone(&self, now: Instant) -> BTreeSet<IncarnationId> {
         let mut known = self.known();
-        known.retain(|incarnation| self.list_known && self.is_gone(incarnation, now));
+        known.retain(|incarnation| self.list_known() && self.is_gone(incarnation, now));
         known
     }
 
@@ -245,16 +245,19 @@
     /// read, because any number of instances may be missing then.
     #[must_use]
     pub fn required(&self, now: Instant) -> Option<RequiredSet> {
-        self.list_known.then(|| self.required_set(now))
-    }
-
-    fn required_set(&self, now: Instant) -> RequiredSet {
+        let list_read = self.list_read?;
+        let incarnations = self.present(now);
         let unheard = self.entries.iter();
         let unheard = unheard.filter(|(_name, entry)| entry.listed && entry.incarnation.is_none());
-        RequiredSet {
-            incarnations: self.present(now),
+        Some(RequiredSet {
+            latest: if incarnations.is_empty() {
+                list_read
+            } else {
+                now
+            },
+            incarnations,
             unheard: unheard.map(|(instance, _entry)| instance.clone()).collect(),
-        }
+        })
     }
 
     /// Drops instances that are gone, and what is known of replaced ones, once
