--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -5,8 +5,10 @@
 //! members and events on top of them. All of it runs on one thread; no borrow
 //! of the shared state is held across an await.
 
+mod change;
 mod config;
 mod core;
+mod edit;
 mod events;
 mod facts;
 mod heartbeat;
--- /dev/null
+++ b/crates/daemon/src/fleet/change.rs
@@ -0,0 +1,260 @@
+//! Changes of the configuration.
+//!
+//! A change is one transaction on the condition that `config/head` was not
+//! written since it was read. All attempts of a change carry the same random
+//! number in the head row, and all attempts from one base share one condition,
+//! so that at most one of them takes effect and a lost answer can be resolved
+//! by reading back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::snapshot::ConfigSnapshot;
+use tarragonpulley_policy::units::ConfigRevision;
+use tarragonpulley_wire::rows::{self, ConfigRows, HeadRow};
+use tokio::time::sleep;
+
+use super::core::FleetCore;
+use super::edit::{EditPlan, RowWrites, plan_edit};
+use super::sync::{SyncError, read_head};
+use crate::border::{ChangeOutcome, ConfigEdit};
+
+/// Attempts of a change, readings after a lost answer included.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// Wait before reading again after the table failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long an accepted change waits for the answering peers to have it in
+/// force before the operator is told. An instance that ends right after telling
+/// then leaves no change that is known to the table alone.
+const SPREAD_LIMIT: Duration = Duration::from_secs(1);
+
+/// The configuration that a change is based on.
+#[derive(Debug)]
+struct ChangeBase {
+    rows: Rc<ConfigRows>,
+    snapshot: Rc<ConfigSnapshot>,
+    change: Option<u64>,
+    condition: RowCondition,
+}
+
+/// A change that is under way.
+#[derive(Debug)]
+struct ChangeRun {
+    edit: ConfigEdit,
+    number: u64,
+    /// Rows of an attempt whose answer was lost.
+    unanswered: Option<RowWrites>,
+    failure: String,
+}
+
+/// What to do after an attempt.
+#[derive(Debug)]
+enum AttemptOutcome {
+    Done(ChangeOutcome),
+    Again { pause: bool },
+}
+
+impl FleetCore {
+    /// Carries out a change.
+    pub(super) async fn run_change(&self, edit: ConfigEdit) -> ChangeOutcome {
+        if let ConfigEdit::WithdrawKey(digest) = &edit {
+            self.state_fact(FactKey::KeyWithdrawn(*digest), FactValue::Latched, true);
+        }
+        if let ConfigEdit::GrantKey(digest, _team) = &edit
+            && self
+                .facts
+                .borrow()
+                .get(&FactKey::KeyWithdrawn(*digest))
+                .is_some()
+        {
+            return ChangeOutcome::Refused(format!("key {digest} was withdrawn"));
+        }
+        let turn = self.change_turn.lock().await;
+        let outcome = self.run_attempts(edit).await;
+        drop(turn);
+        if let ChangeOutcome::Accepted(revision) = &outcome {
+            self.spread(*revision).await;
+        }
+        outcome
+    }
+
+    async fn run_attempts(&self, edit: ConfigEdit) -> ChangeOutcome {
+        let mut run = ChangeRun {
+            edit,
+            number: rand::random(),
+            unanswered: None,
+            failure: String::new(),
+        };
+        for _attempt in 0..MAX_ATTEMPTS {
+            match self.attempt(&mut run).await {
+                AttemptOutcome::Done(outcome) => return outcome,
+                AttemptOutcome::Again { pause: true } => sleep(RETRY_PAUSE).await,
+                AttemptOutcome::Again { pause: false } => {}
+            }
+        }
+        if run.unanswered.is_some() {
+            ChangeOutcome::Unknown(run.failure)
+        } else {
+            ChangeOutcome::Conflict(self.revision())
+        }
+    }
+
+    async fn attempt(&self, run: &mut ChangeRun) -> AttemptOutcome {
+        let base = match self.read_base().await {
+            Ok(base) => base,
+            Err(error) => return run.table_failed(error.to_string()),
+        };
+        let revision = base.snapshot.revision;
+        if run.is_in(&base) {
+            return AttemptOutcome::Done(ChangeOutcome::Accepted(revision));
+        }
+        match plan_edit(&run.edit, &base.rows, &base.snapshot) {
+            EditPlan::Refused(reason) => AttemptOutcome::Done(ChangeOutcome::Refused(reason)),
+            EditPlan::Conflict => AttemptOutcome::Done(ChangeOutcome::Conflict(revision)),
+            EditPlan::Write(writes) if writes.is_empty() => {
+                AttemptOutcome::Done(ChangeOutcome::Accepted(revision))
+            }
+            EditPlan::Write(writes) => self.commit_change(run, &base, writes).await,
+        }
+    }
+
+    async fn commit_change(
+        &self,
+        run: &mut ChangeRun,
+        base: &ChangeBase,
+        mut writes: RowWrites,
+    ) -> AttemptOutcome {
+        let revision = base.snapshot.revision.next();
+        let head = HeadRow {
+            revision,
+            change: Some(run.number),
+        };
+        writes.insert(rows::HEAD_KEY.to_owned(), Some(rows::encode(&head)));
+        let transaction = TableTransaction {
+            conditions: vec![base.condition.clone()],
+            changes: writes.iter().map(row_change).collect(),
+        };
+        self.metrics.table_writes.inc();
+        match self.table.commit(transaction).await {
+            CommitOutcome::Committed(_) => {
+                self.apply_change(base, &writes, revision);
+                AttemptOutcome::Done(ChangeOutcome::Accepted(revision))
+            }
+            CommitOutcome::Conflict => AttemptOutcome::Again { pause: false },
+            CommitOutcome::NotApplied(error) => run.table_failed(error.to_string()),
+            CommitOutcome::Unknown(error) => {
+                writes.remove(rows::HEAD_KEY);
+                run.unanswered = Some(writes);
+                run.table_failed(error.to_string())
+            }
+        }
+    }
+
+    /// Puts a committed change in force here.
+    fn apply_change(&self, base: &ChangeBase, writes: &RowWrites, revision: ConfigRevision) {
+        let mut rows = (*base.rows).clone();
+        for (key, value) in writes {
+            match value {
+                Some(value) => rows.insert(key.clone(), value.clone()),
+                None => rows.remove(key),
+            };
+        }
+        if let Err(error) = self.adopt_rows(rows) {
+            warn!("committed revision {revision} not put in force: {error}");
+        }
+    }
+
+    /// Waits until the answering peers have a revision in force, for a while.
+    async fn spread(&self, revision: ConfigRevision) {
+        self.urgent_revision
+            .set(self.urgent_revision.get().max(revision));
+        self.spreading.set(self.spreading.get().max(revision));
+        self.wake_heartbeats();
+        let everywhere = |core: &Self| core.peers_have(revision);
+        let spread = self.wait_at_most(SPREAD_LIMIT, everywhere).await;
+        if self.spreading.get() == revision {
+            self.spreading.set(ConfigRevision::default());
+        }
+        let detail = if spread {
+            "by all peers that answer"
+        } else {
+            "not by all peers yet"
+        };
+        self.record_event("change_accepted", &revision.to_string(), detail);
+    }
+
+    fn peers_have(&self, revision: ConfigRevision) -> bool {
+        let now = self.now();
+        let members = self.members.borrow();
+        let peers = self.peers.borrow();
+        let mut answering = members.iter().filter(|(_name, entry)| entry.answers(now));
+        answering.all(|(name, _entry)| {
+            peers
+                .get(name)
+                .is_some_and(|peer| peer.revision >= revision)
+        })
+    }
+
+    /// Reads the newest configuration and the state of its head row.
+    async fn read_base(&self) -> Result<ChangeBase, SyncError> {
+        self.metrics.table_reads.inc();
+        let read = self.table.read(RowKey::new(rows::HEAD_KEY)).await?;
+        let (head, modified) = read_head(&read)?;
+        if head.revision > self.revision() {
+            // The rows and the head must be of the same reading, so the head
+            // is read again when the loop of attempts comes back.
+            self.load_config(self.now()).await?;
+        }
+        let config = self.config.borrow();
+        if config.freshness.revision() != head.revision {
+            return Err(SyncError::Moved);
+        }
+        let key = RowKey::new(rows::HEAD_KEY);
+        Ok(ChangeBase {
+            rows: Rc::clone(&config.rows),
+            snapshot: Rc::clone(&config.snapshot),
+            change: head.change,
+            condition: match modified {
+                Some(modified) => RowCondition::Unchanged(key, modified),
+                None => RowCondition::Absent(key),
+            },
+        })
+    }
+}
+
+impl ChangeRun {
+    /// Whether an unanswered attempt turns out to have taken effect.
+    fn is_in(&self, base: &ChangeBase) -> bool {
+        let Some(writes) = &self.unanswered else {
+            return false;
+        };
+        base.change == Some(self.number)
+            || writes
+                .iter()
+                .all(|(key, value)| base.rows.get(key) == value.as_ref())
+    }
+
+    /// The table failed. A change that certainly had no effect ends here; one
+    /// whose answer was lost is read back later.
+    fn table_failed(&mut self, failure: String) -> AttemptOutcome {
+        self.failure = failure;
+        if self.unanswered.is_some() {
+            AttemptOutcome::Again { pause: true }
+        } else {
+            AttemptOutcome::Done(ChangeOutcome::Unavailable(self.failure.clone()))
+        }
+    }
+}
+
+fn row_change((key, value): (&String, &Option<Vec<u8>>)) -> RowChange {
+    let key = RowKey::new(key.clone());
+    match value {
+        Some(value) => RowChange::Put(key, value.clone()),
+        None => RowChange::Delete(key),
+    }
+}
--- a/crates/daemon/src/fleet/config.rs
+++ b/crates/daemon/src/fleet/config.rs
@@ -110,6 +110,6 @@
     }
 
     fn change(&self, edit: ConfigEdit) -> LocalBoxFuture<'_, ChangeOutcome> {
-        async move { ChangeOutcome::Unavailable(format!("{edit:?}: not served yet")) }.boxed_local()
+        self.run_change(edit).boxed_local()
     }
 }
--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -12,7 +12,7 @@
 use tarragonpulley_policy::membership::{MemberPlace, MemberTable};
 use tarragonpulley_policy::units::ConfigRevision;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 use super::FleetOptions;
 use super::config::ConfigState;
@@ -42,6 +42,9 @@
     pub(super) urgent_revision: Cell<ConfigRevision>,
     /// The revision that a change waits for peers to have; zero when none.
     pub(super) spreading: Cell<ConfigRevision>,
+    /// Held by the change that is under way, so that changes through one
+    /// instance do not conflict with each other.
+    pub(super) change_turn: Mutex<()>,
     /// Counts reasons to send heartbeats at once.
     heartbeat_wake: watch::Sender<u64>,
     /// Counts events that a waiting task may want to see.
@@ -72,6 +75,7 @@
             urgent_facts: Cell::default(),
             urgent_revision: Cell::default(),
             spreading: Cell::default(),
+            change_turn: Mutex::default(),
             heartbeat_wake: watch::Sender::new(0),
             progress: watch::Sender::new(0),
             table_wake: watch::Sender::new(0),
--- a/crates/daemon/src/fleet/sync.rs
+++ b/crates/daemon/src/fleet/sync.rs
@@ -26,6 +26,10 @@
     /// The platform failed.
     #[error(transparent)]
     Platform(#[from] PlatformError),
+    /// Another change came between two readings, or the table is older than
+    /// the configuration in force.
+    #[error("the configuration in the table is not the one in force here")]
+    Moved,
     /// A row has the wrong form.
     #[error(transparent)]
     Row(#[from] RowError),
