--- /dev/null
+++ b/crates/daemon/src/backends.rs
@@ -0,0 +1,125 @@
+//! What this instance knows about backend servers.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::contract::ServicePlan;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::{ServerKey, ServerName, ServiceKey};
+use tarragonpulley_policy::routing::{ServerState, StateTable};
+use tarragonpulley_policy::snapshot::ConfigSnapshot;
+
+use crate::border::FactBoard;
+
+/// Reports of all instances and observations of this one.
+#[derive(Debug)]
+pub(crate) struct BackendBoard {
+    table: RefCell<StateTable>,
+    facts: Rc<dyn FactBoard>,
+    clock: Rc<dyn TimeSource>,
+}
+
+impl BackendBoard {
+    pub(crate) fn new(facts: Rc<dyn FactBoard>, clock: Rc<dyn TimeSource>) -> Self {
+        Self {
+            table: RefCell::default(),
+            facts,
+            clock,
+        }
+    }
+
+    /// Takes over new reports of all instances.
+    pub(crate) fn refresh(&self) {
+        let now = self.clock.instant();
+        let reports = self
+            .facts
+            .select(&|key| matches!(key, FactKey::ServerReport(..)));
+        let mut table = self.table.borrow_mut();
+        for (key, value) in &reports {
+            if let (FactKey::ServerReport(server, reporter), FactValue::Server(report)) =
+                (key, value)
+            {
+                table.note_report(server, reporter, report, now);
+            }
+        }
+    }
+
+    /// Drops servers that are in no contract.
+    pub(crate) fn forget_removed(&self, snapshot: &ConfigSnapshot) {
+        self.table
+            .borrow_mut()
+            .retain(&|server| find_server(snapshot, server).is_some());
+    }
+
+    /// The states of all servers of a service.
+    pub(crate) fn states(
+        &self,
+        service: &ServiceKey,
+        plan: &ServicePlan,
+    ) -> BTreeMap<ServerName, ServerState> {
+        let now = self.clock.instant();
+        let table = self.table.borrow();
+        let state = |name: &ServerName| {
+            let server = ServerKey {
+                service: service.clone(),
+                server: name.clone(),
+            };
+            (name.clone(), table.state(&server, now))
+        };
+        plan.servers.keys().map(state).collect()
+    }
+
+    /// Requests of this instance that run on a server.
+    pub(crate) fn running(&self, server: &ServerKey) -> u32 {
+        let now = self.clock.instant();
+        self.table.borrow().state(server, now).running
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(crate) fn begin(self: &Rc<Self>, server: &ServerKey) -> RunningGuard {
+        self.table.borrow_mut().note_start(server);
+        RunningGuard {
+            board: Rc::clone(self),
+            server: server.clone(),
+        }
+    }
+
+    pub(crate) fn note_success(&self, server: &ServerKey) {
+        self.table.borrow_mut().note_success(server);
+    }
+
+    pub(crate) fn note_failure(&self, server: &ServerKey) {
+        let now = self.clock.instant();
+        self.table.borrow_mut().note_failure(server, now);
+    }
+
+    pub(crate) fn note_leaving(&self, server: &ServerKey) {
+        let now = self.clock.instant();
+        self.table.borrow_mut().note_leaving(server, now);
+    }
+}
+
+/// Ends a running request when dropped.
+#[derive(Debug)]
+pub(crate) struct RunningGuard {
+    board: Rc<BackendBoard>,
+    server: ServerKey,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.board.table.borrow_mut().note_end(&self.server);
+    }
+}
+
+/// The plan of a server, if a contract names it.
+pub(crate) fn find_server<'a>(
+    snapshot: &'a ConfigSnapshot,
+    server: &ServerKey,
+) -> Option<&'a tarragonpulley_policy::contract::ServerPlan> {
+    let contract = snapshot.contracts.get(&server.service.customer)?;
+    let service = contract.services.get(&server.service.service)?;
+    service.servers.get(&server.server)
+}
--- /dev/null
+++ b/crates/daemon/src/claims.rs
@@ -0,0 +1,407 @@
+//! Claims of requests that run at most once.
+//!
+//! Inserts of a few milliseconds share one transaction, and so do results. An
+//! insert whose answer was lost is read back by its nonce. A claim that was
+//! inserted but whose request was not sent is deleted again, so that the caller
+//! may repeat the request.
+
+mod results;
+mod rows;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use tarragonpulley_platform::{
+    CommitOutcome, RowChange, RowCondition, RowKey, TableService, TableTransaction,
+};
+use tarragonpulley_policy::claim::{
+    ClaimIdentity, ClaimRow, ClaimState, ClaimVerdict, InsertAnswer, InsertStep, RecordedAnswer,
+    after_insert, judge_row,
+};
+use tarragonpulley_policy::ids::IncarnationId;
+use tokio::sync::{Notify, oneshot};
+
+use crate::border::{InstanceContext, MemberSource};
+use crate::metrics::RequestMetrics;
+use crate::tasks::LoopGuard;
+use results::ResultQueue;
+use rows::{ReadBack, read_row};
+
+/// Claims that arrive within this time share a transaction.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+
+/// Least time between two transactions of claims. The table takes several
+/// hundred writes a second from the whole fleet of at most 12 instances.
+const INSERT_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Rows in one transaction; transactions of the table service are bounded.
+const MAX_BATCH: usize = 64;
+
+/// Rounds of a batch that meets existing rows. Each round drops them.
+const MAX_ROUNDS: usize = 4;
+
+/// Row conditions and writes of one transaction that is retried by parts.
+type Batch = Vec<PendingInsert>;
+
+/// What became of the claim of a request.
+#[derive(Debug)]
+pub(crate) enum ClaimOutcome {
+    /// This request may be sent.
+    Held(HeldClaim),
+    /// An earlier request was answered.
+    Recorded(RecordedAnswer),
+    /// The identity belongs to another request.
+    Reused,
+    /// An earlier request is running.
+    StillRunning,
+    /// An earlier request may have run.
+    Unknown,
+    /// The table cannot be reached; nothing was sent.
+    TableUnavailable,
+    /// The claim was not decided in time; nothing was sent.
+    TooLate,
+}
+
+/// How a held claim ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ClaimEnd {
+    /// The request was answered.
+    Answered(RecordedAnswer),
+    /// The request may have run.
+    Unknown,
+    /// The request certainly did not run.
+    NotRun,
+}
+
+#[derive(Debug)]
+enum InsertResult {
+    Held { modified: u64 },
+    Judged(ClaimVerdict),
+    Unavailable,
+}
+
+#[derive(Debug)]
+struct PendingInsert {
+    key: RowKey,
+    row: ClaimRow,
+    reply: oneshot::Sender<InsertResult>,
+}
+
+/// Writes the claims of an instance.
+#[derive(Debug)]
+pub(crate) struct ClaimWriter {
+    own: IncarnationId,
+    table: Rc<dyn TableService>,
+    members: Rc<dyn MemberSource>,
+    metrics: RequestMetrics,
+    pending: RefCell<Vec<PendingInsert>>,
+    arrived: Notify,
+    /// Fingerprints of the requests that this instance is claiming or running.
+    local: RefCell<BTreeMap<RowKey, String>>,
+    results: ResultQueue,
+    next_nonce: Cell<u64>,
+}
+
+impl ClaimWriter {
+    /// Starts the loops that write claims and results. They stop when the
+    /// guards are dropped; wait for [`ClaimWriter::is_settled`] before that.
+    pub(crate) fn start(
+        context: &InstanceContext,
+        metrics: RequestMetrics,
+    ) -> (Rc<Self>, Vec<LoopGuard>) {
+        let writer = Rc::new(Self {
+            own: context.own.clone(),
+            table: Rc::clone(&context.table),
+            members: Rc::clone(&context.members),
+            metrics: metrics.clone(),
+            pending: RefCell::default(),
+            arrived: Notify::new(),
+            local: RefCell::default(),
+            results: ResultQueue::new(Rc::clone(&context.table), metrics),
+            next_nonce: Cell::new(0),
+        });
+        let inserts = LoopGuard::spawn(Rc::clone(&writer).insert_loop());
+        let results = Rc::clone(&writer);
+        let results = LoopGuard::spawn(async move { results.results.run().await });
+        (writer, vec![inserts, results])
+    }
+
+    /// Whether every result has been written.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.pending.borrow().is_empty()
+            && self.local.borrow().is_empty()
+            && self.results.is_empty()
+    }
+
+    /// Claims an identity. Returns by `deadline`.
+    pub(crate) async fn acquire(
+        self: &Rc<Self>,
+        identity: &ClaimIdentity,
+        fingerprint: &str,
+        deadline: Instant,
+    ) -> ClaimOutcome {
+        let key = RowKey::new(identity.row_key());
+        if let Some(outcome) = self.known_here(&key, fingerprint) {
+            return outcome;
+        }
+        let nonce = format!("{}:{}", self.own, self.next_nonce.get());
+        self.next_nonce.set(self.next_nonce.get() + 1);
+        let row = ClaimRow {
+            nonce,
+            fingerprint: fingerprint.to_owned(),
+            incarnation: self.own.clone(),
+            state: ClaimState::Running,
+        };
+        let (reply, answer) = oneshot::channel();
+        let local = LocalEntry::new(self, &key, fingerprint);
+        self.pending.borrow_mut().push(PendingInsert {
+            key: key.clone(),
+            row: row.clone(),
+            reply,
+        });
+        self.arrived.notify_one();
+        let wait = deadline.saturating_duration_since(Instant::now());
+        match actix_rt::time::timeout(wait, answer).await {
+            Err(_elapsed) => ClaimOutcome::TooLate,
+            Ok(Err(_closed)) => ClaimOutcome::TableUnavailable,
+            Ok(Ok(InsertResult::Held { modified })) => {
+                self.metrics.claims.inc();
+                ClaimOutcome::Held(HeldClaim {
+                    local,
+                    row,
+                    modified,
+                    end: Some(ClaimEnd::Unknown),
+                })
+            }
+            Ok(Ok(InsertResult::Unavailable)) => ClaimOutcome::TableUnavailable,
+            Ok(Ok(InsertResult::Judged(verdict))) => outcome_of(verdict),
+        }
+    }
+
+    /// The outcome for an identity that this instance is working on.
+    fn known_here(&self, key: &RowKey, fingerprint: &str) -> Option<ClaimOutcome> {
+        if let Some(row) = self.results.pending_row(key) {
+            return Some(outcome_of(judge_row(&row, "", fingerprint, false)));
+        }
+        let local = self.local.borrow();
+        let known = local.get(key)?;
+        Some(if known == fingerprint {
+            ClaimOutcome::StillRunning
+        } else {
+            ClaimOutcome::Reused
+        })
+    }
+
+    /// Whether an incarnation has ended. One that is not among the members is
+    /// taken for ended: "outcome unknown" is a true answer in either case.
+    fn is_gone(&self, holder: &IncarnationId, key: &RowKey) -> bool {
+        if *holder == self.own {
+            return !self.local.borrow().contains_key(key) && !self.results.is_releasing(key);
+        }
+        let members = self.members.members();
+        let member = members.iter().find(|m| m.instance == holder.instance);
+        member.is_none_or(|m| m.incarnation.as_ref().is_some_and(|id| id != holder))
+    }
+
+    async fn insert_loop(self: Rc<Self>) {
+        loop {
+            self.arrived.notified().await;
+            actix_rt::time::sleep(GATHER_TIME).await;
+            loop {
+                let batch = self.take_batch();
+                if batch.is_empty() {
+                    break;
+                }
+                let started = Instant::now();
+                self.insert(batch).await;
+                actix_rt::time::sleep(INSERT_INTERVAL.saturating_sub(started.elapsed())).await;
+            }
+        }
+    }
+
+    /// Takes waiting inserts, leaving out those that nobody waits for.
+    fn take_batch(&self) -> Batch {
+        let mut pending = self.pending.borrow_mut();
+        pending.retain(|insert| !insert.reply.is_closed());
+        let count = pending.len().min(MAX_BATCH);
+        pending.drain(..count).collect()
+    }
+
+    async fn insert(&self, mut batch: Batch) {
+        for _round in 0..MAX_ROUNDS {
+            if batch.is_empty() {
+                return;
+            }
+            batch = self.insert_round(batch).await;
+        }
+        // Only a caller that repeats many identities at once gets here.
+        for insert in batch {
+            self.reply(insert, InsertResult::Unavailable);
+        }
+    }
+
+    /// Inserts a batch. Returns those whose row does not exist although the
+    /// transaction met another row.
+    async fn insert_round(&self, batch: Batch) -> Batch {
+        self.metrics.claim_writes.inc();
+        let outcome = self.table.commit(insert_transaction(&batch)).await;
+        match after_insert(answer_of(&outcome)) {
+            InsertStep::Hold => {
+                let modified = if let CommitOutcome::Committed(revision) = outcome {
+                    revision
+                } else {
+                    0
+                };
+                for insert in batch {
+                    self.reply(insert, InsertResult::Held { modified });
+                }
+                Vec::new()
+            }
+            InsertStep::Refuse => {
+                for insert in batch {
+                    self.reply(insert, InsertResult::Unavailable);
+                }
+                Vec::new()
+            }
+            InsertStep::ReadBack => self.read_back(batch, &outcome).await,
+        }
+    }
+
+    async fn read_back(&self, batch: Batch, outcome: &CommitOutcome) -> Batch {
+        let reads = batch
+            .iter()
+            .map(|insert| read_row(&*self.table, &insert.key));
+        let rows = join_all(reads).await;
+        let mut absent = Vec::new();
+        for (insert, row) in batch.into_iter().zip(rows) {
+            match row {
+                ReadBack::Found { row, modified } => {
+                    let result = self.judge(&insert, &row, modified);
+                    self.reply(insert, result);
+                }
+                ReadBack::Absent if matches!(outcome, CommitOutcome::Conflict) => {
+                    absent.push(insert);
+                }
+                // A write without an answer may still be on its way. The
+                // request is not sent, and the row is deleted if it appears.
+                ReadBack::Absent | ReadBack::Failed => {
+                    self.results.release(insert.key.clone(), insert.row.clone());
+                    self.reply(insert, InsertResult::Unavailable);
+                }
+            }
+        }
+        absent
+    }
+
+    fn judge(&self, insert: &PendingInsert, row: &ClaimRow, modified: u64) -> InsertResult {
+        let gone = self.is_gone(&row.incarnation, &insert.key);
+        match judge_row(row, &insert.row.nonce, &insert.row.fingerprint, gone) {
+            ClaimVerdict::Held => InsertResult::Held { modified },
+            verdict => InsertResult::Judged(verdict),
+        }
+    }
+
+    /// Answers a waiting request. A claim that nobody waits for is released.
+    fn reply(&self, insert: PendingInsert, result: InsertResult) {
+        let PendingInsert { key, row, reply } = insert;
+        if let Err(InsertResult::Held { .. }) = reply.send(result) {
+            self.results.release(key, row);
+        }
+    }
+}
+
+fn insert_transaction(batch: &Batch) -> TableTransaction {
+    let conditions = batch.iter().map(|i| RowCondition::Absent(i.key.clone()));
+    let changes = batch
+        .iter()
+        .map(|i| RowChange::Put(i.key.clone(), rows::encode(&i.row)));
+    TableTransaction {
+        conditions: conditions.collect(),
+        changes: changes.collect(),
+    }
+}
+
+const fn answer_of(outcome: &CommitOutcome) -> InsertAnswer {
+    match outcome {
+        CommitOutcome::Committed(_) => InsertAnswer::Applied,
+        CommitOutcome::Conflict => InsertAnswer::Conflict,
+        CommitOutcome::NotApplied(_) => InsertAnswer::NotApplied,
+        CommitOutcome::Unknown(_) => InsertAnswer::Lost,
+    }
+}
+
+fn outcome_of(verdict: ClaimVerdict) -> ClaimOutcome {
+    match verdict {
+        ClaimVerdict::Recorded(answer) => ClaimOutcome::Recorded(answer),
+        ClaimVerdict::Reused => ClaimOutcome::Reused,
+        ClaimVerdict::StillRunning => ClaimOutcome::StillRunning,
+        // A row that was held before cannot be judged as held again.
+        ClaimVerdict::Held | ClaimVerdict::Unknown => ClaimOutcome::Unknown,
+    }
+}
+
+/// Marks an identity as being worked on here until dropped.
+#[derive(Debug)]
+struct LocalEntry {
+    writer: Rc<ClaimWriter>,
+    key: RowKey,
+}
+
+impl LocalEntry {
+    fn new(writer: &Rc<ClaimWriter>, key: &RowKey, fingerprint: &str) -> Self {
+        writer
+            .local
+            .borrow_mut()
+            .insert(key.clone(), fingerprint.to_owned());
+        Self {
+            writer: Rc::clone(writer),
+            key: key.clone(),
+        }
+    }
+}
+
+impl Drop for LocalEntry {
+    fn drop(&mut self) {
+        self.writer.local.borrow_mut().remove(&self.key);
+    }
+}
+
+/// A claim that this request holds. When it is dropped without an end, its
+/// outcome is recorded as unknown.
+#[derive(Debug)]
+pub(crate) struct HeldClaim {
+    local: LocalEntry,
+    row: ClaimRow,
+    modified: u64,
+    end: Option<ClaimEnd>,
+}
+
+impl HeldClaim {
+    /// Ends the claim. The result is written in the background, and repeats on
+    /// this instance see it at once.
+    pub(crate) fn settle(mut self, end: ClaimEnd) {
+        self.end = Some(end);
+    }
+}
+
+impl Drop for HeldClaim {
+    fn drop(&mut self) {
+        let results = &self.local.writer.results;
+        let key = self.local.key.clone();
+        let mut row = self.row.clone();
+        match self.end.take() {
+            Some(ClaimEnd::NotRun) => results.release(key, row),
+            Some(ClaimEnd::Answered(answer)) => {
+                row.state = ClaimState::Done(answer);
+                results.record(key, row, self.modified);
+            }
+            Some(ClaimEnd::Unknown) | None => {
+                row.state = ClaimState::Unknown;
+                results.record(key, row, self.modified);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/claims/results.rs
@@ -0,0 +1,225 @@
+//! Results of claimed requests, and claims to delete.
+//!
+//! Both wait here until the table has taken them, however long it is down.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tarragonpulley_platform::{
+    CommitOutcome, RowChange, RowCondition, RowKey, TableService, TableTransaction,
+};
+use tarragonpulley_policy::claim::{ClaimRow, ClaimState};
+
+use super::rows::{ReadBack, encode, read_row};
+use crate::metrics::RequestMetrics;
+
+/// Time between two transactions of results.
+const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause after the table could not be reached.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Rows and bytes in one transaction.
+const MAX_BATCH: usize = 48;
+const MAX_BATCH_BYTES: usize = 512 * 1024;
+
+/// A claim whose insert had no answer may still appear in the table for this
+/// long, which is well above the deadline of a table call.
+const LATE_INSERT_TIME: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a claim that is to be deleted.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Clone)]
+struct PendingResult {
+    row: ClaimRow,
+    modified: u64,
+}
+
+#[derive(Debug, Clone)]
+struct PendingRelease {
+    row: ClaimRow,
+    since: Instant,
+}
+
+/// Writes that wait for the table.
+#[derive(Debug)]
+pub(super) struct ResultQueue {
+    table: Rc<dyn TableService>,
+    metrics: RequestMetrics,
+    results: RefCell<BTreeMap<RowKey, PendingResult>>,
+    releases: RefCell<BTreeMap<RowKey, PendingRelease>>,
+}
+
+impl ResultQueue {
+    pub(super) fn new(table: Rc<dyn TableService>, metrics: RequestMetrics) -> Self {
+        Self {
+            table,
+            metrics,
+            results: RefCell::default(),
+            releases: RefCell::default(),
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.results.borrow().is_empty() && self.releases.borrow().is_empty()
+    }
+
+    pub(super) fn pending_row(&self, key: &RowKey) -> Option<ClaimRow> {
+        self.results
+            .borrow()
+            .get(key)
+            .map(|result| result.row.clone())
+    }
+
+    pub(super) fn is_releasing(&self, key: &RowKey) -> bool {
+        self.releases.borrow().contains_key(key)
+    }
+
+    /// Keeps the result of a claim whose row was written at `modified`.
+    pub(super) fn record(&self, key: RowKey, row: ClaimRow, modified: u64) {
+        let result = PendingResult { row, modified };
+        self.results.borrow_mut().insert(key, result);
+    }
+
+    /// Deletes a claim whose request was certainly not sent.
+    pub(super) fn release(&self, key: RowKey, row: ClaimRow) {
+        let since = Instant::now();
+        let release = PendingRelease { row, since };
+        self.releases.borrow_mut().insert(key, release);
+    }
+
+    pub(super) async fn run(&self) {
+        let mut last_release = Instant::now();
+        loop {
+            actix_rt::time::sleep(WRITE_INTERVAL).await;
+            let mut reached = self.write_results().await;
+            if reached && last_release.elapsed() >= RELEASE_INTERVAL {
+                last_release = Instant::now();
+                reached = self.delete_released().await;
+            }
+            if !reached {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    fn next_batch(&self) -> Vec<(RowKey, PendingResult, Vec<u8>)> {
+        let mut bytes = 0;
+        let results = self.results.borrow();
+        let encoded = results.iter().map(|(key, result)| {
+            let value = encode(&result.row);
+            (key.clone(), result.clone(), value)
+        });
+        encoded
+            .take(MAX_BATCH)
+            .enumerate()
+            .take_while(|(index, (_, _, value))| {
+                bytes += value.len();
+                *index == 0 || bytes <= MAX_BATCH_BYTES
+            })
+            .map(|(_, entry)| entry)
+            .collect()
+    }
+
+    /// Writes results. Returns whether the table was reached.
+    async fn write_results(&self) -> bool {
+        let batch = self.next_batch();
+        if batch.is_empty() {
+            return true;
+        }
+        match self.commit(&batch).await {
+            CommitOutcome::Committed(_) => {
+                for (key, ..) in &batch {
+                    self.results.borrow_mut().remove(key);
+                }
+                true
+            }
+            CommitOutcome::NotApplied(_) => false,
+            // Find out row by row which ones stand.
+            CommitOutcome::Conflict | CommitOutcome::Unknown(_) => {
+                for entry in &batch {
+                    if !self.write_one(entry).await {
+                        return false;
+                    }
+                }
+                true
+            }
+        }
+    }
+
+    async fn commit(&self, batch: &[(RowKey, PendingResult, Vec<u8>)]) -> CommitOutcome {
+        self.metrics.claim_writes.inc();
+        let conditions = batch
+            .iter()
+            .map(|(key, result, _)| RowCondition::Unchanged(key.clone(), result.modified));
+        let changes = batch
+            .iter()
+            .map(|(key, _, value)| RowChange::Put(key.clone(), value.clone()));
+        let transaction = TableTransaction {
+            conditions: conditions.collect(),
+            changes: changes.collect(),
+        };
+        self.table.commit(transaction).await
+    }
+
+    async fn write_one(&self, entry: &(RowKey, PendingResult, Vec<u8>)) -> bool {
+        let (key, result, _) = entry;
+        match read_row(&*self.table, key).await {
+            ReadBack::Failed => return false,
+            ReadBack::Found { row, modified }
+                if row.nonce == result.row.nonce && row.state == ClaimState::Running =>
+            {
+                if modified != result.modified {
+                    log::error!("claim {key} was written by another process");
+                } else if !matches!(
+                    self.commit(std::slice::from_ref(entry)).await,
+                    CommitOutcome::Committed(_)
+                ) {
+                    // Stays in the queue for the next round.
+                    return true;
+                }
+            }
+            // Written already by a commit without an answer, or lost.
+            ReadBack::Found { .. } | ReadBack::Absent => {}
+        }
+        self.results.borrow_mut().remove(key);
+        true
+    }
+
+    /// Deletes released claims. Returns whether the table was reached.
+    async fn delete_released(&self) -> bool {
+        let releases: Vec<_> = self
+            .releases
+            .borrow()
+            .iter()
+            .map(|(key, release)| (key.clone(), release.clone()))
+            .collect();
+        for (key, release) in releases {
+            let done = match read_row(&*self.table, &key).await {
+                ReadBack::Failed => return false,
+                ReadBack::Found { row, modified } if row.nonce == release.row.nonce => {
+                    self.delete(&key, modified).await
+                }
+                ReadBack::Found { .. } => true,
+                ReadBack::Absent => release.since.elapsed() > LATE_INSERT_TIME,
+            };
+            if done {
+                self.releases.borrow_mut().remove(&key);
+            }
+        }
+        true
+    }
+
+    async fn delete(&self, key: &RowKey, modified: u64) -> bool {
+        self.metrics.claim_writes.inc();
+        let transaction = TableTransaction {
+            conditions: vec![RowCondition::Unchanged(key.clone(), modified)],
+            changes: vec![RowChange::Delete(key.clone())],
+        };
+        let outcome = self.table.commit(transaction).await;
+        matches!(outcome, CommitOutcome::Committed(_))
+    }
+}
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -9,6 +9,7 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode};
+use bytes::Bytes;
 use serde::Serialize;
 use tarragonpulley_policy::retry::RunOutcome;
 
@@ -134,6 +135,12 @@
         self
     }
 
+    /// Names the identity of the request in the message.
+    pub(crate) fn about(mut self, identity: &str) -> Self {
+        self.message = format!("{}; identity {identity}", self.message);
+        self
+    }
+
     /// Says when a retry may succeed.
     pub(crate) const fn with_retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
@@ -149,20 +156,30 @@
         safe.then(|| self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
     }
 
-    /// The answer that the caller gets.
-    pub(crate) fn into_response(self, request_id: Option<&str>) -> Response<BoxBody> {
-        let retry_after = self.retry_hint();
-        let body = ErrorBody {
+    /// Status and JSON body, for an error that is kept as a result.
+    pub(crate) fn to_parts(&self) -> (StatusCode, Bytes) {
+        let body = serde_json::to_vec(&self.body(None)).unwrap_or_default();
+        (self.status(), body.into())
+    }
+
+    fn status(&self) -> StatusCode {
+        StatusCode::from_u16(self.kind.row().0).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn body<'a>(&'a self, request_id: Option<&'a str>) -> ErrorBody<'a> {
+        let millis = |wait: Duration| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        ErrorBody {
             error: self.kind.name(),
             outcome: self.outcome.name(),
             message: &self.message,
-            retry_after_ms: retry_after
-                .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            retry_after_ms: self.retry_hint().map(millis),
             request_id,
-        };
-        let status =
-            StatusCode::from_u16(self.kind.row().0).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let mut response = json_response(status, &body);
+        }
+    }
+
+    /// The answer that the caller gets.
+    pub(crate) fn into_response(self, request_id: Option<&str>) -> Response<BoxBody> {
+        let mut response = json_response(self.status(), &self.body(request_id));
         let headers = response.headers_mut();
         headers.insert(
             OUTCOME_HEADER,
--- /dev/null
+++ b/crates/daemon/src/frontend/lookup.rs
@@ -0,0 +1,114 @@
+//! `GET /v1/lookup?customer=C`.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use serde::Serialize;
+use tarragonpulley_policy::contract::CustomerContract;
+use tarragonpulley_policy::ids::CustomerName;
+use tarragonpulley_policy::steering::{BlockTable, EntryState, answer_lookup};
+use tarragonpulley_policy::units::ConfigRevision;
+
+use super::ServiceFrontend;
+use crate::border::MemberView;
+use crate::errors::{ErrorKind, RequestError, json_response};
+
+/// Block tables of contracts at one revision.
+#[derive(Debug, Default)]
+pub(super) struct BlockCache {
+    revision: ConfigRevision,
+    tables: BTreeMap<CustomerName, Rc<BlockTable>>,
+}
+
+impl BlockCache {
+    fn table(&mut self, revision: ConfigRevision, contract: &CustomerContract) -> Rc<BlockTable> {
+        if self.revision != revision {
+            self.revision = revision;
+            self.tables.clear();
+        }
+        let table = self
+            .tables
+            .entry(contract.customer.clone())
+            .or_insert_with(|| Rc::new(BlockTable::new(&contract.blocks)));
+        Rc::clone(table)
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct LookupBody {
+    instances: Vec<LookupEntry>,
+    valid_for_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct LookupEntry {
+    instance: String,
+    data_centre: String,
+    address: String,
+}
+
+fn entry_of(member: MemberView) -> EntryState {
+    EntryState {
+        instance: member.instance,
+        centre: member.centre,
+        address: member.service_address,
+        answering: member.answering,
+        leaving: member.leaving,
+    }
+}
+
+impl ServiceFrontend {
+    /// Answers a look-up. It needs no key and no proof: an answer from old
+    /// configuration names instances that refuse or forward nothing wrongly.
+    pub(super) fn answer_lookup(
+        &self,
+        request: &Request,
+        peer: Option<SocketAddr>,
+    ) -> Result<Response<BoxBody>, RequestError> {
+        if request.method() != actix_http::Method::GET {
+            let message = "look-ups use GET";
+            return Err(RequestError::new(ErrorKind::MethodNotAllowed, message));
+        }
+        let customer: CustomerName = query_value(request, "customer")
+            .and_then(|name| name.parse().ok())
+            .ok_or_else(|| {
+                let message = "the query has no valid customer name";
+                RequestError::new(ErrorKind::MalformedRequest, message)
+            })?;
+        let snapshot = self.context.config.snapshot();
+        let contract = snapshot.contracts.get(&customer).ok_or_else(|| {
+            let message = format!("customer {customer} has no contract");
+            RequestError::new(ErrorKind::NoRoute, message)
+        })?;
+        let blocks = self.blocks.borrow_mut().table(snapshot.revision, contract);
+        let members = self.context.members.members();
+        let entries: Vec<EntryState> = members.into_iter().map(entry_of).collect();
+        let client = peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
+        let home = &self.context.centre;
+        let answer = answer_lookup(&snapshot, contract, &blocks, &entries, client, home);
+        let body = LookupBody {
+            instances: answer
+                .instances
+                .into_iter()
+                .map(|entry| LookupEntry {
+                    instance: entry.instance.to_string(),
+                    data_centre: entry.centre.to_string(),
+                    address: entry.address.to_string(),
+                })
+                .collect(),
+            valid_for_ms: u64::try_from(answer.valid_for.as_millis()).unwrap_or(u64::MAX),
+        };
+        Ok(json_response(StatusCode::OK, &body))
+    }
+}
+
+fn query_value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    let query = request.uri().query()?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/frontend/request.rs
@@ -0,0 +1,230 @@
+//! `/{customer}/{service}/{path}`: checks of the head, then the pipeline.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::HeaderMap;
+use actix_http::{HttpMessage, Request, Response};
+use bytes::Bytes;
+use tarragonpulley_policy::claim::ClaimIdentity;
+use tarragonpulley_policy::contract::{RouteKind, RoutePlan};
+use tarragonpulley_policy::credential::{KeyVerdict, bearer_key, check_key};
+use tarragonpulley_policy::ids::{CustomerName, ServiceKey, TeamKey};
+use tarragonpulley_policy::quarantine::RequestFingerprint;
+use tarragonpulley_policy::retry::RequestDeadline;
+use tarragonpulley_policy::routing::{RequestTarget, RouteMatch, match_route};
+use tarragonpulley_policy::snapshot::KeyDigest;
+
+use super::{
+    KnownCaller, RequestEnd, ServiceFrontend, authorization, backend_response, finish, job_response,
+};
+use crate::errors::{ErrorKind, RequestError};
+use crate::headers;
+use crate::http_server::read_body;
+use crate::pipeline::RunRequest;
+use crate::upstream::{BackendRequest, DEADLINE_HEADER};
+
+const IDENTITY_HEADER: &str = "idempotency-key";
+
+/// A request whose head passed all checks.
+struct CheckedHead {
+    target: RequestTarget,
+    route: RoutePlan,
+    caller: Option<KnownCaller>,
+    identity: Option<ClaimIdentity>,
+}
+
+fn refusal(kind: ErrorKind, message: impl Into<String>) -> RequestError {
+    RequestError::new(kind, message)
+}
+
+impl ServiceFrontend {
+    pub(super) async fn answer_request(
+        self: &Rc<Self>,
+        mut request: Request,
+        id: &str,
+    ) -> (RequestEnd, Option<TeamKey>) {
+        let running = self.begin();
+        let head = match self.check_head(&request) {
+            Ok(head) => head,
+            Err(error) => return (finish(Err(error), id), None),
+        };
+        let team = head.caller.as_ref().map(|caller| caller.team.clone());
+        let payload = request.take_payload();
+        let most = head.route.max_body.get();
+        let result = match self.read(&request, payload, most).await {
+            Ok(body) => {
+                let prepared = self.prepare(&request, head, body, id);
+                self.run(prepared, running).await
+            }
+            Err(error) => Err(error),
+        };
+        (finish(result, id), team)
+    }
+
+    fn check_head(&self, request: &Request) -> Result<CheckedHead, RequestError> {
+        let target = RequestTarget::parse(request.path())
+            .map_err(|error| refusal(ErrorKind::MalformedRequest, error.to_string()))?;
+        let snapshot = self.context.config.snapshot();
+        let contract = snapshot.contracts.get(&target.customer);
+        let service = contract.and_then(|c| c.services.get(&target.service));
+        let no_route = || refusal(ErrorKind::NoRoute, "no route has this path");
+        let method = request.method().as_str();
+        let route = match match_route(service.ok_or_else(no_route)?, method, &target.path) {
+            RouteMatch::Found(route) => route.clone(),
+            RouteMatch::Missing => return Err(no_route()),
+            RouteMatch::WrongMethod => {
+                let message = format!("the route does not allow {method}");
+                return Err(refusal(ErrorKind::MethodNotAllowed, message));
+            }
+        };
+        let caller = if route.open {
+            None
+        } else {
+            Some(self.authenticate(request.headers(), Some(&target.customer))?)
+        };
+        let identity = match (&caller, route.kind) {
+            (Some(caller), RouteKind::Once) => {
+                Some(claim_identity(request.headers(), &caller.team, &target)?)
+            }
+            _ => None,
+        };
+        Ok(CheckedHead {
+            target,
+            route,
+            caller,
+            identity,
+        })
+    }
+
+    /// The team of the key that came with a request. Without `customer`, the
+    /// key may belong to any of them.
+    pub(super) fn authenticate(
+        &self,
+        headers: &HeaderMap,
+        customer: Option<&CustomerName>,
+    ) -> Result<KnownCaller, RequestError> {
+        let unknown = || refusal(ErrorKind::UnknownKey, "the request has no valid key");
+        let key = authorization(headers)
+            .and_then(bearer_key)
+            .ok_or_else(unknown)?;
+        let digest = KeyDigest::of_key(key);
+        // Without a proof a key that is not known here may be a new one.
+        if self.context.config.proof() == crate::border::ProofState::Missing {
+            return Err(self.pipeline.not_ready());
+        }
+        let snapshot = self.context.config.snapshot();
+        let withdrawn = self.context.config.is_withdrawn(&digest);
+        let owner = snapshot.keys.get(&digest);
+        let customer = customer
+            .or(owner.map(|grant| &grant.team.customer))
+            .ok_or_else(unknown)?;
+        match check_key(&snapshot, &digest, withdrawn, customer) {
+            KeyVerdict::Team(team) => Ok(KnownCaller { team, key: digest }),
+            KeyVerdict::Unknown => Err(unknown()),
+            KeyVerdict::WrongCustomer => {
+                let message = format!("the key does not belong to customer {customer}");
+                Err(refusal(ErrorKind::WrongCustomer, message))
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        request: &Request,
+        payload: actix_http::Payload,
+        most: u64,
+    ) -> Result<Bytes, RequestError> {
+        let declared = request.headers().get("content-length");
+        let declared = declared.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if declared.is_some_and(|length| length > most) {
+            let message = format!("the request body is larger than {most} bytes");
+            return Err(refusal(ErrorKind::BodyTooLarge, message));
+        }
+        read_body(payload, most, self.limits.body_time).await
+    }
+
+    fn prepare(&self, request: &Request, head: CheckedHead, body: Bytes, id: &str) -> RunRequest {
+        let service = ServiceKey {
+            customer: head.target.customer,
+            service: head.target.service,
+        };
+        let target = match request.uri().query() {
+            Some(query) => format!("{}?{query}", head.target.path),
+            None => head.target.path,
+        };
+        let asked = request.headers().get(DEADLINE_HEADER);
+        let asked = asked.and_then(|value| value.to_str().ok()?.parse().ok());
+        let now = self.context.clock.instant();
+        let timeout = head.route.timeout;
+        let deadline = RequestDeadline::new(now, timeout, asked.map(Duration::from_millis));
+        let method = request.method().clone();
+        let (team, key) = head.caller.map(|caller| (caller.team, caller.key)).unzip();
+        RunRequest {
+            fingerprint: RequestFingerprint::new(&service, method.as_str(), &target, &body),
+            service,
+            team,
+            key,
+            identity: head.identity,
+            backend: BackendRequest {
+                method,
+                target,
+                headers: headers::for_backend(request.headers()),
+                body,
+                request_id: id.to_owned(),
+                deadline,
+                max_answer: head.route.max_answer.get(),
+                idempotent: head.route.kind != RouteKind::Once,
+            },
+            route: head.route,
+        }
+    }
+
+    async fn run(
+        &self,
+        request: RunRequest,
+        running: super::RunningGuard,
+    ) -> Result<Response<BoxBody>, RequestError> {
+        self.pipeline.admit(&request).await?;
+        match request.route.kind {
+            RouteKind::Slow => {
+                let job = self.jobs.accept(&request).await?;
+                Ok(job_response(&job))
+            }
+            RouteKind::Idempotent => {
+                let answer = self.pipeline.run(&request).await?;
+                Ok(backend_response(answer))
+            }
+            RouteKind::Once => {
+                // Goes on when the caller leaves, so that the result is known.
+                let pipeline = Rc::clone(&self.pipeline);
+                let task = actix_rt::spawn(async move {
+                    let result = pipeline.run(&request).await;
+                    drop(running);
+                    result
+                });
+                let answer = task.await.unwrap_or_else(|error| {
+                    log::error!("a request ended without a result: {error}");
+                    let message = "the request ended without a result";
+                    Err(refusal(ErrorKind::BackendFailed, message))
+                })?;
+                Ok(backend_response(answer))
+            }
+        }
+    }
+}
+
+fn claim_identity(
+    headers: &HeaderMap,
+    team: &TeamKey,
+    target: &RequestTarget,
+) -> Result<ClaimIdentity, RequestError> {
+    let key = headers.get(IDENTITY_HEADER).and_then(|v| v.to_str().ok());
+    let key = key.ok_or_else(|| {
+        let message = "this route needs an idempotency-key header";
+        refusal(ErrorKind::MalformedRequest, message)
+    })?;
+    ClaimIdentity::new(team.clone(), target.service.clone(), key)
+        .map_err(|error| refusal(ErrorKind::MalformedRequest, error.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/jobs.rs
@@ -0,0 +1,255 @@
+//! Slow work: accepted, kept, run in the background, delivered whole.
+//!
+//! The body of a job is in the object store, its state in the table. The
+//! instance that accepts a job runs it; another one takes over when the lease
+//! lapses. The result is stored with its digest before the job is done, so a
+//! caller gets it whole or is told to wait.
+
+mod rows;
+mod run;
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tarragonpulley_platform::{
+    CommitOutcome, ObjectKey, PlatformError, RowChange, RowCondition, RowKey, TableTransaction,
+};
+use tarragonpulley_policy::ids::TeamKey;
+use tarragonpulley_policy::lease::LeaseObserver;
+use tarragonpulley_policy::retry::RunOutcome;
+
+use crate::border::{InstanceContext, ProofState};
+use crate::errors::{ErrorKind, RequestError};
+use crate::metrics::RequestMetrics;
+use crate::pipeline::{RequestPipeline, RunRequest};
+use crate::tasks::LoopGuard;
+use crate::upstream::BackendAnswer;
+use rows::{DoneJob, OPEN_PREFIX, OpenJob, decode, digest, done_key, encode, open_key, read};
+
+/// How often open jobs are looked at: every instance reads them, and the table
+/// answers about two thousand reads a second.
+const SCAN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Jobs that one instance runs at the same time.
+const MAX_RUNNING: usize = 8;
+
+/// When to ask again for a result.
+pub(crate) const POLL_AFTER: Duration = Duration::from_millis(500);
+
+/// What a caller is told about its job.
+#[derive(Debug)]
+pub(crate) enum JobView {
+    /// It is not done yet.
+    Open,
+    /// It is done, and this is its result.
+    Done(BackendAnswer),
+}
+
+/// The slow work of an instance.
+#[derive(Debug)]
+pub(crate) struct JobService {
+    context: InstanceContext,
+    pipeline: Rc<RequestPipeline>,
+    metrics: RequestMetrics,
+    /// Jobs that this instance runs.
+    running: RefCell<BTreeSet<String>>,
+    observer: RefCell<LeaseObserver>,
+}
+
+impl JobService {
+    /// Starts the loop that takes jobs over. Jobs that run when the guard is
+    /// dropped are taken over by other instances.
+    pub(crate) fn start(
+        context: &InstanceContext,
+        pipeline: Rc<RequestPipeline>,
+        metrics: RequestMetrics,
+    ) -> (Rc<Self>, LoopGuard) {
+        let service = Rc::new(Self {
+            context: context.clone(),
+            pipeline,
+            metrics,
+            running: RefCell::default(),
+            observer: RefCell::default(),
+        });
+        let scan = Rc::clone(&service);
+        let guard = LoopGuard::spawn(async move {
+            loop {
+                actix_rt::time::sleep(SCAN_INTERVAL).await;
+                scan.scan().await;
+            }
+        });
+        (service, guard)
+    }
+
+    /// Jobs that run on this instance.
+    pub(crate) fn running(&self) -> usize {
+        self.running.borrow().len()
+    }
+
+    /// Keeps a job and starts it. Returns its identity.
+    ///
+    /// # Errors
+    ///
+    /// The refusal when the job could not be kept.
+    pub(crate) async fn accept(
+        self: &Rc<Self>,
+        request: &RunRequest,
+    ) -> Result<String, RequestError> {
+        let Some(team) = request.team.clone() else {
+            let message = "slow work needs a key";
+            return Err(RequestError::new(ErrorKind::UnknownKey, message));
+        };
+        let id = format!("{:032x}", rand::random::<u128>());
+        let body = request.backend.body.clone();
+        let job = OpenJob {
+            team,
+            service: request.service.clone(),
+            method: request.backend.method.to_string(),
+            target: request.backend.target.clone(),
+            headers: text_headers(&request.backend.headers),
+            body_digest: digest(&body),
+            holder: self.context.own.clone(),
+            epoch: 1,
+            renewals: 0,
+        };
+        let stored = self.context.objects.put(body_object(&id), body).await;
+        stored.map_err(|error| not_kept(&error))?;
+        self.pipeline.check_still_valid(request)?;
+        let transaction = TableTransaction {
+            conditions: vec![RowCondition::Absent(open_key(&id))],
+            changes: vec![RowChange::Put(open_key(&id), encode(&job))],
+        };
+        let modified = match self.context.table.commit(transaction).await {
+            CommitOutcome::Committed(revision) => revision,
+            CommitOutcome::NotApplied(error) => return Err(not_kept(&error)),
+            CommitOutcome::Conflict | CommitOutcome::Unknown(_) => {
+                self.read_back(&id, &job).await?
+            }
+        };
+        self.begin(id.clone(), job, modified);
+        Ok(id)
+    }
+
+    /// Finds out whether a job was kept whose commit had no answer.
+    async fn read_back(&self, id: &str, job: &OpenJob) -> Result<u64, RequestError> {
+        match read::<OpenJob>(&*self.context.table, &open_key(id)).await {
+            Ok(Some(found)) if found.row == *job => Ok(found.modified),
+            // The write may still be on its way, and then the job will run.
+            _ => Err(RequestError::new(
+                ErrorKind::TableUnavailable,
+                "it is not known whether the job was kept",
+            )
+            .with_outcome(RunOutcome::Unknown)),
+        }
+    }
+
+    /// The state of a job of `team`.
+    ///
+    /// # Errors
+    ///
+    /// The refusal when the team has no such job or it cannot be read.
+    pub(crate) async fn view(&self, id: &str, team: &TeamKey) -> Result<JobView, RequestError> {
+        let unknown = || RequestError::new(ErrorKind::UnknownJob, "the team has no such job");
+        let valid = id.len() == 32 && id.bytes().all(|b| b.is_ascii_hexdigit());
+        if !valid {
+            return Err(unknown());
+        }
+        let table = &*self.context.table;
+        // A job moves from open to done in one transaction, so that it is
+        // found when the rows are read in this order.
+        let open = read::<OpenJob>(table, &open_key(id)).await;
+        if let Some(found) = open.map_err(|error| not_read(&error))? {
+            let own = found.row.team == *team;
+            return own.then_some(JobView::Open).ok_or_else(unknown);
+        }
+        let done = read::<DoneJob>(table, &done_key(id)).await;
+        match done.map_err(|error| not_read(&error))? {
+            Some(found) if found.row.team == *team => self.result(&found.row).await,
+            _ => Err(unknown()),
+        }
+    }
+
+    async fn result(&self, job: &DoneJob) -> Result<JobView, RequestError> {
+        let object = self.context.objects.get(ObjectKey::new(&job.object)).await;
+        let body = object
+            .map_err(|error| not_read(&error))?
+            .unwrap_or_default();
+        let whole = digest(&body) == job.digest;
+        let answer = whole.then(|| BackendAnswer::from_parts(job.status, &job.headers, body));
+        answer.flatten().map(JobView::Done).ok_or_else(|| {
+            RequestError::new(
+                ErrorKind::TableUnavailable,
+                "the stored result is not whole at the moment",
+            )
+            .with_outcome(RunOutcome::Ran)
+        })
+    }
+
+    /// Takes over jobs whose lease has lapsed.
+    async fn scan(self: &Rc<Self>) {
+        let prefix = RowKey::new(OPEN_PREFIX);
+        let Ok(snapshot) = self.context.table.read(prefix).await else {
+            self.observer.borrow_mut().restart();
+            return;
+        };
+        let keep = |row: &str| snapshot.rows.contains_key(&RowKey::new(row));
+        self.observer.borrow_mut().retain(&keep);
+        for (key, found) in &snapshot.rows {
+            let now = self.context.clock.instant();
+            let lapsed = self
+                .observer
+                .borrow_mut()
+                .note(key.as_str(), found.modified, now);
+            let id = key.as_str().trim_start_matches(OPEN_PREFIX);
+            let busy = self.running.borrow().contains(id) || self.running() >= MAX_RUNNING;
+            if lapsed
+                && !busy
+                && self.context.config.proof() != ProofState::Missing
+                && let Some(job) = decode::<OpenJob>(key, &found.value)
+            {
+                self.take_over(id, job, found.modified).await;
+            }
+        }
+    }
+
+    async fn take_over(self: &Rc<Self>, id: &str, mut job: OpenJob, modified: u64) {
+        let before = format!("{} epoch {}", job.holder, job.epoch);
+        job.holder = self.context.own.clone();
+        job.epoch += 1;
+        job.renewals = 0;
+        let transaction = TableTransaction {
+            conditions: vec![RowCondition::Unchanged(open_key(id), modified)],
+            changes: vec![RowChange::Put(open_key(id), encode(&job))],
+        };
+        if let CommitOutcome::Committed(revision) = self.context.table.commit(transaction).await {
+            self.context.events.record("job_taken_over", id, &before);
+            self.begin(id.to_owned(), job, revision);
+        }
+    }
+}
+
+fn body_object(id: &str) -> ObjectKey {
+    ObjectKey::new(format!("jobs/{id}/body"))
+}
+
+fn text_headers(headers: &actix_http::header::HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+fn not_kept(error: &PlatformError) -> RequestError {
+    let message = format!("the job could not be kept: {error}");
+    RequestError::new(ErrorKind::TableUnavailable, message)
+}
+
+fn not_read(error: &PlatformError) -> RequestError {
+    let message = format!("the job could not be read: {error}");
+    RequestError::new(ErrorKind::TableUnavailable, message)
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/run.rs
@@ -0,0 +1,270 @@
+//! Runs one job under its lease until it is done.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use bytes::Bytes;
+use tarragonpulley_platform::{
+    CommitOutcome, ObjectKey, RowChange, RowCondition, TableTransaction,
+};
+use tarragonpulley_policy::lease::RENEW_INTERVAL;
+use tarragonpulley_policy::quarantine::RequestFingerprint;
+use tarragonpulley_policy::retry::RequestDeadline;
+use tarragonpulley_policy::routing::{RouteMatch, match_route};
+
+use super::rows::{DoneJob, OpenJob, digest, done_key, encode, open_key, read};
+use super::{JobService, body_object, text_headers};
+use crate::border::ProofState;
+use crate::errors::{ErrorKind, RequestError};
+use crate::headers;
+use crate::pipeline::RunRequest;
+use crate::upstream::{BackendAnswer, BackendRequest};
+
+/// Pauses between attempts grow from the first to the second.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
+/// After this many 5xx answers the last one is the result. Any other failure
+/// is repeated without end, because slow work must arrive.
+const MAX_SERVER_ERRORS: u32 = 5;
+
+/// A job that this instance holds.
+struct HeldJob {
+    id: String,
+    job: OpenJob,
+    /// The table's revision of the last write to the row.
+    modified: Cell<u64>,
+}
+
+/// Takes a job off the list of running ones when dropped.
+struct RunningJob {
+    service: Rc<JobService>,
+    id: String,
+}
+
+impl Drop for RunningJob {
+    fn drop(&mut self) {
+        self.service.running.borrow_mut().remove(&self.id);
+    }
+}
+
+impl JobService {
+    /// Runs a job that this instance holds in the background.
+    pub(super) fn begin(self: &Rc<Self>, id: String, job: OpenJob, modified: u64) {
+        self.running.borrow_mut().insert(id.clone());
+        let entry = RunningJob {
+            service: Rc::clone(self),
+            id: id.clone(),
+        };
+        let held = HeldJob {
+            id,
+            job,
+            modified: Cell::new(modified),
+        };
+        let service = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let result = tokio::select! {
+                result = service.attempt(&held) => Some(result),
+                () = service.renew(&held) => None,
+            };
+            if let Some(result) = result {
+                service.finish(&held, result).await;
+            }
+            drop(entry);
+        });
+    }
+
+    /// Renews the lease. Returns when it was lost to another instance.
+    async fn renew(&self, held: &HeldJob) {
+        let mut job = held.job.clone();
+        loop {
+            actix_rt::time::sleep(RENEW_INTERVAL).await;
+            job.renewals += 1;
+            let transaction = TableTransaction {
+                conditions: vec![RowCondition::Unchanged(
+                    open_key(&held.id),
+                    held.modified.get(),
+                )],
+                changes: vec![RowChange::Put(open_key(&held.id), encode(&job))],
+            };
+            match self.context.table.commit(transaction).await {
+                CommitOutcome::Committed(revision) => held.modified.set(revision),
+                CommitOutcome::NotApplied(_) => {}
+                CommitOutcome::Conflict | CommitOutcome::Unknown(_) => {
+                    if !self.still_holds(held).await {
+                        log::info!("job {} was taken over", held.id);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the row still names this holder. When the table cannot be read
+    /// the work goes on, since slow work is idempotent.
+    async fn still_holds(&self, held: &HeldJob) -> bool {
+        match read::<OpenJob>(&*self.context.table, &open_key(&held.id)).await {
+            Ok(Some(found)) => {
+                held.modified.set(found.modified);
+                found.row.holder == held.job.holder && found.row.epoch == held.job.epoch
+            }
+            Ok(None) => false,
+            Err(_) => true,
+        }
+    }
+
+    /// Attempts the work until there is a result.
+    async fn attempt(&self, held: &HeldJob) -> BackendAnswer {
+        let mut pause = FIRST_PAUSE;
+        let mut server_errors = 0;
+        loop {
+            if self.context.config.proof() != ProofState::Missing
+                && let Some(body) = self.body(held).await
+            {
+                match self.attempt_once(&held.job, body).await {
+                    Ok(answer) if !answer.status.is_server_error() => return answer,
+                    Ok(answer) => {
+                        server_errors += 1;
+                        if server_errors >= MAX_SERVER_ERRORS {
+                            return answer;
+                        }
+                    }
+                    Err(error) if is_final(error.kind) => return error_answer(&error),
+                    Err(error) => log::debug!("job {}: {}", held.id, error.message),
+                }
+            }
+            actix_rt::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    async fn body(&self, held: &HeldJob) -> Option<Bytes> {
+        let object = self.context.objects.get(body_object(&held.id)).await;
+        let body = object.ok()??;
+        if digest(&body) == held.job.body_digest {
+            Some(body)
+        } else {
+            log::warn!("the stored body of job {} is not whole", held.id);
+            None
+        }
+    }
+
+    async fn attempt_once(
+        &self,
+        job: &OpenJob,
+        body: Bytes,
+    ) -> Result<BackendAnswer, RequestError> {
+        let request = self.run_request(job, body)?;
+        self.pipeline.run(&request).await
+    }
+
+    fn run_request(&self, job: &OpenJob, body: Bytes) -> Result<RunRequest, RequestError> {
+        let gone = || RequestError::new(ErrorKind::NoRoute, "the route of the job was removed");
+        let snapshot = self.context.config.snapshot();
+        let contract = snapshot.contracts.get(&job.service.customer);
+        let plan = contract.and_then(|c| c.services.get(&job.service.service));
+        let path = job.target.split('?').next().unwrap_or_default();
+        let RouteMatch::Found(route) = match_route(plan.ok_or_else(gone)?, &job.method, path)
+        else {
+            return Err(gone());
+        };
+        let empty = BackendAnswer::from_parts(200, &job.headers, Bytes::new()).ok_or_else(gone)?;
+        let now = self.context.clock.instant();
+        Ok(RunRequest {
+            service: job.service.clone(),
+            route: route.clone(),
+            team: Some(job.team.clone()),
+            // The key was checked when the job was accepted.
+            key: None,
+            identity: None,
+            fingerprint: RequestFingerprint::new(&job.service, &job.method, &job.target, &body),
+            backend: BackendRequest {
+                method: Method::from_bytes(job.method.as_bytes()).map_err(|_error| gone())?,
+                target: job.target.clone(),
+                headers: empty.headers,
+                body,
+                request_id: self.pipeline.next_request_id(),
+                deadline: RequestDeadline::new(now, route.timeout, None),
+                max_answer: route.max_answer.get(),
+                idempotent: true,
+            },
+        })
+    }
+
+    /// Stores the result and then marks the job as done.
+    async fn finish(&self, held: &HeldJob, answer: BackendAnswer) {
+        // Another holder may store its own result; each epoch has its object,
+        // so that the digest of the row always fits.
+        let object = format!("jobs/{}/result/{}", held.id, held.job.epoch);
+        let done = DoneJob {
+            team: held.job.team.clone(),
+            status: answer.status.as_u16(),
+            headers: text_headers(&headers::for_caller(&answer.headers)),
+            object: object.clone(),
+            digest: digest(&answer.body),
+        };
+        let store = async {
+            let mut pause = FIRST_PAUSE;
+            loop {
+                let key = ObjectKey::new(&object);
+                let stored = self.context.objects.put(key, answer.body.clone()).await;
+                if stored.is_ok() && self.mark_done(held, &done).await {
+                    return;
+                }
+                actix_rt::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        };
+        tokio::select! {
+            () = store => {
+                self.metrics.jobs_done.inc();
+                // A body that stays behind only costs space.
+                drop(self.context.objects.delete(body_object(&held.id)).await);
+            }
+            () = self.renew(held) => {}
+        }
+    }
+
+    async fn mark_done(&self, held: &HeldJob, done: &DoneJob) -> bool {
+        let transaction = TableTransaction {
+            conditions: vec![RowCondition::Unchanged(
+                open_key(&held.id),
+                held.modified.get(),
+            )],
+            changes: vec![
+                RowChange::Put(done_key(&held.id), encode(done)),
+                RowChange::Delete(open_key(&held.id)),
+            ],
+        };
+        match self.context.table.commit(transaction).await {
+            CommitOutcome::Committed(_) => true,
+            CommitOutcome::NotApplied(_) => false,
+            CommitOutcome::Conflict | CommitOutcome::Unknown(_) => {
+                let row = read::<DoneJob>(&*self.context.table, &done_key(&held.id)).await;
+                matches!(row, Ok(Some(_)))
+            }
+        }
+    }
+}
+
+/// Whether an attempt would fail in the same way again.
+const fn is_final(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Quarantined | ErrorKind::NoRoute | ErrorKind::MalformedRequest
+    )
+}
+
+fn error_answer(error: &RequestError) -> BackendAnswer {
+    let (status, body) = error.to_parts();
+    let kind = ("content-type".to_owned(), "application/json".to_owned());
+    BackendAnswer {
+        status,
+        headers: BackendAnswer::from_parts(200, &[kind], Bytes::new())
+            .map(|answer| answer.headers)
+            .unwrap_or_default(),
+        body,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline.rs
@@ -0,0 +1,376 @@
+//! The steps of one request, from a checked head and body to an answer.
+//!
+//! The order is that of section 8 of the design: team rate, quarantine, choice
+//! of a server with its slot, claim, last check, send, check of the answer.
+//! The steps before (head, route, authentication, proof) are in `frontend`.
+
+mod attempt;
+mod place;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use tarragonpulley_policy::claim::{ClaimIdentity, RecordedAnswer};
+use tarragonpulley_policy::contract::{RouteKind, RoutePlan};
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::{LimitKey, ServiceKey, TeamKey};
+use tarragonpulley_policy::quarantine::{
+    CrashTally, QuarantineVerdict, RequestFingerprint, SuspectList, judge, total_crashes,
+};
+use tarragonpulley_policy::retry::{RetryBudget, RunOutcome};
+use tarragonpulley_policy::routing::{RandomSource, ShareCounter};
+use tarragonpulley_policy::snapshot::KeyDigest;
+
+use crate::backends::BackendBoard;
+use crate::border::{AdmitOutcome, InstanceContext, ProofState};
+use crate::claims::{ClaimEnd, ClaimOutcome, ClaimWriter, HeldClaim};
+use crate::errors::{ErrorKind, RequestError};
+use crate::headers;
+use crate::metrics::RequestMetrics;
+use crate::queue::WaitQueue;
+use crate::upstream::{BackendAnswer, BackendRequest, UpstreamPool};
+
+/// Longest wait for a token of another instance.
+const ADMIT_WAIT: Duration = Duration::from_millis(150);
+
+/// A larger answer is not kept in the claim row; a repeat is told that the
+/// request ran.
+const MAX_RECORDED_BYTES: usize = 128 * 1024;
+
+/// A request that passed all checks of its head.
+#[derive(Debug, Clone)]
+pub(crate) struct RunRequest {
+    pub(crate) service: ServiceKey,
+    pub(crate) route: RoutePlan,
+    /// The caller's team, or `None` on open routes.
+    pub(crate) team: Option<TeamKey>,
+    /// The key that came with the request.
+    pub(crate) key: Option<KeyDigest>,
+    pub(crate) identity: Option<ClaimIdentity>,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) backend: BackendRequest,
+}
+
+impl RunRequest {
+    fn is_idempotent(&self) -> bool {
+        self.route.kind != RouteKind::Once
+    }
+}
+
+/// Random numbers of the operating system's seed.
+struct ThreadRandom(SmallRng);
+
+impl fmt::Debug for ThreadRandom {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ThreadRandom").finish_non_exhaustive()
+    }
+}
+
+impl RandomSource for ThreadRandom {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0.random_range(0..bound.max(1))
+    }
+}
+
+/// Runs requests on backend servers.
+#[derive(Debug)]
+pub(crate) struct RequestPipeline {
+    pub(crate) context: InstanceContext,
+    pub(crate) metrics: RequestMetrics,
+    board: Rc<BackendBoard>,
+    upstream: UpstreamPool,
+    queue: Rc<WaitQueue>,
+    claims: Rc<ClaimWriter>,
+    budget: RefCell<RetryBudget>,
+    shares: RefCell<BTreeMap<ServiceKey, ShareCounter>>,
+    suspects: RefCell<SuspectList>,
+    random: RefCell<ThreadRandom>,
+    next_request: Cell<u64>,
+}
+
+impl RequestPipeline {
+    pub(crate) fn new(
+        context: InstanceContext,
+        metrics: RequestMetrics,
+        board: Rc<BackendBoard>,
+        claims: Rc<ClaimWriter>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            context,
+            upstream: UpstreamPool::new(metrics.clone()),
+            metrics,
+            board,
+            queue: Rc::default(),
+            claims,
+            budget: RefCell::default(),
+            shares: RefCell::default(),
+            suspects: RefCell::default(),
+            random: RefCell::new(ThreadRandom(rand::make_rng())),
+            next_request: Cell::new(0),
+        })
+    }
+
+    /// Drops the connections to servers that are in no contract.
+    pub(crate) fn forget_removed(&self) {
+        let snapshot = self.context.config.snapshot();
+        self.board.forget_removed(&snapshot);
+        self.upstream
+            .retain(&|server| crate::backends::find_server(&snapshot, server).is_some());
+    }
+
+    /// A request identity that no other request of the fleet has.
+    pub(crate) fn next_request_id(&self) -> String {
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        let own = &self.context.own;
+        format!("{}.{}.{number:x}", own.instance, own.number)
+    }
+
+    /// Whether the claims of all requests have been written.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.claims.is_settled()
+    }
+
+    /// Spends a token of the team's rate.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request did not run.
+    pub(crate) async fn admit(&self, request: &RunRequest) -> Result<(), RequestError> {
+        let Some(team) = &request.team else {
+            return Ok(());
+        };
+        let limit = LimitKey::Team(team.clone());
+        let wait = self.context.clock.instant() + ADMIT_WAIT;
+        let deadline = wait.min(request.backend.deadline.instant());
+        match self.context.rights.admit(limit, deadline).await {
+            AdmitOutcome::Admitted => Ok(()),
+            AdmitOutcome::Exceeded { retry_after } => {
+                let message = format!("team {team} is over its rate");
+                Err(RequestError::new(ErrorKind::RateExceeded, message)
+                    .with_retry_after(retry_after))
+            }
+            AdmitOutcome::NotReady => Err(self.not_ready()),
+        }
+    }
+
+    /// The refusal while this instance may not spend rights.
+    pub(crate) fn not_ready(&self) -> RequestError {
+        let own = &self.context.own.instance;
+        let members = self.context.members.members();
+        if members.iter().any(|m| m.instance == *own && m.leaving) {
+            RequestError::new(ErrorKind::Draining, "this instance is stopping")
+        } else {
+            let message = "this instance has no proof that its configuration is current";
+            RequestError::new(ErrorKind::ConfigurationNotProved, message)
+        }
+    }
+
+    /// Checks what may have changed while the request waited: the proof, the
+    /// key and the deadline.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request did not run.
+    pub(crate) fn check_still_valid(&self, request: &RunRequest) -> Result<(), RequestError> {
+        if let Some(key) = &request.key {
+            if self.context.config.proof() == ProofState::Missing {
+                return Err(self.not_ready());
+            }
+            let snapshot = self.context.config.snapshot();
+            let withdrawn = self.context.config.is_withdrawn(key);
+            let known = snapshot.keys.get(key);
+            if withdrawn || known.is_none_or(|grant| grant.withdrawn) {
+                return Err(RequestError::new(
+                    ErrorKind::UnknownKey,
+                    "the key was withdrawn while the request waited",
+                ));
+            }
+        }
+        let now = self.context.clock.instant();
+        if request.backend.deadline.remaining(now).is_none() {
+            return Err(too_late(request));
+        }
+        Ok(())
+    }
+
+    /// Runs an admitted request.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told when no server answered.
+    pub(crate) async fn run(
+        self: &Rc<Self>,
+        request: &RunRequest,
+    ) -> Result<BackendAnswer, RequestError> {
+        self.budget.borrow_mut().deposit();
+        let _suspect = self.begin_suspect(request)?;
+        let mut claim = ClaimSlot::Free;
+        let mut tally = CrashTally::default();
+        let result = self.run_attempts(request, &mut claim, &mut tally).await;
+        self.count_crashes(request, tally.to_count(result.is_ok()));
+        if let ClaimSlot::Held(held) = claim {
+            held.settle(claim_end(&result));
+        }
+        result
+    }
+
+    fn crash_count(&self, fingerprint: u64) -> u64 {
+        let of = |key: &FactKey| matches!(key, FactKey::CrashCount(f, _) if *f == fingerprint);
+        total_crashes(&self.context.facts.select(&of), fingerprint)
+    }
+
+    fn begin_suspect(self: &Rc<Self>, request: &RunRequest) -> Result<SuspectGuard, RequestError> {
+        let fingerprint = request.fingerprint.short();
+        let verdict = judge(self.crash_count(fingerprint));
+        if verdict == QuarantineVerdict::Refused {
+            return Err(quarantined());
+        }
+        if !self.suspects.borrow_mut().begin(fingerprint, verdict) {
+            let message = "an equal request that may have crashed a backend server is running";
+            return Err(RequestError::new(ErrorKind::NoCapacity, message));
+        }
+        Ok(SuspectGuard {
+            pipeline: Rc::clone(self),
+            fingerprint,
+        })
+    }
+
+    fn count_crashes(&self, request: &RunRequest, crashes: u64) {
+        if crashes == 0 {
+            return;
+        }
+        let fingerprint = request.fingerprint.short();
+        let key = FactKey::CrashCount(fingerprint, self.context.own.clone());
+        let known = match self.context.facts.get(&key) {
+            Some(FactValue::Count(count)) => count,
+            _ => 0,
+        };
+        self.metrics.crashes.inc_by(crashes);
+        self.context
+            .facts
+            .state(key, FactValue::Count(known + crashes), true);
+        let detail = format!("{} crashes on this instance", known + crashes);
+        self.context
+            .events
+            .record("request_crash", &request.service.to_string(), &detail);
+    }
+
+    /// Claims the identity of a request that runs at most once.
+    async fn claim(&self, request: &RunRequest) -> Result<ClaimSlot, RequestError> {
+        let Some(identity) = &request.identity else {
+            return Ok(ClaimSlot::Free);
+        };
+        let fingerprint = request.fingerprint.to_string();
+        let deadline = request.backend.deadline.instant();
+        match self.claims.acquire(identity, &fingerprint, deadline).await {
+            ClaimOutcome::Held(held) => Ok(ClaimSlot::Held(held)),
+            ClaimOutcome::Recorded(answer) => replay(identity, &answer).map(ClaimSlot::Recorded),
+            ClaimOutcome::Reused => {
+                let message = format!("identity {identity} belongs to another request");
+                Err(RequestError::new(ErrorKind::IdentityReused, message))
+            }
+            ClaimOutcome::StillRunning => {
+                let message = format!("request {identity} is running");
+                Err(RequestError::new(ErrorKind::StillRunning, message))
+            }
+            ClaimOutcome::Unknown => {
+                let message = format!("outcome unknown: request {identity} may have run");
+                Err(RequestError::new(ErrorKind::BackendFailed, message))
+            }
+            ClaimOutcome::TableUnavailable => Err(RequestError::new(
+                ErrorKind::TableUnavailable,
+                "the request could not be claimed and was not sent",
+            )),
+            ClaimOutcome::TooLate => Err(too_late(request)),
+        }
+    }
+}
+
+/// The claim of a request while it is attempted.
+enum ClaimSlot {
+    /// None is needed, or none is held yet.
+    Free,
+    Held(HeldClaim),
+    /// The request was answered before.
+    Recorded(BackendAnswer),
+}
+
+/// Ends the run of a request on the suspect list when dropped.
+struct SuspectGuard {
+    pipeline: Rc<RequestPipeline>,
+    fingerprint: u64,
+}
+
+impl Drop for SuspectGuard {
+    fn drop(&mut self) {
+        self.pipeline.suspects.borrow_mut().end(self.fingerprint);
+    }
+}
+
+fn quarantined() -> RequestError {
+    let message = "equal requests have crashed backend servers";
+    RequestError::new(ErrorKind::Quarantined, message)
+}
+
+/// The refusal of a request that was not sent before its deadline.
+fn too_late(request: &RunRequest) -> RequestError {
+    RequestError::new(
+        ErrorKind::DeadlinePassed,
+        "the deadline passed before the request was sent",
+    )
+    .with_outcome(RunOutcome::NotRun)
+    .on_idempotent_route(request.is_idempotent())
+}
+
+fn claim_end(result: &Result<BackendAnswer, RequestError>) -> ClaimEnd {
+    match result {
+        Ok(answer) => ClaimEnd::Answered(record(answer)),
+        Err(error) if error.outcome == RunOutcome::NotRun => ClaimEnd::NotRun,
+        Err(_) => ClaimEnd::Unknown,
+    }
+}
+
+fn record(answer: &BackendAnswer) -> RecordedAnswer {
+    let kept = headers::for_caller(&answer.headers);
+    let headers = kept
+        .iter()
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect();
+    let body = (answer.body.len() <= MAX_RECORDED_BYTES).then(|| STANDARD.encode(&answer.body));
+    RecordedAnswer {
+        status: answer.status.as_u16(),
+        headers,
+        body,
+    }
+}
+
+/// The recorded answer of an earlier request, as the backend server gave it.
+fn replay(
+    identity: &ClaimIdentity,
+    answer: &RecordedAnswer,
+) -> Result<BackendAnswer, RequestError> {
+    let ran = |detail: &str| {
+        let message = format!("request {identity} ran; {detail}");
+        RequestError::new(ErrorKind::BackendFailed, message).with_outcome(RunOutcome::Ran)
+    };
+    let body = answer
+        .body
+        .as_ref()
+        .ok_or_else(|| ran("its answer was too large to keep"))?;
+    let body = STANDARD
+        .decode(body)
+        .map_err(|_error| ran("its recorded answer is damaged"))?;
+    BackendAnswer::from_parts(answer.status, &answer.headers, body.into())
+        .ok_or_else(|| ran("its recorded answer is damaged"))
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -0,0 +1,212 @@
+//! Sends a request, and again where that is safe.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use tarragonpulley_policy::ids::ServerName;
+use tarragonpulley_policy::quarantine::{BreakReport, CrashTally, QuarantineVerdict, judge};
+use tarragonpulley_policy::retry::{AttemptFailure, RunOutcome, combined_outcome};
+
+use super::place::Placement;
+use super::{ClaimSlot, RequestPipeline, RunRequest, too_late};
+use crate::border::{AttemptReport, SlotGuard};
+use crate::errors::{ErrorKind, RequestError};
+use crate::probe::has_crashed;
+use crate::upstream::{AttemptHost, BackendAnswer};
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: usize = 3;
+
+/// What an attempt left behind.
+enum AttemptEnd {
+    Answered(BackendAnswer),
+    /// A whole answer with a 5xx status, which is passed on when no further
+    /// attempt is allowed.
+    ServerError(BackendAnswer),
+    Failed(AttemptFailure),
+}
+
+impl AttemptEnd {
+    const fn failure(&self) -> Option<AttemptFailure> {
+        match self {
+            Self::Answered(_) => None,
+            Self::ServerError(_) => Some(AttemptFailure::ServerError),
+            Self::Failed(failure) => Some(*failure),
+        }
+    }
+}
+
+/// Gives an attempt what it may use while it runs.
+struct PlacedHost<'a> {
+    pipeline: &'a RequestPipeline,
+    placement: &'a Placement,
+}
+
+impl AttemptHost for PlacedHost<'_> {
+    fn permit_race(&self) -> Option<Box<dyn SlotGuard>> {
+        let slot = self.placement.take_second_slot()?;
+        self.pipeline.budget.borrow_mut().spend().then_some(slot)
+    }
+
+    fn note_leaving(&self) {
+        self.pipeline.board.note_leaving(&self.placement.server);
+    }
+}
+
+impl RequestPipeline {
+    pub(super) async fn run_attempts(
+        self: &Rc<Self>,
+        request: &RunRequest,
+        claim: &mut ClaimSlot,
+        tally: &mut CrashTally,
+    ) -> Result<BackendAnswer, RequestError> {
+        let mut failures = Vec::new();
+        let mut tried: Vec<ServerName> = Vec::new();
+        let known_crashes = self.crash_count(request.fingerprint.short());
+        loop {
+            let placed = self.place(request, &tried).await;
+            let mut placement = placed.map_err(|error| after(request, &failures, error))?;
+            if matches!(claim, ClaimSlot::Free) {
+                *claim = self.claim(request).await?;
+                if let ClaimSlot::Recorded(answer) = claim {
+                    return Ok(answer.clone());
+                }
+            }
+            self.check_still_valid(request)
+                .map_err(|error| after(request, &failures, error))?;
+            placement.note_sent();
+            tried.push(placement.server.server.clone());
+
+            let end = self.attempt(request, &placement, tally).await;
+            drop(placement);
+            let Some(failure) = end.failure() else {
+                let AttemptEnd::Answered(answer) = end else {
+                    return Err(failed(request, &failures));
+                };
+                return Ok(answer);
+            };
+            failures.push(failure);
+            if judge(known_crashes + tally.so_far()) == QuarantineVerdict::Refused {
+                return Err(failed(request, &failures));
+            }
+            if !self.may_repeat(request, failure, failures.len()) {
+                return match end {
+                    AttemptEnd::ServerError(answer) => Ok(answer),
+                    _ => Err(failed(request, &failures)),
+                };
+            }
+            self.metrics.retries.inc();
+        }
+    }
+
+    fn may_repeat(&self, request: &RunRequest, failure: AttemptFailure, attempts: usize) -> bool {
+        let now = self.context.clock.instant();
+        attempts < MAX_ATTEMPTS
+            && failure.may_repeat(request.route.kind)
+            && request.backend.deadline.remaining(now).is_some()
+            && self.budget.borrow_mut().spend()
+    }
+
+    async fn attempt(
+        &self,
+        request: &RunRequest,
+        placement: &Placement,
+        tally: &mut CrashTally,
+    ) -> AttemptEnd {
+        let started = Instant::now();
+        let host = PlacedHost {
+            pipeline: self,
+            placement,
+        };
+        let plan = &placement.plan;
+        let backend = &request.backend;
+        let result = self
+            .upstream
+            .attempt(
+                &placement.server,
+                plan.address,
+                plan.connections,
+                backend,
+                &host,
+            )
+            .await;
+        let end = match result {
+            Ok(answer) if answer.status.is_server_error() => AttemptEnd::ServerError(answer),
+            Ok(answer) => AttemptEnd::Answered(answer),
+            Err(failure) => AttemptEnd::Failed(failure),
+        };
+        self.observe(request, placement, end.failure(), started);
+        if matches!(
+            end.failure(),
+            Some(AttemptFailure::ConnectionBroken | AttemptFailure::AnswerBroken)
+        ) {
+            let shared = self.board.running(&placement.server) > 1;
+            let crashed = has_crashed(plan.address, started).await;
+            tally.note(BreakReport { crashed, shared });
+        }
+        end
+    }
+
+    fn observe(
+        &self,
+        request: &RunRequest,
+        placement: &Placement,
+        failure: Option<AttemptFailure>,
+        started: Instant,
+    ) {
+        let failed = failure.is_some_and(AttemptFailure::blames_server);
+        match failure {
+            None => self.board.note_success(&placement.server),
+            Some(_) if failed => self.board.note_failure(&placement.server),
+            Some(_) => {}
+        }
+        if failure == Some(AttemptFailure::Shed) {
+            return;
+        }
+        self.context.evidence.note(&AttemptReport {
+            service: request.service.clone(),
+            version: placement.plan.version.clone(),
+            route: request.route.path.clone(),
+            failed,
+            latency: started.elapsed(),
+        });
+    }
+}
+
+/// The error of a later step after some attempts failed.
+fn after(request: &RunRequest, failures: &[AttemptFailure], error: RequestError) -> RequestError {
+    if combined_outcome(failures.iter().copied()) == RunOutcome::NotRun {
+        error
+    } else {
+        failed(request, failures)
+    }
+}
+
+/// What the caller is told when no attempt was answered.
+fn failed(request: &RunRequest, failures: &[AttemptFailure]) -> RequestError {
+    let outcome = combined_outcome(failures.iter().copied());
+    let last = failures.last().copied();
+    let error = match (outcome, last) {
+        (RunOutcome::NotRun, _) if request.backend.deadline.remaining(Instant::now()).is_none() => {
+            too_late(request)
+        }
+        (RunOutcome::NotRun, _) => {
+            RequestError::new(ErrorKind::NoCapacity, "no backend server took the request")
+        }
+        (_, Some(AttemptFailure::TimedOut)) => RequestError::new(
+            ErrorKind::DeadlinePassed,
+            "no backend server answered in time",
+        )
+        .with_outcome(outcome),
+        _ => RequestError::new(
+            ErrorKind::BackendFailed,
+            "the backend server gave no usable answer",
+        )
+        .with_outcome(outcome),
+    };
+    let error = match &request.identity {
+        Some(identity) => error.about(&identity.to_string()),
+        None => error,
+    };
+    error.on_idempotent_route(request.is_idempotent())
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline/place.rs
@@ -0,0 +1,267 @@
+//! Chooses a server and takes its slot.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::contract::{CustomerContract, ServerPlan, ServicePlan};
+use tarragonpulley_policy::facts::FactKey;
+use tarragonpulley_policy::ids::{LimitKey, ServerKey, ServerName, ServiceKey};
+use tarragonpulley_policy::routing::{
+    ChoiceInput, MoveStep, ShareTurn, SteeringPlan, choose_servers, steering_plan,
+};
+
+use super::{RequestPipeline, RunRequest, too_late};
+use crate::backends::RunningGuard;
+use crate::border::SlotGuard;
+use crate::errors::{ErrorKind, RequestError};
+
+/// Part of the remaining time that a request may wait for a slot, so that
+/// enough is left to run it.
+const WAIT_NUMERATOR: u32 = 3;
+const WAIT_DENOMINATOR: u32 = 4;
+
+/// Longest time that one ask for slots of other instances takes.
+const SLOT_ASK_TIME: Duration = Duration::from_millis(150);
+
+/// Least time between two asks.
+const SLOT_ASK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Servers for which slots are asked at once.
+const ASKED_SERVERS: usize = 3;
+
+/// A chosen server with its slot. The slot is released on drop.
+#[derive(Debug)]
+pub(super) struct Placement {
+    pipeline: Rc<RequestPipeline>,
+    pub(super) server: ServerKey,
+    pub(super) plan: ServerPlan,
+    slot: Option<Box<dyn SlotGuard>>,
+    _running: RunningGuard,
+    turn: ShareTurn,
+    step: Option<MoveStep>,
+    sent: bool,
+}
+
+impl Placement {
+    /// Counts the request as sent for the shares of moves.
+    pub(super) fn note_sent(&mut self) {
+        if !self.sent {
+            self.sent = true;
+            let mut shares = self.pipeline.shares.borrow_mut();
+            if let Some(counter) = shares.get_mut(&self.server.service) {
+                counter.sent(self.turn, self.step.as_ref());
+            }
+        }
+    }
+
+    /// Takes one more slot of the same server.
+    pub(super) fn take_second_slot(&self) -> Option<Box<dyn SlotGuard>> {
+        let snapshot = self.pipeline.context.config.snapshot();
+        let contract = snapshot.contracts.get(&self.server.service.customer)?;
+        let limits = slot_limits(contract, &self.server, &self.plan);
+        self.pipeline.context.rights.take_slots(&limits)
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        if !self.sent {
+            let mut shares = self.pipeline.shares.borrow_mut();
+            if let Some(counter) = shares.get_mut(&self.server.service) {
+                counter.release(self.turn, self.step.as_ref());
+            }
+        }
+        self.slot = None;
+        self.pipeline
+            .queue
+            .wake_customer(&self.server.service.customer);
+    }
+}
+
+/// The limits that one request on a server uses.
+fn slot_limits(
+    contract: &CustomerContract,
+    server: &ServerKey,
+    plan: &ServerPlan,
+) -> Vec<LimitKey> {
+    let mut limits = vec![LimitKey::Server(server.clone())];
+    if let Some(region) = contract.region_of(&plan.centre) {
+        let customer = server.service.customer.clone();
+        limits.push(LimitKey::Region(customer, region.clone()));
+    }
+    limits
+}
+
+impl RequestPipeline {
+    /// Waits for a server with a free slot.
+    ///
+    /// # Errors
+    ///
+    /// The refusal when there is none in time; nothing was sent.
+    pub(super) async fn place(
+        self: &Rc<Self>,
+        request: &RunRequest,
+        tried: &[ServerName],
+    ) -> Result<Placement, RequestError> {
+        if !self.queue.has_waiters(&request.service)
+            && let Some(placement) = self.try_place(&request.service, tried)
+        {
+            return Ok(placement);
+        }
+        let now = self.context.clock.instant();
+        let left = request.backend.deadline.remaining(now);
+        let wait = left.ok_or_else(|| too_late(request))? * WAIT_NUMERATOR / WAIT_DENOMINATOR;
+        let first = !self.queue.has_waiters(&request.service);
+        let ticket = self
+            .queue
+            .enter(&request.service, request.team.as_ref())
+            .ok_or_else(|| no_capacity("too many requests of the team are waiting"))?;
+        if first {
+            actix_rt::spawn(Rc::clone(self).ask_for_slots(request.service.clone()));
+        }
+        let search = async {
+            loop {
+                ticket.turn().await;
+                if let Some(placement) = self.try_place(&request.service, tried) {
+                    return placement;
+                }
+                ticket.wait_again();
+            }
+        };
+        let found = actix_rt::time::timeout(wait, search).await;
+        drop(ticket);
+        found.map_err(|_elapsed| no_capacity("no backend server has a free slot"))
+    }
+
+    fn try_place(self: &Rc<Self>, service: &ServiceKey, tried: &[ServerName]) -> Option<Placement> {
+        let snapshot = self.context.config.snapshot();
+        let contract = snapshot.contracts.get(&service.customer)?;
+        let service_plan = contract.services.get(&service.service)?;
+        let plan = self.steering(service, service_plan);
+        let turn = {
+            let mut shares = self.shares.borrow_mut();
+            shares.entry(service.clone()).or_default().reserve(&plan)
+        };
+        let input = |turn| (turn, self.order(service, tried, &plan, turn));
+        let mut choices = vec![input(turn)];
+        if turn == ShareTurn::Move {
+            choices.push(input(ShareTurn::Stay));
+        }
+        for (chosen, order) in choices {
+            for name in order {
+                let Some(server_plan) = service_plan.servers.get(&name) else {
+                    continue;
+                };
+                let server = ServerKey {
+                    service: service.clone(),
+                    server: name,
+                };
+                let limits = slot_limits(contract, &server, server_plan);
+                if let Some(slot) = self.context.rights.take_slots(&limits) {
+                    if chosen != turn {
+                        self.release_turn(service, turn, &plan);
+                    }
+                    let running = self.board.begin(&server);
+                    return Some(Placement {
+                        pipeline: Rc::clone(self),
+                        server,
+                        plan: server_plan.clone(),
+                        slot: Some(slot),
+                        _running: running,
+                        turn: chosen,
+                        step: plan.step().cloned(),
+                        sent: false,
+                    });
+                }
+            }
+        }
+        self.release_turn(service, turn, &plan);
+        None
+    }
+
+    fn release_turn(&self, service: &ServiceKey, turn: ShareTurn, plan: &SteeringPlan) {
+        if let Some(counter) = self.shares.borrow_mut().get_mut(service) {
+            counter.release(turn, plan.step());
+        }
+    }
+
+    fn steering(&self, service: &ServiceKey, plan: &ServicePlan) -> SteeringPlan {
+        let snapshot = self.context.config.snapshot();
+        let has_fault = |version: &_| {
+            let key = FactKey::VersionFault(service.clone(), Clone::clone(version));
+            self.context.facts.get(&key).is_some()
+        };
+        steering_plan(&snapshot, service, &plan.version, &has_fault)
+    }
+
+    fn order(
+        &self,
+        service: &ServiceKey,
+        tried: &[ServerName],
+        plan: &SteeringPlan,
+        turn: ShareTurn,
+    ) -> Vec<ServerName> {
+        let snapshot = self.context.config.snapshot();
+        let Some(contract) = snapshot.contracts.get(&service.customer) else {
+            return Vec::new();
+        };
+        let Some(service_plan) = contract.services.get(&service.service) else {
+            return Vec::new();
+        };
+        let states = self.board.states(service, service_plan);
+        let input = ChoiceInput {
+            snapshot: &snapshot,
+            contract,
+            service: service_plan,
+            home: &self.context.centre,
+            states: &states,
+            tried,
+            plan,
+            turn,
+        };
+        choose_servers(&input, &mut *self.random.borrow_mut())
+    }
+
+    /// Asks other instances for slots while requests wait for a service.
+    async fn ask_for_slots(self: Rc<Self>, service: ServiceKey) {
+        while self.queue.has_waiters(&service) {
+            let limits = self.wanted_limits(&service);
+            let deadline = Instant::now() + SLOT_ASK_TIME;
+            if limits.is_empty() {
+                actix_rt::time::sleep(SLOT_ASK_TIME).await;
+            } else {
+                self.context.rights.request_slots(limits, deadline).await;
+                actix_rt::time::sleep(SLOT_ASK_PAUSE).await;
+            }
+            self.queue.wake(&service);
+        }
+    }
+
+    fn wanted_limits(&self, service: &ServiceKey) -> Vec<LimitKey> {
+        let snapshot = self.context.config.snapshot();
+        let contract = snapshot.contracts.get(&service.customer);
+        let service_plan = contract.and_then(|c| c.services.get(&service.service));
+        let (Some(contract), Some(service_plan)) = (contract, service_plan) else {
+            return Vec::new();
+        };
+        let plan = self.steering(service, service_plan);
+        let order = self.order(service, &[], &plan, ShareTurn::Stay);
+        let mut limits = Vec::new();
+        for name in order.into_iter().take(ASKED_SERVERS) {
+            if let Some(server_plan) = service_plan.servers.get(&name) {
+                let server = ServerKey {
+                    service: service.clone(),
+                    server: name,
+                };
+                limits.extend(slot_limits(contract, &server, server_plan));
+            }
+        }
+        limits.sort();
+        limits.dedup();
+        limits
+    }
+}
+
+fn no_capacity(message: &str) -> RequestError {
+    RequestError::new(ErrorKind::NoCapacity, message)
+}
--- /dev/null
+++ b/crates/daemon/src/probe.rs
@@ -0,0 +1,217 @@
+//! Probes of backend servers.
+//!
+//! Each server is probed by the two live instances nearest in rendezvous-hash
+//! order, and the others learn the result as a fact. The health endpoint is
+//! `GET /health`; its body is JSON with the optional fields `healthy`,
+//! `leaving`, `load` and `uptime_ms`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::net::TcpStream;
+use serde::Deserialize;
+use tarragonpulley_policy::facts::{FactKey, FactValue, ServerReport};
+use tarragonpulley_policy::ids::{InstanceName, ServerKey};
+use tarragonpulley_policy::probing::{ProbeOutcome, ProbeTally, is_prober};
+
+use crate::backends::BackendBoard;
+use crate::border::InstanceContext;
+use crate::metrics::RequestMetrics;
+use crate::pipeline::RequestPipeline;
+use crate::tasks::LoopGuard;
+use crate::upstream::connect::build_client;
+
+/// Time between two probes of a server by one instance. A leaving server must
+/// be known everywhere within 3 s.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A probe that takes longer has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How often reports of other instances are taken over.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest answer of a health endpoint.
+const MAX_HEALTH_BYTES: usize = 4096;
+
+/// Time for the check whether a server that broke a connection has crashed.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(250);
+
+/// The uptime of a server counts from a moment shortly after its start.
+const UPTIME_MARGIN: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Deserialize)]
+struct HealthBody {
+    #[serde(default = "healthy_by_default")]
+    healthy: bool,
+    #[serde(default)]
+    leaving: bool,
+    #[serde(default)]
+    load: u32,
+    uptime_ms: Option<u64>,
+}
+
+const fn healthy_by_default() -> bool {
+    true
+}
+
+#[derive(Debug)]
+struct Prober {
+    context: InstanceContext,
+    metrics: RequestMetrics,
+    sequence: Cell<u64>,
+    tallies: RefCell<BTreeMap<ServerKey, ProbeTally>>,
+}
+
+/// Starts the loops that probe servers and take over reports.
+pub(crate) fn start(
+    context: &InstanceContext,
+    board: Rc<BackendBoard>,
+    pipeline: Rc<RequestPipeline>,
+    metrics: RequestMetrics,
+) -> Vec<LoopGuard> {
+    let prober = Rc::new(Prober {
+        context: context.clone(),
+        metrics,
+        sequence: Cell::new(0),
+        tallies: RefCell::default(),
+    });
+    let refresh = async move {
+        loop {
+            board.refresh();
+            actix_rt::time::sleep(REFRESH_INTERVAL).await;
+        }
+    };
+    let probing = async move {
+        loop {
+            let started = Instant::now();
+            Prober::probe_all(&prober).await;
+            pipeline.forget_removed();
+            actix_rt::time::sleep(PROBE_INTERVAL.saturating_sub(started.elapsed())).await;
+        }
+    };
+    vec![LoopGuard::spawn(refresh), LoopGuard::spawn(probing)]
+}
+
+impl Prober {
+    /// Probes the servers that fall to this instance.
+    async fn probe_all(self: &Rc<Self>) {
+        let targets = self.targets();
+        self.tallies
+            .borrow_mut()
+            .retain(|server, _tally| targets.iter().any(|(target, _)| target == server));
+        let probes = targets
+            .into_iter()
+            .map(|(server, address)| self.probe_one(server, address));
+        futures_util::future::join_all(probes).await;
+    }
+
+    fn targets(&self) -> Vec<(ServerKey, SocketAddr)> {
+        let members = self.context.members.members();
+        let own = &self.context.own.instance;
+        let live: Vec<&InstanceName> = members
+            .iter()
+            .filter(|m| m.answering && !m.leaving)
+            .map(|m| &m.instance)
+            .collect();
+        let snapshot = self.context.config.snapshot();
+        let mut targets = Vec::new();
+        for (customer, contract) in &snapshot.contracts {
+            for (service, plan) in &contract.services {
+                for (name, server) in &plan.servers {
+                    let key = ServerKey {
+                        service: tarragonpulley_policy::ids::ServiceKey {
+                            customer: customer.clone(),
+                            service: service.clone(),
+                        },
+                        server: name.clone(),
+                    };
+                    if is_prober(&key, own, &live) {
+                        targets.push((key, server.address));
+                    }
+                }
+            }
+        }
+        targets
+    }
+
+    async fn probe_one(&self, server: ServerKey, address: SocketAddr) {
+        self.metrics.probes.inc();
+        let outcome = read_health(address, PROBE_TIMEOUT).await;
+        let change = {
+            let mut tallies = self.tallies.borrow_mut();
+            tallies.entry(server.clone()).or_default().note(outcome)
+        };
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let report = ServerReport {
+            sequence,
+            ..change.report
+        };
+        let key = FactKey::ServerReport(server, self.context.own.clone());
+        self.context
+            .facts
+            .state(key, FactValue::Server(report), change.urgent);
+    }
+}
+
+/// Reads the health endpoint of a server on a new connection.
+async fn read_health(address: SocketAddr, time: Duration) -> ProbeOutcome {
+    let client = build_client(address, 1);
+    let read = async {
+        let request = client.get(format!("http://{address}/health"));
+        let mut response = request
+            .insert_header(("connection", "close"))
+            .send()
+            .await
+            .map_err(|error| match error {
+                awc::error::SendRequestError::Connect(_) => ProbeOutcome::Refused,
+                _ => ProbeOutcome::NoAnswer,
+            })?;
+        let success = response.status().is_success();
+        let body = response.body().limit(MAX_HEALTH_BYTES).await;
+        let body = body.map_err(|_error| ProbeOutcome::NoAnswer)?;
+        let health: HealthBody = match serde_json::from_slice(&body) {
+            Ok(health) => health,
+            // A server without a body tells its health by its status alone.
+            Err(_) => HealthBody {
+                healthy: true,
+                leaving: false,
+                load: 0,
+                uptime_ms: None,
+            },
+        };
+        Ok(ProbeOutcome::Answered {
+            healthy: success && health.healthy,
+            leaving: health.leaving,
+            load: health.load,
+            uptime: health.uptime_ms.map(Duration::from_millis),
+        })
+    };
+    match actix_rt::time::timeout(time, read).await {
+        Ok(Ok(outcome) | Err(outcome)) => outcome,
+        Err(_elapsed) => ProbeOutcome::NoAnswer,
+    }
+}
+
+/// Whether a server that broke a connection refuses connections, or has
+/// started again since `since`.
+pub(crate) async fn has_crashed(address: SocketAddr, since: Instant) -> bool {
+    let connect = actix_rt::time::timeout(CRASH_CHECK_TIME, TcpStream::connect(address)).await;
+    match connect {
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => return true,
+        Ok(Ok(stream)) => drop(stream),
+        Ok(Err(_)) | Err(_) => return false,
+    }
+    match read_health(address, CRASH_CHECK_TIME).await {
+        ProbeOutcome::Refused => true,
+        ProbeOutcome::Answered {
+            uptime: Some(uptime),
+            ..
+        } => uptime + UPTIME_MARGIN < since.elapsed(),
+        ProbeOutcome::Answered { .. } | ProbeOutcome::NoAnswer => false,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/queue.rs
@@ -0,0 +1,191 @@
+//! Requests that wait for a slot.
+//!
+//! Each service has one queue with a lane for each team. Lanes take turns, and
+//! each is bounded, so that a team that sends too much waits behind itself and
+//! not in front of the others.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound::{Excluded, Unbounded};
+use std::rc::Rc;
+
+use tarragonpulley_policy::ids::{CustomerName, ServiceKey, TeamKey};
+use tokio::sync::Notify;
+
+/// Requests of one team that may wait for one service.
+const TEAM_WAITERS: usize = 64;
+
+/// Requests of all teams that may wait on this instance. A waiting request
+/// holds its body, so the number bounds memory.
+const ALL_WAITERS: usize = 512;
+
+/// The team that waits; `None` stands for callers of open routes.
+type LaneKey = Option<TeamKey>;
+
+#[derive(Debug)]
+struct Waiter {
+    number: u64,
+    woken: bool,
+    wake: Rc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceQueue {
+    lanes: BTreeMap<LaneKey, VecDeque<Waiter>>,
+    /// The lane that was woken last.
+    last: Option<LaneKey>,
+}
+
+impl ServiceQueue {
+    fn wake_one(&mut self) {
+        let sleeping = |lane: &VecDeque<Waiter>| lane.iter().position(|waiter| !waiter.woken);
+        let after = self.last.clone();
+        let next = {
+            let later = after
+                .iter()
+                .flat_map(|last| self.lanes.range((Excluded(last), Unbounded)));
+            later
+                .chain(self.lanes.iter())
+                .find_map(|(key, lane)| sleeping(lane).map(|index| (key.clone(), index)))
+        };
+        let Some((key, index)) = next else { return };
+        if let Some(waiter) = self
+            .lanes
+            .get_mut(&key)
+            .and_then(|lane| lane.get_mut(index))
+        {
+            waiter.woken = true;
+            waiter.wake.notify_one();
+        }
+        self.last = Some(key);
+    }
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    services: BTreeMap<ServiceKey, ServiceQueue>,
+    waiting: usize,
+    next_number: u64,
+}
+
+/// All queues of an instance.
+#[derive(Debug, Default)]
+pub(crate) struct WaitQueue {
+    state: RefCell<QueueState>,
+}
+
+impl WaitQueue {
+    /// Whether requests wait for a service.
+    pub(crate) fn has_waiters(&self, service: &ServiceKey) -> bool {
+        self.state.borrow().services.contains_key(service)
+    }
+
+    /// Joins the queue of a service, or `None` when the lane or the queue is
+    /// full.
+    pub(crate) fn enter(
+        self: &Rc<Self>,
+        service: &ServiceKey,
+        team: Option<&TeamKey>,
+    ) -> Option<WaitTicket> {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let lane_key = team.cloned();
+        let queue = state.services.get(service);
+        let lane = queue.and_then(|queue| queue.lanes.get(&lane_key));
+        if state.waiting >= ALL_WAITERS || lane.map_or(0, VecDeque::len) >= TEAM_WAITERS {
+            return None;
+        }
+        let number = state.next_number;
+        state.next_number += 1;
+        state.waiting += 1;
+        let wake = Rc::new(Notify::new());
+        let queue = state.services.entry(service.clone()).or_default();
+        queue
+            .lanes
+            .entry(lane_key.clone())
+            .or_default()
+            .push_back(Waiter {
+                number,
+                woken: false,
+                wake: Rc::clone(&wake),
+            });
+        Some(WaitTicket {
+            queue: Rc::clone(self),
+            service: service.clone(),
+            lane: lane_key,
+            number,
+            wake,
+        })
+    }
+
+    /// Wakes the next waiting request of a service.
+    pub(crate) fn wake(&self, service: &ServiceKey) {
+        if let Some(queue) = self.state.borrow_mut().services.get_mut(service) {
+            queue.wake_one();
+        }
+    }
+
+    /// Wakes the next waiting request of each service of a customer, since a
+    /// region's capacity is shared by its services.
+    pub(crate) fn wake_customer(&self, customer: &CustomerName) {
+        let mut state = self.state.borrow_mut();
+        let services = state.services.iter_mut();
+        for (_, queue) in services.filter(|(service, _)| service.customer == *customer) {
+            queue.wake_one();
+        }
+    }
+}
+
+/// A place in the queue, given up when dropped.
+#[derive(Debug)]
+pub(crate) struct WaitTicket {
+    queue: Rc<WaitQueue>,
+    service: ServiceKey,
+    lane: LaneKey,
+    number: u64,
+    wake: Rc<Notify>,
+}
+
+impl WaitTicket {
+    /// Waits until it is this request's turn to look for a slot.
+    pub(crate) async fn turn(&self) {
+        self.wake.notified().await;
+    }
+
+    /// Goes on waiting, at the same place, after a turn without a free slot.
+    pub(crate) fn wait_again(&self) {
+        let mut state = self.queue.state.borrow_mut();
+        let queue = state.services.get_mut(&self.service);
+        let lane = queue.and_then(|queue| queue.lanes.get_mut(&self.lane));
+        let waiter = lane.and_then(|lane| lane.iter_mut().find(|w| w.number == self.number));
+        if let Some(waiter) = waiter {
+            waiter.woken = false;
+        }
+    }
+}
+
+impl Drop for WaitTicket {
+    fn drop(&mut self) {
+        let mut state = self.queue.state.borrow_mut();
+        let state = &mut *state;
+        let Some(queue) = state.services.get_mut(&self.service) else {
+            return;
+        };
+        let mut unused_turn = false;
+        if let Some(lane) = queue.lanes.get_mut(&self.lane) {
+            if let Some(index) = lane.iter().position(|w| w.number == self.number) {
+                unused_turn = lane.remove(index).is_some_and(|waiter| waiter.woken);
+                state.waiting = state.waiting.saturating_sub(1);
+            }
+            if lane.is_empty() {
+                queue.lanes.remove(&self.lane);
+            }
+        }
+        if queue.lanes.is_empty() {
+            state.services.remove(&self.service);
+        } else if unused_turn {
+            // The slot that woke this request may still be free.
+            queue.wake_one();
+        }
+    }
+}
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,7 +4,7 @@
 //! answer is read to its end before it is passed on. A connection whose answer
 //! was cut, crossed, late or abandoned is closed and never used again.
 
-mod connect;
+pub(crate) mod connect;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -77,6 +77,26 @@
     pub(crate) body: Bytes,
 }
 
+impl BackendAnswer {
+    /// Builds an answer that was kept, or `None` when a part is not valid HTTP.
+    pub(crate) fn from_parts(
+        status: u16,
+        headers: &[(String, String)],
+        body: Bytes,
+    ) -> Option<Self> {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            let name = HeaderName::try_from(name.as_str()).ok()?;
+            map.append(name, HeaderValue::try_from(value.as_str()).ok()?);
+        }
+        Some(Self {
+            status: StatusCode::from_u16(status).ok()?,
+            headers: map,
+            body,
+        })
+    }
+}
+
 /// What an attempt asks of the pipeline while it runs.
 pub(crate) trait AttemptHost {
     /// Allows a second attempt, which costs a slot and a part of the retry
--- a/crates/daemon/src/upstream/connect.rs
+++ b/crates/daemon/src/upstream/connect.rs
@@ -17,7 +17,7 @@
 
 /// A server that does not accept within this time counts as not connected. It
 /// also bounds the time between the last check of a request and its first byte.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Idle connections are closed after this time. It is below the usual
 /// keep-alive time of HTTP servers, so that a request seldom meets a closing
@@ -27,7 +27,7 @@
 const CONNECTION_LIFETIME: Duration = Duration::from_mins(10);
 
 /// A client with at most `connections` connections to one server.
-pub(super) fn build_client(address: SocketAddr, connections: usize) -> Rc<Client> {
+pub(crate) fn build_client(address: SocketAddr, connections: usize) -> Rc<Client> {
     let connector = Connector::new()
         .connector(ServerConnector { address })
         .timeout(CONNECT_TIMEOUT)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod credential;
 pub mod facts;
 pub mod ids;
+pub mod lease;
+pub mod probing;
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -21,6 +21,10 @@
 /// How long such a server gets no work. After it, one request tries again.
 const SUSPENSION: Duration = Duration::from_secs(2);
 
+/// How long a server's own word that it is leaving outweighs health answers,
+/// which may be out of date.
+const LEAVING_MEMORY: Duration = Duration::from_secs(30);
+
 /// Random numbers. Tests pass a seeded source.
 pub trait RandomSource: Debug {
     /// A number below `bound`, which is not zero.
@@ -127,25 +131,30 @@
     running: u32,
     failures: u32,
     suspended_until: Option<Instant>,
-    left: bool,
+    /// When the server itself said that it is leaving.
+    left_at: Option<Instant>,
 }
 
 impl ServerView {
-    fn newest(&self, now: Instant) -> Option<&StoredReport> {
+    fn recent(&self, now: Instant) -> impl Iterator<Item = &StoredReport> {
         self.reports
             .values()
-            .filter(|stored| now.duration_since(stored.seen) < REPORT_LIFETIME)
-            .max_by_key(|stored| stored.seen)
+            .filter(move |stored| now.duration_since(stored.seen) < REPORT_LIFETIME)
+    }
+
+    fn has_left(&self, now: Instant) -> bool {
+        self.left_at
+            .is_some_and(|left| now.duration_since(left) < LEAVING_MEMORY)
     }
 
     fn state(&self, now: Instant) -> ServerState {
-        let newest = self.newest(now);
+        let newest = self.recent(now).max_by_key(|stored| stored.seen);
         let suspended = self.suspended_until.is_some_and(|until| now < until);
-        // An own success since the last failure outweighs a health answer.
-        let healthy = newest.is_none_or(|stored| stored.report.healthy);
+        // One of two probers may be cut off from a server that is well.
+        let healthy = newest.is_none() || self.recent(now).any(|stored| stored.report.healthy);
         ServerState {
             healthy: healthy && !suspended,
-            leaving: self.left || newest.is_some_and(|stored| stored.report.leaving),
+            leaving: self.has_left(now) || self.recent(now).any(|stored| stored.report.leaving),
             running: self.running,
             load: newest.map_or(0, |stored| stored.report.load),
             uptime: newest.map(|stored| stored.report.uptime + now.duration_since(stored.seen)),
@@ -179,10 +188,10 @@
         if known.is_some_and(|stored| stored.report.sequence >= report.sequence) {
             return;
         }
-        // A server that started again is a new one and no longer leaving.
-        let restarted = known.is_some_and(|stored| report.uptime < stored.report.uptime);
-        if restarted && !report.leaving {
-            view.left = false;
+        // A server that started after it said that it leaves is a new one.
+        let started = view.left_at.map(|left| now.duration_since(left));
+        if !report.leaving && started.is_some_and(|since| report.uptime < since) {
+            view.left_at = None;
         }
         let stored = StoredReport {
             report: report.clone(),
@@ -192,8 +201,8 @@
     }
 
     /// Notes that the server itself said that it is leaving.
-    pub fn note_leaving(&mut self, server: &ServerKey) {
-        self.servers.entry(server.clone()).or_default().left = true;
+    pub fn note_leaving(&mut self, server: &ServerKey, now: Instant) {
+        self.servers.entry(server.clone()).or_default().left_at = Some(now);
     }
 
     /// Notes the start of a request of this instance.
