Add the movement chart, its interpreter and the decision of each step

Shares go 1, 5, 25, 50 and 100 percent, with the cap as a step of its own. A step lasts its part of the time left, or half of that with 50 requests on the target. Above the cap a move goes only when its target is proved sound. 4 s before the deadline are kept for taking back: 2.5 s until an instance without a proof stops serving, and two writes. After its deadline a move that is not completed counts as taken back on each instance, also while the table cannot be written.

A version changes only by a rollout; a contract that names another version than the one that has the traffic is refused. Move names are used once, since completed rollouts decide which version has the traffic.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod contract;
 pub mod facts;
 pub mod ids;
+pub mod movement;
 pub mod snapshot;
 pub mod timeline;
 pub mod units;
--- /dev/null
+++ b/crates/policy/src/movement/order.rs
@@ -0,0 +1,149 @@
+//! Checks a move that an operator orders.
+
+use std::time::{Duration, SystemTime};
+
+use crate::contract::ServicePlan;
+use crate::ids::{CentreName, MoveName, ServiceKey, VersionName};
+use crate::snapshot::{ConfigSnapshot, DrainTarget, MoveKind, MoveRecord};
+use crate::units::{TimeSpan, TrafficShare};
+
+use super::MoveState;
+use super::shares::{active_moves, service_of, settled_version};
+
+/// The least cap: below it a version sees too few requests to be judged.
+pub const MIN_CAP: TrafficShare = TrafficShare::from_ppm(1_000);
+/// The greatest cap: a bad version gets only a small share of the traffic.
+pub const MAX_CAP: TrafficShare = TrafficShare::from_percent(25);
+/// The least deadline: six steps of one second and the time to take back.
+pub const MIN_DEADLINE: Duration = Duration::from_secs(10);
+/// The greatest deadline.
+pub const MAX_DEADLINE: Duration = Duration::from_hours(24);
+
+/// A move as an operator orders it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveOrder {
+    /// The name of the move, never used before.
+    pub name: MoveName,
+    /// What is moved.
+    pub kind: MoveKind,
+    /// The most that may move before the target is proved sound.
+    pub cap: TrafficShare,
+    /// Time until the move must have ended.
+    pub deadline: Duration,
+}
+
+/// Checks an order and gives the record to write.
+///
+/// # Errors
+///
+/// Every broken rule, as text that names the field.
+pub fn check_order(
+    snapshot: &ConfigSnapshot,
+    order: &MoveOrder,
+    now: SystemTime,
+) -> Result<MoveRecord, Vec<String>> {
+    let mut mistakes = Vec::new();
+    check_bounds(order, &mut mistakes);
+    if snapshot.moves.contains_key(&order.name) {
+        mistakes.push(format!("name: {} was used before", order.name));
+    }
+    let service = service_of(&order.kind);
+    for (name, record) in active_moves(snapshot) {
+        if service_of(&record.kind) == service {
+            mistakes.push(format!("kind: move {name} of {service} is under way"));
+        }
+    }
+    match find_service(snapshot, service) {
+        None => mistakes.push(format!("kind.service: there is no service {service}")),
+        Some(plan) => match &order.kind {
+            MoveKind::Rollout { from, to, .. } => {
+                check_rollout(snapshot, service, plan, (from, to), &mut mistakes);
+            }
+            MoveKind::CentreShift { from, to, .. } => {
+                check_shift(snapshot, service, plan, (from, to), &mut mistakes);
+            }
+        },
+    }
+    if !mistakes.is_empty() {
+        return Err(mistakes);
+    }
+    Ok(MoveRecord {
+        kind: order.kind.clone(),
+        state: MoveState::Planned.to_string(),
+        share: TrafficShare::NONE,
+        cap: order.cap,
+        deadline: now + order.deadline,
+        step_started: now,
+        epoch: 1,
+        reason: "ordered by an operator".to_owned(),
+    })
+}
+
+fn check_bounds(order: &MoveOrder, mistakes: &mut Vec<String>) {
+    if !(MIN_CAP..=MAX_CAP).contains(&order.cap) {
+        mistakes.push(format!(
+            "cap: {} must be from {MIN_CAP} to {MAX_CAP}",
+            order.cap
+        ));
+    }
+    if !(MIN_DEADLINE..=MAX_DEADLINE).contains(&order.deadline) {
+        let [given, least, most] = [order.deadline, MIN_DEADLINE, MAX_DEADLINE].map(TimeSpan::new);
+        mistakes.push(format!("deadline: {given} must be from {least} to {most}"));
+    }
+}
+
+fn find_service<'a>(snapshot: &'a ConfigSnapshot, service: &ServiceKey) -> Option<&'a ServicePlan> {
+    let contract = snapshot.contracts.get(&service.customer)?;
+    contract.services.get(&service.service)
+}
+
+fn check_rollout(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    plan: &ServicePlan,
+    (from, to): (&VersionName, &VersionName),
+    mistakes: &mut Vec<String>,
+) {
+    let current = settled_version(snapshot, service);
+    if current.as_ref() != Some(from) {
+        let current = current.map_or_else(String::new, |v| v.to_string());
+        mistakes.push(format!(
+            "kind.from: {from} does not have the traffic; {current} has"
+        ));
+    }
+    if from == to {
+        mistakes.push(format!("kind.to: {to} is also the value of from"));
+    }
+    let runs = |version: &VersionName| {
+        let mut servers = plan.servers.values();
+        servers.any(|s| s.version == *version && !s.leaving)
+    };
+    if !runs(to) {
+        mistakes.push(format!("kind.to: no server of {service} runs {to}"));
+    }
+}
+
+fn check_shift(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    plan: &ServicePlan,
+    (from, to): (&CentreName, &CentreName),
+    mistakes: &mut Vec<String>,
+) {
+    if from == to {
+        mistakes.push(format!("kind.to: {to} is also the value of from"));
+    }
+    for (field, centre) in [("from", from), ("to", to)] {
+        if !plan
+            .servers
+            .values()
+            .any(|s| s.centre == *centre && !s.leaving)
+        {
+            mistakes.push(format!("kind.{field}: {service} has no server in {centre}"));
+        }
+    }
+    let drain = DrainTarget::Centre(service.customer.clone(), to.clone());
+    if snapshot.drains.contains(&drain) {
+        mistakes.push(format!("kind.to: data centre {to} is being drained"));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/movement/shares.rs
@@ -0,0 +1,149 @@
+//! Shares of traffic that follow from the contract and the moves.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+
+use crate::ids::{CentreName, MoveName, ServiceKey, VersionName};
+use crate::snapshot::{ConfigSnapshot, MoveKind, MoveRecord};
+use crate::units::TrafficShare;
+
+use super::MoveState;
+
+/// The service of a move.
+pub(super) const fn service_of(kind: &MoveKind) -> &ServiceKey {
+    match kind {
+        MoveKind::Rollout { service, .. } | MoveKind::CentreShift { service, .. } => service,
+    }
+}
+
+fn state_of(record: &MoveRecord) -> Option<MoveState> {
+    record.state.parse().ok()
+}
+
+/// Moves that have not ended.
+pub fn active_moves(snapshot: &ConfigSnapshot) -> impl Iterator<Item = (&MoveName, &MoveRecord)> {
+    let ended = |record: &MoveRecord| state_of(record).is_some_and(MoveState::is_final);
+    snapshot
+        .moves
+        .iter()
+        .filter(move |(_, record)| !ended(record))
+}
+
+/// The share that a move has at `now`. A move past its deadline that is not
+/// completed counts as taken back, also while the table cannot be written.
+fn share_at(record: &MoveRecord, now: SystemTime) -> TrafficShare {
+    let completed = state_of(record) == Some(MoveState::Completed);
+    if completed || now < record.deadline {
+        record.share
+    } else {
+        TrafficShare::NONE
+    }
+}
+
+fn completed_of<'a>(snapshot: &'a ConfigSnapshot, service: &ServiceKey) -> Vec<&'a MoveRecord> {
+    let records = snapshot.moves.values();
+    let mut completed: Vec<_> = records
+        .filter(|r| service_of(&r.kind) == service && state_of(r) == Some(MoveState::Completed))
+        .collect();
+    completed.sort_by_key(|record| record.step_started);
+    completed
+}
+
+/// The version that has the traffic of a service apart from moves under way:
+/// the contract's, followed through completed rollouts.
+#[must_use]
+pub fn settled_version(snapshot: &ConfigSnapshot, service: &ServiceKey) -> Option<VersionName> {
+    let contract = snapshot.contracts.get(&service.customer)?;
+    let mut version = &contract.services.get(&service.service)?.version;
+    for record in completed_of(snapshot, service) {
+        if let MoveKind::Rollout { from, to, .. } = &record.kind
+            && from == version
+        {
+            version = to;
+        }
+    }
+    Some(version.clone())
+}
+
+/// The share of each version of a service at `now`. A version for which
+/// `faulty` holds gets nothing while another one is known.
+#[must_use]
+pub fn version_shares(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    faulty: &dyn Fn(&VersionName) -> bool,
+    now: SystemTime,
+) -> BTreeMap<VersionName, TrafficShare> {
+    let Some(mut settled) = settled_version(snapshot, service) else {
+        return BTreeMap::new();
+    };
+    // A fault found after completion returns the traffic to the version before.
+    for record in completed_of(snapshot, service).into_iter().rev() {
+        if let MoveKind::Rollout { from, to, .. } = &record.kind
+            && *to == settled
+            && faulty(to)
+            && !faulty(from)
+        {
+            settled = from.clone();
+        }
+    }
+    let mut shares = BTreeMap::new();
+    let mut moved = TrafficShare::NONE;
+    for (_, record) in active_moves(snapshot) {
+        if let MoveKind::Rollout { to, .. } = &record.kind
+            && service_of(&record.kind) == service
+            && *to != settled
+            && !faulty(to)
+        {
+            moved = share_at(record, now);
+            shares.insert(to.clone(), moved);
+        }
+    }
+    let rest = TrafficShare::ALL.ppm() - moved.ppm();
+    shares.insert(settled, TrafficShare::from_ppm(rest));
+    shares
+}
+
+/// The share of a data centre's traffic that goes to another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CentreShiftShare {
+    /// The data centre that the traffic is meant for.
+    pub from: CentreName,
+    /// The data centre that gets the share.
+    pub to: CentreName,
+    /// The share.
+    pub share: TrafficShare,
+}
+
+/// The shifts of a service at `now`, completed ones included. A shift back
+/// ends the shift that it reverses.
+#[must_use]
+pub fn centre_shifts(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    now: SystemTime,
+) -> Vec<CentreShiftShare> {
+    let active = active_moves(snapshot).map(|(_, record)| record);
+    let active = active.filter(|record| service_of(&record.kind) == service);
+    let mut shifts: Vec<CentreShiftShare> = Vec::new();
+    for record in completed_of(snapshot, service).into_iter().chain(active) {
+        let MoveKind::CentreShift { from, to, .. } = &record.kind else {
+            continue;
+        };
+        let share = share_at(record, now);
+        let reversed = shifts.iter().position(|s| s.from == *to && s.to == *from);
+        match reversed {
+            Some(index) => {
+                let rest = shifts[index].share.ppm().saturating_sub(share.ppm());
+                shifts[index].share = TrafficShare::from_ppm(rest);
+            }
+            None => shifts.push(CentreShiftShare {
+                from: from.clone(),
+                to: to.clone(),
+                share,
+            }),
+        }
+    }
+    shifts.retain(|shift| shift.share > TrafficShare::NONE);
+    shifts
+}
--- /dev/null
+++ b/crates/policy/tests/movement.rs
@@ -0,0 +1,437 @@
+//! The state chart of moves, its steps, and the shares that follow from it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tarragonpulley_policy::contract::CustomerContract;
+use tarragonpulley_policy::ids::{ServiceKey, VersionName};
+use tarragonpulley_policy::movement::{
+    MoveEvidence, MoveOrder, MovementChart, SETTLE_TIME, SoundVerdict, StepOutcome, centre_shifts,
+    check_contract_change, check_order, settled_version, version_shares,
+};
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, DrainTarget, MoveKind, MoveRecord};
+use tarragonpulley_policy::units::TrafficShare;
+use yare::parameterized;
+
+const CHART: &str = include_str!("../src/movement.toml");
+const LUNWAN: &str = include_str!("../../../contracts/lunwan.toml");
+const SERVICE: &str = "lunwan/fitdesk";
+const OLD: &str = "fitdesk-41";
+const NEW: &str = "fitdesk-42";
+const TICK: Duration = Duration::from_millis(100);
+
+fn start() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000)
+}
+
+fn service() -> ServiceKey {
+    SERVICE.parse().expect("valid")
+}
+
+fn version(name: &str) -> VersionName {
+    name.parse().expect("valid")
+}
+
+fn rollout(from: &str, to: &str) -> MoveKind {
+    MoveKind::Rollout {
+        service: service(),
+        from: version(from),
+        to: version(to),
+    }
+}
+
+fn shift(from: &str, to: &str) -> MoveKind {
+    MoveKind::CentreShift {
+        service: service(),
+        from: from.parse().expect("valid"),
+        to: to.parse().expect("valid"),
+    }
+}
+
+/// The sample contract with every second server on the new version.
+fn contract() -> CustomerContract {
+    let mut contract = CustomerContract::parse("lunwan.toml", LUNWAN).expect("valid");
+    let plan = contract
+        .services
+        .get_mut(&service().service)
+        .expect("known");
+    for server in plan.servers.values_mut().step_by(2) {
+        server.version = version(NEW);
+    }
+    contract
+}
+
+fn snapshot() -> ConfigSnapshot {
+    let contract = contract();
+    let mut snapshot = ConfigSnapshot::default();
+    snapshot
+        .contracts
+        .insert(contract.customer.clone(), contract);
+    snapshot
+}
+
+fn order(kind: MoveKind) -> MoveOrder {
+    MoveOrder {
+        name: "first".parse().expect("valid"),
+        kind,
+        cap: TrafficShare::from_percent(5),
+        deadline: Duration::from_secs(30),
+    }
+}
+
+fn planned() -> MoveRecord {
+    check_order(&snapshot(), &order(rollout(OLD, NEW)), start()).expect("valid")
+}
+
+fn ended(kind: MoveKind, state: &str, second: u64) -> MoveRecord {
+    let share = if state == "completed" {
+        TrafficShare::ALL
+    } else {
+        TrafficShare::NONE
+    };
+    MoveRecord {
+        kind,
+        state: state.to_owned(),
+        share,
+        step_started: start() + Duration::from_secs(second),
+        ..planned()
+    }
+}
+
+fn evidence(verdict: SoundVerdict, requests: u64) -> MoveEvidence {
+    MoveEvidence {
+        verdict,
+        requests,
+        cancelled: None,
+    }
+}
+
+/// Drives a move tick by tick; gives each record with its time.
+fn drive(
+    mut evidence: impl FnMut(&MoveRecord, Duration) -> MoveEvidence,
+) -> Vec<(Duration, MoveRecord)> {
+    let chart = MovementChart::standard().expect("valid");
+    let mut record = planned();
+    let mut written = vec![(Duration::ZERO, record.clone())];
+    for tick in 0..600 {
+        let elapsed = TICK * tick;
+        let seen = evidence(&record, elapsed);
+        match chart.next_step(&record, &seen, start() + elapsed) {
+            StepOutcome::Write(next) => {
+                assert_eq!(next.epoch, record.epoch + 1);
+                record = *next;
+                written.push((elapsed, record.clone()));
+            }
+            StepOutcome::Wait(wait) => assert!(!wait.is_zero(), "no busy loop"),
+            StepOutcome::Ended => return written,
+            StepOutcome::UnknownState(state) => panic!("unknown state {state}"),
+        }
+    }
+    panic!("the move did not end: {written:?}");
+}
+
+fn last(written: &[(Duration, MoveRecord)]) -> (Duration, &str, TrafficShare) {
+    let (elapsed, record) = written.last().expect("a record");
+    (*elapsed, record.state.as_str(), record.share)
+}
+
+// Guards against a chart file that is changed into one that loses events,
+// traps moves, or names what the program does not know.
+#[parameterized(
+    unknown_state = { "to = \"completed\"", "to = \"done\"", "\"done\" is not a valid move state" },
+    unknown_event = { "on = \"cancel\"", "on = \"stop\"", "\"stop\" is not a valid move event" },
+    unknown_guard = { "\"settled\"", "\"rested\"", "\"rested\" is not a valid move guard" },
+    unknown_action = { "\"drop_share\"", "\"drop\"", "\"drop\" is not a valid move action" },
+    unreachable = { "to = \"completed\"", "to = \"taking_back\"", "state[completed]: cannot be reached" },
+    trap = { "to = \"taken_back\"\nguards", "to = \"taking_back\"\nguards", "state[taking_back]: leads to no final state" },
+    missing = { "ignores = [\"step\", \"sound\"]", "ignores = [\"step\"]", "state[planned]: has no transition on sound" },
+    both = { "ignores = [\"start\"]", "ignores = [\"start\", \"cancel\"]", "state[shifting]: both handles and ignores cancel" },
+    left_out = { "name = \"planned\"", "name = \"shifting\"", "state[planned]: is missing" },
+    not_final = { "final = true", "final = false", "state[completed]: final must be true" },
+    leaves_end = { "from = \"taking_back\"", "from = \"taken_back\"", "a final state must have no transition on step" },
+    syntax = { "[[state]]", "[[sate]]", "not well-formed" },
+)]
+fn a_broken_chart_is_refused(find: &str, replace: &str, message: &str) {
+    assert!(CHART.contains(find));
+    let error = MovementChart::load(&CHART.replace(find, replace)).expect_err("broken");
+    assert!(error.to_string().contains(message), "{error}");
+}
+
+// Guards against a good rollout that is not completed in time, or that takes
+// a share out of order.
+#[parameterized(
+    many_requests = { 1000 },
+    few_requests = { 0 },
+)]
+fn a_good_rollout_completes_before_its_deadline(requests: u64) {
+    let written = drive(|_, _| evidence(SoundVerdict::Sound, requests));
+    let (elapsed, state, share) = last(&written);
+    assert_eq!((state, share), ("completed", TrafficShare::ALL));
+    assert!(elapsed < Duration::from_secs(27), "{elapsed:?}");
+    let shares: Vec<_> = written.iter().map(|(_, r)| r.share).collect();
+    let percents = [0, 1, 5, 25, 50, 100, 100].map(TrafficShare::from_percent);
+    assert_eq!(shares, percents);
+}
+
+// Guards against a version that is proved sound late and then misses its
+// deadline although there was time.
+#[test]
+fn a_late_proof_still_completes() {
+    let written = drive(|_, elapsed| {
+        let sound = elapsed >= Duration::from_secs(21);
+        evidence(
+            if sound {
+                SoundVerdict::Sound
+            } else {
+                SoundVerdict::Unproved
+            },
+            100,
+        )
+    });
+    assert_eq!(last(&written).1, "completed");
+}
+
+// Guards against a share above the cap without proof, and against a move that
+// neither completes nor goes back.
+#[test]
+fn an_unproved_version_stays_under_the_cap_and_goes_back() {
+    let written = drive(|_, _| evidence(SoundVerdict::Unproved, 1_000_000));
+    let cap = TrafficShare::from_percent(5);
+    assert!(written.iter().all(|(_, r)| r.share <= cap));
+    let (elapsed, state, share) = last(&written);
+    assert_eq!((state, share), ("taken_back", TrafficShare::NONE));
+    assert!(elapsed <= Duration::from_secs(30), "{elapsed:?}");
+    assert!(
+        written
+            .last()
+            .expect("a record")
+            .1
+            .reason
+            .contains("deadline")
+    );
+}
+
+// Guards against a fault that does not stop the share at the next look, at
+// any step of the move.
+#[parameterized(
+    at_start = { 0 }, first = { 1 }, capped = { 7 }, above = { 14 }, whole = { 22 },
+)]
+fn a_fault_takes_the_move_back_at_once(second: u64) {
+    let fault = Duration::from_secs(second);
+    let written = drive(|_, elapsed| {
+        let bad = elapsed >= fault;
+        let verdict = if bad {
+            SoundVerdict::Faulty("5xx".to_owned())
+        } else {
+            SoundVerdict::Sound
+        };
+        evidence(verdict, 0)
+    });
+    let after: Vec<_> = written
+        .iter()
+        .filter(|(elapsed, _)| *elapsed >= fault)
+        .collect();
+    assert!(
+        after
+            .iter()
+            .skip(usize::from(fault.is_zero()))
+            .all(|(_, r)| r.share == TrafficShare::NONE)
+    );
+    assert!(after.iter().any(|(_, r)| r.reason.contains("fault: 5xx")));
+    let (elapsed, state, _) = last(&written);
+    assert_eq!(state, "taken_back");
+    assert!(elapsed <= fault + SETTLE_TIME + TICK);
+}
+
+// Guards against a cancel that waits for a step, or that is lost.
+#[test]
+fn a_cancel_takes_the_move_back() {
+    let written = drive(|_, elapsed| MoveEvidence {
+        cancelled: (elapsed >= Duration::from_secs(8)).then(|| "operator".to_owned()),
+        ..evidence(SoundVerdict::Sound, 0)
+    });
+    assert_eq!(last(&written).1, "taken_back");
+    assert!(
+        written
+            .iter()
+            .any(|(_, r)| r.reason == "cancelled: operator")
+    );
+}
+
+// Guards against any order of evidence that breaks the cap, the deadline, or
+// the end of a move. 500 seeded sequences.
+#[test]
+fn no_sequence_of_evidence_breaks_the_bounds() {
+    for seed in 0..500 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut sound_seen = false;
+        let written = drive(|_, _| {
+            let verdict = match rng.random_range(0..400) {
+                0 => SoundVerdict::Faulty("seeded".to_owned()),
+                1..40 => SoundVerdict::Sound,
+                _ => SoundVerdict::Unproved,
+            };
+            sound_seen |= verdict == SoundVerdict::Sound;
+            evidence(verdict, rng.random_range(0..100))
+        });
+        let (elapsed, state, _) = last(&written);
+        assert!(matches!(state, "completed" | "taken_back"), "seed {seed}");
+        assert!(
+            elapsed <= Duration::from_secs(30),
+            "seed {seed}: {elapsed:?}"
+        );
+        let above = written.iter().any(|(_, r)| r.share > r.cap);
+        assert!(!above || sound_seen, "seed {seed}");
+    }
+}
+
+// Guards against a record of a newer program that is driven blindly.
+#[test]
+fn an_unknown_state_is_reported() {
+    let chart = MovementChart::standard().expect("valid");
+    let record = MoveRecord {
+        state: "paused".to_owned(),
+        ..planned()
+    };
+    let outcome = chart.next_step(&record, &evidence(SoundVerdict::Sound, 0), start());
+    assert_eq!(outcome, StepOutcome::UnknownState("paused".to_owned()));
+}
+
+fn shares_at(snapshot: &ConfigSnapshot, faulty: &[&str], after: u64) -> BTreeMap<String, u32> {
+    let is_faulty = |v: &VersionName| faulty.contains(&v.as_str());
+    let now = start() + Duration::from_secs(after);
+    let shares = version_shares(snapshot, &service(), &is_faulty, now);
+    shares
+        .into_iter()
+        .map(|(v, s)| (v.to_string(), s.ppm() / 10_000))
+        .collect()
+}
+
+fn with_moves(moves: Vec<MoveRecord>) -> ConfigSnapshot {
+    let mut snapshot = snapshot();
+    for (index, record) in moves.into_iter().enumerate() {
+        snapshot
+            .moves
+            .insert(format!("m{index}").parse().expect("valid"), record);
+    }
+    snapshot
+}
+
+// Guards against traffic to a version after its fault is known or after the
+// deadline, while the table still shows a share.
+#[test]
+fn a_latch_and_the_deadline_overrule_the_table() {
+    let shifting = MoveRecord {
+        state: "shifting".to_owned(),
+        share: TrafficShare::from_percent(50),
+        ..planned()
+    };
+    let snapshot = with_moves(vec![shifting]);
+    let both = |old, new| BTreeMap::from([(OLD.to_owned(), old), (NEW.to_owned(), new)]);
+    assert_eq!(shares_at(&snapshot, &[], 29), both(50, 50));
+    assert_eq!(shares_at(&snapshot, &[], 30), both(100, 0));
+    assert_eq!(
+        shares_at(&snapshot, &[NEW], 1),
+        BTreeMap::from([(OLD.to_owned(), 100)])
+    );
+}
+
+// Guards against a completed rollout that is forgotten, applied twice, or
+// kept after its version showed a fault.
+#[parameterized(
+    none = { &[], &[], OLD },
+    one = { &[(OLD, NEW, "completed")], &[], NEW },
+    taken_back = { &[(OLD, NEW, "taken_back")], &[], OLD },
+    chain = { &[(OLD, NEW, "completed"), (NEW, "v3", "completed")], &[], "v3" },
+    returned = { &[(OLD, NEW, "completed"), (NEW, OLD, "completed")], &[], OLD },
+    unrelated = { &[("v7", "v8", "completed")], &[], OLD },
+    late_fault = { &[(OLD, NEW, "completed")], &[NEW], OLD },
+    all_faulty = { &[(OLD, NEW, "completed")], &[NEW, OLD], NEW },
+)]
+fn completed_rollouts_decide_the_version(
+    moves: &[(&str, &str, &str)],
+    faulty: &[&str],
+    expected: &str,
+) {
+    let records = moves.iter().zip(1..);
+    let records =
+        records.map(|((from, to, state), second)| ended(rollout(from, to), state, second));
+    let snapshot = with_moves(records.collect());
+    let expected = BTreeMap::from([(expected.to_owned(), 100)]);
+    assert_eq!(shares_at(&snapshot, faulty, 60), expected);
+}
+
+// Guards against a shift that stays in force after it was reversed.
+#[test]
+fn a_shift_back_ends_a_shift() {
+    let there = ended(shift("tainan-a", "taipei-a"), "completed", 1);
+    let back = ended(shift("taipei-a", "tainan-a"), "completed", 2);
+    let now = start() + Duration::from_mins(1);
+    let shifts = centre_shifts(&with_moves(vec![there.clone()]), &service(), now);
+    assert_eq!(shifts.len(), 1);
+    assert_eq!(shifts[0].share, TrafficShare::ALL);
+    let both = with_moves(vec![there, back]);
+    assert!(centre_shifts(&both, &service(), now).is_empty());
+}
+
+// Guards against an order with a reference or bound that only fails once the
+// move is under way. One row for each rule.
+#[parameterized(
+    cap_low = { |o: &mut MoveOrder| o.cap = TrafficShare::from_ppm(999), "cap: 0.0999% must be from 0.1% to 25%" },
+    cap_high = { |o: &mut MoveOrder| o.cap = TrafficShare::from_ppm(250_001), "cap: 25.0001% must be" },
+    deadline_low = { |o: &mut MoveOrder| o.deadline = Duration::from_millis(9999), "deadline: 9999ms must be from 10s" },
+    deadline_high = { |o: &mut MoveOrder| o.deadline = Duration::from_secs(86_401), "deadline: 86401s must be" },
+    no_service = { |o: &mut MoveOrder| o.kind = MoveKind::Rollout { service: "lunwan/none".parse().expect("valid"), from: version(OLD), to: version(NEW) }, "no service lunwan/none" },
+    from = { |o: &mut MoveOrder| o.kind = rollout("v1", NEW), "kind.from: v1 does not have the traffic; fitdesk-41 has" },
+    to = { |o: &mut MoveOrder| o.kind = rollout(OLD, "v9"), "kind.to: no server of lunwan/fitdesk runs v9" },
+    same = { |o: &mut MoveOrder| o.kind = rollout(OLD, OLD), "kind.to: fitdesk-41 is also the value of from" },
+    centre = { |o: &mut MoveOrder| o.kind = shift("taipei-a", "tokyo"), "kind.to: lunwan/fitdesk has no server in tokyo" },
+    centre_from = { |o: &mut MoveOrder| o.kind = shift("tokyo", "taipei-a"), "kind.from: lunwan/fitdesk has no server in tokyo" },
+    centre_same = { |o: &mut MoveOrder| o.kind = shift("taipei-a", "taipei-a"), "kind.to: taipei-a is also" },
+    drained = { |o: &mut MoveOrder| o.kind = shift("taipei-a", "tainan-a"), "data centre tainan-a is being drained" },
+    name_used = { |o: &mut MoveOrder| o.name = "m0".parse().expect("valid"), "name: m0 was used before" },
+)]
+fn an_order_that_breaks_a_rule_is_refused(change: fn(&mut MoveOrder), message: &str) {
+    let mut snapshot = with_moves(vec![ended(shift("taipei-a", "taoyuan-a"), "taken_back", 1)]);
+    let drain = DrainTarget::Centre(service().customer, "tainan-a".parse().expect("valid"));
+    snapshot.drains.insert(drain);
+    let mut order = order(rollout(OLD, NEW));
+    check_order(&snapshot, &order, start()).expect("valid before the change");
+    change(&mut order);
+    let mistakes = check_order(&snapshot, &order, start()).expect_err("refused");
+    assert_eq!(mistakes.len(), 1, "{mistakes:?}");
+    assert!(mistakes[0].contains(message), "{mistakes:?}");
+}
+
+// Guards against two moves whose shares add up to more than either cap.
+#[test]
+fn a_second_move_of_a_service_is_refused() {
+    let snapshot = with_moves(vec![planned()]);
+    let mistakes = check_order(&snapshot, &order(rollout(OLD, NEW)), start());
+    let mistakes = mistakes.expect_err("refused");
+    assert_eq!(mistakes, ["kind: move m0 of lunwan/fitdesk is under way"]);
+}
+
+// Guards against a contract that moves all traffic of a service at once, or
+// that removes the servers of a move under way.
+#[test]
+fn a_contract_does_not_move_traffic() {
+    let mut next = contract();
+    assert!(check_contract_change(&snapshot(), &next).is_empty());
+    let plan = next.services.get_mut(&service().service).expect("known");
+    plan.version = version(NEW);
+    let mistakes = check_contract_change(&snapshot(), &next);
+    assert_eq!(mistakes.len(), 1);
+    assert!(
+        mistakes[0].contains("fitdesk-41 has the traffic"),
+        "{mistakes:?}"
+    );
+    let completed = with_moves(vec![ended(rollout(OLD, NEW), "completed", 1)]);
+    assert!(check_contract_change(&completed, &next).is_empty());
+    assert_eq!(settled_version(&completed, &service()), Some(version(NEW)));
+    let original = CustomerContract::parse("lunwan.toml", LUNWAN).expect("valid");
+    let mistakes = check_contract_change(&with_moves(vec![planned()]), &original);
+    assert!(mistakes[0].contains("move m0 is under way"), "{mistakes:?}");
+}
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -18,7 +18,7 @@
     ChangeAnswer, DrainStatus, ErrorAnswer, ErrorKind, EventEntry, KeyCounts, MemberStatus,
     MoveStatus, StatusAnswer, TimelineAnswer,
 };
-pub use moves::{MoveForm, MoveOrder, MoveRequest};
+pub use moves::{MoveForm, MoveRequest};
 
 /// Shortest key in bytes. Only a digest without salt is stored, so a key must
 /// be too long to be guessed from it.
--- a/crates/wire/src/operator/moves.rs
+++ b/crates/wire/src/operator/moves.rs
@@ -1,11 +1,9 @@
 //! Messages about moves.
 
-use std::time::{Duration, SystemTime};
-
 use serde::{Deserialize, Serialize};
-use tarragonpulley_policy::ids::MoveName;
+use tarragonpulley_policy::movement::MoveOrder;
 use tarragonpulley_policy::snapshot::MoveKind;
-use tarragonpulley_policy::units::{TimeSpan, TrafficShare};
+use tarragonpulley_policy::units::TimeSpan;
 
 use super::OperatorError;
 
@@ -91,27 +89,6 @@
     pub deadline: String,
 }
 
-/// A move as an operator ordered it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MoveOrder {
-    /// The name of the move.
-    pub name: MoveName,
-    /// What is moved.
-    pub kind: MoveKind,
-    /// The most that may move before the target is proved sound.
-    pub cap: TrafficShare,
-    /// Time until the move must have ended.
-    pub deadline: Duration,
-}
-
-impl MoveOrder {
-    /// When the move must have ended if it is accepted at `now`.
-    #[must_use]
-    pub fn ends_at(&self, now: SystemTime) -> SystemTime {
-        now + self.deadline
-    }
-}
-
 impl TryFrom<MoveRequest> for MoveOrder {
     type Error = OperatorError;
 
