Add drains and moves to the operator API

The last data centre of a customer and the last instance that takes callers are not drained. A version whose fault is latched is not rolled out again.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod checks;
 mod metrics;
+mod moves;
 mod views;
 
 use std::net::SocketAddr;
@@ -19,10 +20,14 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::registry::Registry;
+use tarragonpulley_policy::movement::MovementChart;
 use tarragonpulley_wire::operator::{ErrorAnswer, ErrorKind};
 
 use crate::border::{InstanceContext, RequestHandler};
 
+/// Followed by the name of a move.
+const MOVE_PATH: &str = "/v1/moves/";
+
 /// An answer, or the error that takes its place.
 type ApiResult = Result<Response<BoxBody>, ErrorAnswer>;
 
@@ -31,13 +36,22 @@
 pub(crate) struct OperatorApi {
     context: InstanceContext,
     registry: Rc<Registry>,
+    chart: Rc<MovementChart>,
 }
 
 impl OperatorApi {
     /// Creates the handler. `registry` holds the metrics of the other modules.
     #[expect(clippy::new_ret_no_self, reason = "callers need only the trait object")]
-    pub(crate) fn new(context: InstanceContext, registry: Rc<Registry>) -> Rc<dyn RequestHandler> {
-        Rc::new(Self { context, registry })
+    pub(crate) fn new(
+        context: InstanceContext,
+        registry: Rc<Registry>,
+        chart: Rc<MovementChart>,
+    ) -> Rc<dyn RequestHandler> {
+        Rc::new(Self {
+            context,
+            registry,
+            chart,
+        })
     }
 
     async fn answer(&self, mut request: Request) -> ApiResult {
@@ -53,20 +67,27 @@
             ("/v1/apply", _) => self.apply(body::read(&mut request).await?).await,
             ("/v1/keys/grant", _) => self.grant(body::read(&mut request).await?).await,
             ("/v1/keys/withdraw", _) => self.withdraw(body::read(&mut request).await?).await,
+            ("/v1/drains", &Method::POST) => {
+                self.start_drain(body::read(&mut request).await?).await
+            }
+            ("/v1/drains", _) => self.end_drain(body::read(&mut request).await?).await,
+            ("/v1/moves", _) => self.start_move(body::read(&mut request).await?).await,
             ("/v1/status", _) => self.status(),
             ("/v1/timeline", _) => self.timeline(request.uri().query()).await,
             ("/metrics", _) => self.metrics(),
-            _ => Err(error(
-                ErrorKind::NotFound,
-                format!("there is no path {path}"),
-            )),
+            _ => {
+                self.cancel_move(path.strip_prefix(MOVE_PATH).unwrap_or_default())
+                    .await
+            }
         }
     }
 }
 
 fn allowed_methods(path: &str) -> Option<&'static [Method]> {
     match path {
-        "/v1/apply" | "/v1/keys/grant" | "/v1/keys/withdraw" => Some(&[Method::POST]),
+        "/v1/apply" | "/v1/keys/grant" | "/v1/keys/withdraw" | "/v1/moves" => Some(&[Method::POST]),
+        "/v1/drains" => Some(&[Method::POST, Method::DELETE]),
+        _ if path.starts_with(MOVE_PATH) => Some(&[Method::DELETE]),
         "/v1/status" | "/v1/timeline" | "/metrics" => Some(&[Method::GET]),
         _ => None,
     }
--- a/crates/daemon/src/operator/checks.rs
+++ b/crates/daemon/src/operator/checks.rs
@@ -7,16 +7,19 @@
 
 use tarragonpulley_policy::contract::CustomerContract;
 use tarragonpulley_policy::ids::TeamKey;
+use tarragonpulley_policy::movement::check_contract_change;
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest};
 
 /// Every mistake in contract files.
-pub(super) fn contracts(_snapshot: &ConfigSnapshot, files: &[(String, String)]) -> Vec<String> {
+pub(super) fn contracts(snapshot: &ConfigSnapshot, files: &[(String, String)]) -> Vec<String> {
     let mut mistakes = Vec::new();
     let mut seen = BTreeMap::new();
     for (file, text) in files {
         match CustomerContract::parse(file, text) {
             Err(error) => mistakes.extend(error.to_string().lines().map(str::to_owned)),
             Ok(contract) => {
+                let changes = check_contract_change(snapshot, &contract);
+                mistakes.extend(changes.iter().map(|m| format!("{file}: {m}")));
                 if let Some(other) = seen.insert(contract.customer.clone(), file) {
                     let customer = contract.customer;
                     mistakes.push(format!(
--- a/crates/daemon/src/operator/metrics.rs
+++ b/crates/daemon/src/operator/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use tarragonpulley_policy::movement::active_moves;
 use tarragonpulley_wire::operator::ErrorKind;
 
 use super::{ApiResult, OperatorApi, body, error};
@@ -56,6 +57,8 @@
             "Instances that answered a heartbeat lately",
             count(answering),
         );
+        let moves = active_moves(&snapshot).count();
+        add("moves_active", "Moves under way", count(moves));
         add(
             "drains_active",
             "Drains under way",
--- a/crates/daemon/tests/operator.rs
+++ b/crates/daemon/tests/operator.rs
@@ -15,6 +15,8 @@
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 use std::rc::Rc;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::movement::MovementChart;
 use tarragonpulley_policy::units::ConfigRevision;
 use yare::parameterized;
 
@@ -47,8 +49,9 @@
 
 fn send(instance: &FakeInstance, request: Request) -> (u16, Vec<u8>) {
     actix_rt::System::new().block_on(async {
+        let chart = Rc::new(MovementChart::standard().expect("valid"));
         let registry = Rc::new(Registry::default());
-        let api = operator::OperatorApi::new(instance.context.clone(), registry);
+        let api = operator::OperatorApi::new(instance.context.clone(), registry, chart);
         let response = api.handle(request, None).await;
         let status = response.status().as_u16();
         let bytes = to_bytes(response.into_body()).await.expect("a body");
@@ -103,6 +106,16 @@
     bad_after = { "GET", "/v1/timeline?after=x", Value::Null, 400, "after: " },
     bad_most = { "GET", "/v1/timeline?most=0", Value::Null, 400, "most: must be from 1" },
     bad_query = { "GET", "/v1/timeline?since=1", Value::Null, 400, "since: " },
+    drain_form = { "POST", "/v1/drains", json!({"target": "tainan-a"}), 400, "target: must be centre:" },
+    drain_centre = { "POST", "/v1/drains", json!({"target": "centre:lunwan/tokyo"}), 422, "no data centre tokyo" },
+    drain_customer = { "POST", "/v1/drains", json!({"target": "centre:x/tokyo"}), 422, "no customer x" },
+    drain_instance = { "POST", "/v1/drains", json!({"target": "instance:edge-9"}), 422, "no instance edge-9" },
+    drain_absent = { "DELETE", "/v1/drains", json!({"target": "instance:edge-2"}), 404, "not being drained" },
+    move_name = { "POST", "/v1/moves", order("Up", "5%", "30s"), 400, "name: " },
+    move_cap = { "POST", "/v1/moves", order("up", "5", "30s"), 400, "cap: " },
+    move_deadline = { "POST", "/v1/moves", order("up", "5%", "1h"), 400, "deadline: " },
+    move_bounds = { "POST", "/v1/moves", order("up", "90%", "1s"), 422, "deadline: 1s must be from 10s" },
+    move_absent = { "DELETE", "/v1/moves/up", Value::Null, 404, "no move" },
     bad_path = { "GET", "/v1/nothing", Value::Null, 404, "/v1/nothing" },
     bad_method = { "PUT", "/v1/apply", Value::Null, 405, "PUT" },
 )]
@@ -165,6 +178,96 @@
     assert_eq!(grant(TEAM), 422);
 }
 
+fn order(name: &str, cap: &str, deadline: &str) -> Value {
+    let kind = json!({"rollout": {
+        "service": "lunwan/fitdesk", "from": "fitdesk-41", "to": "fitdesk-42"}});
+    json!({"name": name, "kind": kind, "cap": cap, "deadline": deadline})
+}
+
+fn with_two_versions() -> FakeInstance {
+    let instance = FakeInstance::new();
+    let new = LUNWAN.replacen("version = \"fitdesk-41\"", "version = \"first\"", 1);
+    let new = new.replacen("version = \"fitdesk-41\"", "version = \"fitdesk-42\"", 3);
+    instance.put_contract(&new.replacen("version = \"first\"", "version = \"fitdesk-41\"", 1));
+    instance
+}
+
+// Guards against a move that is written with another epoch than its own, that
+// cannot be cancelled, or that is cancelled twice.
+#[test]
+fn a_move_is_ordered_and_cancelled() {
+    let instance = with_two_versions();
+    let body = order("up", "5%", "30s");
+    assert_eq!(call(&instance, "POST", "/v1/moves", &body).0, 200);
+    let (status, answer) = call(&instance, "POST", "/v1/moves", &order("up2", "5%", "30s"));
+    assert_eq!(status, 422, "a second move of the service: {answer}");
+    let moves = call(&instance, "GET", "/v1/status", &Value::Null).1["moves"].clone();
+    assert_eq!(moves[0]["state"], "planned");
+    assert_eq!(moves[0]["epoch"], 1);
+    assert_eq!(moves[0]["kind"], body["kind"]);
+    assert_eq!(
+        call(&instance, "DELETE", "/v1/moves/up", &Value::Null).0,
+        200
+    );
+    let moves = call(&instance, "GET", "/v1/status", &Value::Null).1["moves"].clone();
+    assert_eq!(moves[0]["state"], "taken_back");
+    assert_eq!(moves[0]["reason"], "cancelled: by an operator");
+    assert_eq!(
+        call(&instance, "DELETE", "/v1/moves/up", &Value::Null).0,
+        422
+    );
+}
+
+// Guards against a new rollout of a version whose fault is known: its share
+// would be zero, and the move could only go back.
+#[test]
+fn a_faulty_version_is_not_rolled_out_again() {
+    let instance = with_two_versions();
+    let service = "lunwan/fitdesk".parse().expect("valid");
+    let key = FactKey::VersionFault(service, "fitdesk-42".parse().expect("valid"));
+    let reason = FactValue::LatchedBecause("5xx".to_owned());
+    instance.context.facts.state(key, reason, true);
+    let (status, answer) = call(&instance, "POST", "/v1/moves", &order("up", "5%", "30s"));
+    assert_eq!(status, 422);
+    assert!(
+        answer["mistakes"][0]
+            .to_string()
+            .contains("showed a fault (5xx)"),
+        "{answer}"
+    );
+}
+
+// Guards against drains that leave callers without an instance or a customer
+// without a data centre.
+#[test]
+fn the_last_target_is_not_drained() {
+    let instance = with_contract();
+    let drain = |method: &str, target: &str| {
+        call(
+            &instance,
+            method,
+            "/v1/drains",
+            &json!({ "target": target }),
+        )
+        .0
+    };
+    assert_eq!(drain("POST", "instance:edge-1"), 200);
+    assert_eq!(drain("POST", "instance:edge-2"), 422);
+    assert_eq!(drain("DELETE", "instance:edge-1"), 200);
+    assert_eq!(drain("POST", "instance:edge-2"), 200);
+    let centres = [
+        "taipei-a",
+        "taoyuan-a",
+        "taichung-a",
+        "changhua-a",
+        "tainan-a",
+    ];
+    for centre in centres {
+        assert_eq!(drain("POST", &format!("centre:lunwan/{centre}")), 200);
+    }
+    assert_eq!(drain("POST", "centre:lunwan/kaohsiung-a"), 422);
+}
+
 // Guards against a body that fills the memory of the instance.
 #[test]
 fn a_body_over_the_limit_is_refused() {
