--- a/crates/policy/src/movement/shares.rs
+++ b/crates/policy/src/movement/shares.rs
@@ -29,6 +29,17 @@
         .filter(move |(_, record)| !ended(record))
 }
 
+/// The move of a service that is in force. Two instances can accept a move of
+/// the same service at the same time; the first in name order counts, and the
+/// others are taken back.
+#[must_use]
+pub fn leading_move<'a>(
+    snapshot: &'a ConfigSnapshot,
+    service: &ServiceKey,
+) -> Option<(&'a MoveName, &'a MoveRecord)> {
+    active_moves(snapshot).find(|(_, record)| service_of(&record.kind) == service)
+}
+
 /// The share that a move has at `now`. A move past its deadline that is not
 /// completed counts as taken back, also while the table cannot be written.
 fn share_at(record: &MoveRecord, now: SystemTime) -> TrafficShare {
@@ -89,15 +100,13 @@
     }
     let mut shares = BTreeMap::new();
     let mut moved = TrafficShare::NONE;
-    for (_, record) in active_moves(snapshot) {
-        if let MoveKind::Rollout { to, .. } = &record.kind
-            && service_of(&record.kind) == service
-            && *to != settled
-            && !faulty(to)
-        {
-            moved = share_at(record, now);
-            shares.insert(to.clone(), moved);
-        }
+    if let Some((_, record)) = leading_move(snapshot, service)
+        && let MoveKind::Rollout { to, .. } = &record.kind
+        && *to != settled
+        && !faulty(to)
+    {
+        moved = share_at(record, now);
+        shares.insert(to.clone(), moved);
     }
     let rest = TrafficShare::ALL.ppm() - moved.ppm();
     shares.insert(settled, TrafficShare::from_ppm(rest));
@@ -123,8 +132,7 @@
     service: &ServiceKey,
     now: SystemTime,
 ) -> Vec<CentreShiftShare> {
-    let active = active_moves(snapshot).map(|(_, record)| record);
-    let active = active.filter(|record| service_of(&record.kind) == service);
+    let active = leading_move(snapshot, service).map(|(_, record)| record);
     let mut shifts: Vec<CentreShiftShare> = Vec::new();
     for record in completed_of(snapshot, service).into_iter().chain(active) {
         let MoveKind::CentreShift { from, to, .. } = &record.kind else {
--- a/crates/policy/tests/movement.rs
+++ b/crates/policy/tests/movement.rs
@@ -338,6 +338,20 @@
     );
 }
 
+// Guards against shares that add up wrongly when two instances accepted a move
+// of the same service at the same time.
+#[test]
+fn only_one_move_of_a_service_counts() {
+    let shifting = |percent| MoveRecord {
+        state: "shifting".to_owned(),
+        share: TrafficShare::from_percent(percent),
+        ..planned()
+    };
+    let snapshot = with_moves(vec![shifting(5), shifting(25)]);
+    let expected = BTreeMap::from([(OLD.to_owned(), 95), (NEW.to_owned(), 5)]);
+    assert_eq!(shares_at(&snapshot, &[], 1), expected);
+}
+
 // Guards against a completed rollout that is forgotten, applied twice, or
 // kept after its version showed a fault.
 #[parameterized(
