--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ids;
 pub mod lease;
 pub mod membership;
+pub mod movement;
 pub mod probing;
 pub mod quarantine;
 pub mod retry;
