--- /dev/null
+++ b/crates/testkit/src/backend.rs
@@ -0,0 +1,455 @@
+//! The backend stand-in: a server with slots that works, sheds, drains, lies
+//! and fails as told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BoxBody, SizedStream};
+use actix_http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use eyre::{Result, ensure, eyre};
+use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt, StreamExt, stream};
+use gumdrop::Options;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
+
+use crate::control::{
+    BackendControl, BackendCounts, BackendFault, HealthFault, RunCount, ServiceMode,
+};
+use crate::http_server::{
+    ConnectionCloser, ConnectionCount, StandinService, announce, control_answer, exit_with_stdin,
+    json as json_answer, read_body, read_json, serve, text,
+};
+
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+/// One minute of health samples.
+const SAMPLE_LIMIT: usize = 3000;
+/// Gives the first half of a cut body time to leave before the connection
+/// closes.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+const CRASH_STATUS: i32 = 70;
+
+/// Options of `standin-backend`.
+#[derive(Debug, Options)]
+pub struct BackendOptions {
+    /// Prints help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Where it listens.
+    #[options(
+        help = "address to listen on",
+        default = "127.0.0.1:0",
+        meta = "ADDRESS"
+    )]
+    listen: String,
+    /// Its name in answers.
+    #[options(help = "name of the server", default = "server")]
+    name: String,
+    /// Its version in answers.
+    #[options(help = "version of the server", default = "v1")]
+    version: String,
+    /// Requests it runs at the same time.
+    #[options(help = "requests run at the same time", default = "4")]
+    slots: u32,
+    /// Time that a request takes.
+    #[options(help = "work time of a request in ms", default = "5")]
+    work_ms: u64,
+    /// How long it is cold after its start.
+    #[options(help = "length of the cold start in ms", default = "0")]
+    cold_ms: u64,
+    /// How much longer work takes right after the start.
+    #[options(help = "work time factor at the start", default = "4.0")]
+    cold_factor: f64,
+    /// Seed of the random failures.
+    #[options(help = "seed of the failures", default = "1")]
+    seed: u64,
+    /// Ends with its launcher.
+    #[options(help = "exit when stdin closes")]
+    until_stdin_closes: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HealthSample {
+    at: Instant,
+    leaving: bool,
+    load: u32,
+}
+
+#[derive(Debug)]
+struct BackendState {
+    fault: BackendFault,
+    health: HealthFault,
+    leaving_since: Option<Instant>,
+    slots: u32,
+    work: Duration,
+    answer_bytes: usize,
+    running: u32,
+    counts: BackendCounts,
+    samples: VecDeque<HealthSample>,
+    random: StdRng,
+}
+
+impl BackendState {
+    fn sample(&self) -> HealthSample {
+        HealthSample {
+            at: Instant::now(),
+            leaving: self.leaving_since.is_some(),
+            load: self.running,
+        }
+    }
+
+    /// The sample that is as old as the lag, or the oldest there is.
+    fn lagging_sample(&self) -> HealthSample {
+        if self.health.lag_ms == 0 {
+            return self.sample();
+        }
+        let lag = Duration::from_millis(self.health.lag_ms);
+        let old = self.samples.iter().rev().find(|s| s.at.elapsed() >= lag);
+        old.or(self.samples.front())
+            .copied()
+            .unwrap_or_else(|| self.sample())
+    }
+
+    fn control(&mut self, message: BackendControl) -> Result<()> {
+        if let Some(fault) = message.fault {
+            for share in [fault.fail_share, fault.wrong_id_share, fault.cut_share] {
+                ensure!(
+                    (0.0..=1.0).contains(&share),
+                    "share {share} is not from 0 to 1"
+                );
+            }
+            self.fault = fault;
+        }
+        if let Some(health) = message.health {
+            self.health = health;
+        }
+        if let Some(leaving) = message.leaving {
+            let since = self.leaving_since.unwrap_or_else(Instant::now);
+            self.leaving_since = leaving.then_some(since);
+        }
+        self.slots = message.slots.unwrap_or(self.slots);
+        self.work = message.work_ms.map_or(self.work, Duration::from_millis);
+        self.answer_bytes = message.answer_bytes.unwrap_or(self.answer_bytes);
+        Ok(())
+    }
+
+    /// Counts an arrival. Shed requests count too: the fleet sent them.
+    fn note_arrival(&mut self, request: &Request) {
+        self.counts.authorization_seen |= request.head().headers.contains_key("authorization");
+        if let Some(since) = self.leaving_since {
+            let elapsed = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            self.counts.after_leaving += 1;
+            self.counts.last_after_leaving_ms = elapsed;
+        }
+    }
+
+    /// Decides what goes wrong with a request that runs.
+    fn plan(&mut self, path: &str) -> RunPlan {
+        let fault = &self.fault;
+        let hit = fault
+            .only_path
+            .as_ref()
+            .is_none_or(|prefix| path.starts_with(prefix.as_str()));
+        if !hit {
+            return RunPlan::default();
+        }
+        RunPlan {
+            slow: Duration::from_millis(fault.slow_ms),
+            fail: self.random.random_bool(fault.fail_share),
+            wrong_id: self.random.random_bool(fault.wrong_id_share),
+            cut: self.random.random_bool(fault.cut_share),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RunPlan {
+    slow: Duration,
+    fail: bool,
+    wrong_id: bool,
+    cut: bool,
+}
+
+fn start_run(count: &mut RunCount) {
+    count.started += 1;
+    count.running += 1;
+    count.most_running = count.most_running.max(count.running);
+}
+
+/// A run going on; ends when dropped, cancelled or not.
+struct RunGuard {
+    standin: Rc<BackendStandin>,
+    path: String,
+    key: Option<String>,
+    finished: Cell<bool>,
+}
+
+impl RunGuard {
+    fn new(standin: Rc<BackendStandin>, path: String, key: Option<String>) -> Self {
+        let mut state = standin.state.borrow_mut();
+        state.running += 1;
+        start_run(&mut state.counts.all);
+        start_run(state.counts.by_path.entry(path.clone()).or_default());
+        if let Some(key) = &key {
+            start_run(state.counts.by_key.entry(key.clone()).or_default());
+        }
+        drop(state);
+        Self {
+            standin,
+            path,
+            key,
+            finished: Cell::new(false),
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let finished = u64::from(self.finished.get());
+        let mut state = self.standin.state.borrow_mut();
+        state.running -= 1;
+        let BackendCounts {
+            all,
+            by_path,
+            by_key,
+            ..
+        } = &mut state.counts;
+        let path_count = by_path.get_mut(&self.path);
+        let key_count = self.key.as_ref().and_then(|key| by_key.get_mut(key));
+        for count in [Some(all), path_count, key_count].into_iter().flatten() {
+            count.running -= 1;
+            count.finished += finished;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct BackendStandin {
+    state: RefCell<BackendState>,
+    options: BackendOptions,
+    started: Instant,
+    connections: Rc<ConnectionCount>,
+}
+
+impl BackendStandin {
+    /// Work takes longer while the server is cold, falling linearly.
+    fn cold_factor(&self) -> f64 {
+        let cold = Duration::from_millis(self.options.cold_ms);
+        let left = cold.saturating_sub(self.started.elapsed());
+        if left.is_zero() {
+            return 1.0;
+        }
+        1.0 + (self.options.cold_factor - 1.0) * left.div_duration_f64(cold)
+    }
+
+    async fn health(&self, closer: &ConnectionCloser) -> Response<BoxBody> {
+        self.state.borrow_mut().counts.probes += 1;
+        let mode = self.state.borrow().health.mode;
+        match mode {
+            ServiceMode::Up => {}
+            ServiceMode::Refuse => return text(StatusCode::INTERNAL_SERVER_ERROR, ""),
+            ServiceMode::Close => closer.close().await,
+            ServiceMode::Hang => std::future::pending().await,
+        }
+        let state = self.state.borrow();
+        let sample = state.lagging_sample();
+        let claim = &state.health;
+        let uptime = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        json_answer(
+            StatusCode::OK,
+            &json!({
+                "healthy": claim.healthy.unwrap_or(true),
+                "leaving": claim.leaving.unwrap_or(sample.leaving),
+                "load": claim.load.unwrap_or(sample.load),
+                "uptime_ms": claim.uptime_ms.unwrap_or(uptime),
+            }),
+        )
+    }
+
+    fn counts(&self) -> BackendCounts {
+        BackendCounts {
+            connections: self.connections.open.get(),
+            most_connections: self.connections.most.get(),
+            accepted_connections: self.connections.accepted.get(),
+            ..self.state.borrow().counts.clone()
+        }
+    }
+
+    async fn work(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        self.state.borrow_mut().note_arrival(&request);
+        let body = match read_body(&mut request).await {
+            Ok(body) => body,
+            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        self.crash_on_marker(&body);
+        let path = request.path().to_owned();
+        let (plan, work) = {
+            let mut state = self.state.borrow_mut();
+            if state.running >= state.slots {
+                state.counts.shed += 1;
+                return shed();
+            }
+            (state.plan(&path), state.work)
+        };
+        let key = header(&request, "idempotency-key");
+        let run = RunGuard::new(Rc::clone(&self), path.clone(), key.clone());
+        actix_rt::time::sleep(work.mul_f64(self.cold_factor()) + plan.slow).await;
+        let answer = self.work_answer(&request, &path, key.as_deref(), &body, &plan);
+        run.finished.set(true);
+        answer
+    }
+
+    fn crash_on_marker(&self, body: &[u8]) {
+        let state = self.state.borrow();
+        let crash = state.fault.crash_marker.as_ref().is_some_and(|marker| {
+            !marker.is_empty() && body.windows(marker.len()).any(|w| w == marker.as_bytes())
+        });
+        if crash {
+            std::process::exit(CRASH_STATUS);
+        }
+    }
+
+    fn work_answer(
+        &self,
+        request: &Request,
+        path: &str,
+        key: Option<&str>,
+        body: &[u8],
+        plan: &RunPlan,
+    ) -> Response<BoxBody> {
+        let request_id = header(request, "x-request-id").unwrap_or_default();
+        let answer = json!({
+            "server": self.options.name,
+            "version": self.options.version,
+            "method": request.method().as_str(),
+            "path": path,
+            "key": key,
+            "request_id": request_id,
+            "body_bytes": body.len(),
+            "body_sha256": format!("{:x}", Bytes::copy_from_slice(&Sha256::digest(body))),
+            "padding": "x".repeat(self.state.borrow().answer_bytes),
+        });
+        let status = if plan.fail {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        let echo = if plan.wrong_id {
+            format!("other-{request_id}")
+        } else {
+            request_id
+        };
+        let bytes = Bytes::from(answer.to_string());
+        let mut response = Response::build(status);
+        response
+            .insert_header(("content-type", "application/json"))
+            .insert_header(("x-request-id", echo));
+        if plan.cut {
+            response.body(cut_body(&bytes)).map_into_boxed_body()
+        } else {
+            response.body(bytes).map_into_boxed_body()
+        }
+    }
+}
+
+/// A body that announces its whole length and breaks off half-way.
+fn cut_body(
+    whole: &Bytes,
+) -> SizedStream<impl futures_util::Stream<Item = io::Result<Bytes>> + use<>> {
+    let half = whole.slice(..whole.len() / 2);
+    let rest = stream::once(async {
+        actix_rt::time::sleep(CUT_DELAY).await;
+        Err(io::Error::other("the body is cut"))
+    });
+    let parts = stream::once(async move { Ok(half) }).chain(rest);
+    SizedStream::new(whole.len() as u64, Box::pin(parts))
+}
+
+fn shed() -> Response<BoxBody> {
+    Response::build(StatusCode::SERVICE_UNAVAILABLE)
+        .insert_header(("x-outcome", "not-run"))
+        .body("all slots are taken")
+        .map_into_boxed_body()
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    let value = request.head().headers.get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+impl StandinService for BackendStandin {
+    fn handle(
+        self: Rc<Self>,
+        mut request: Request,
+        closer: ConnectionCloser,
+    ) -> LocalBoxFuture<'static, Response<BoxBody>> {
+        async move {
+            match request.path() {
+                "/health" => self.health(&closer).await,
+                "/control" => {
+                    let message = read_json(&mut request).await;
+                    let result =
+                        message.and_then(|message| self.state.borrow_mut().control(message));
+                    control_answer(result.map(|()| json!({})))
+                }
+                "/control/counts" => json_answer(StatusCode::OK, &self.counts()),
+                _ => self.work(request).await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+async fn sample_health(standin: Rc<BackendStandin>) {
+    loop {
+        actix_rt::time::sleep(SAMPLE_INTERVAL).await;
+        let mut state = standin.state.borrow_mut();
+        let sample = state.sample();
+        if state.samples.len() == SAMPLE_LIMIT {
+            state.samples.pop_front();
+        }
+        state.samples.push_back(sample);
+    }
+}
+
+/// Runs `standin-backend`.
+///
+/// # Errors
+///
+/// When the address is not valid or not free.
+pub async fn run_backend(options: BackendOptions) -> Result<()> {
+    if options.until_stdin_closes {
+        exit_with_stdin();
+    }
+    let listener = TcpListener::bind(&options.listen)
+        .await
+        .map_err(|error| eyre!("cannot listen on {}: {error}", options.listen))?;
+    let connections = Rc::new(ConnectionCount::default());
+    let standin = Rc::new(BackendStandin {
+        state: RefCell::new(BackendState {
+            fault: BackendFault::default(),
+            health: HealthFault::default(),
+            leaving_since: None,
+            slots: options.slots,
+            work: Duration::from_millis(options.work_ms),
+            answer_bytes: 0,
+            running: 0,
+            counts: BackendCounts::default(),
+            samples: VecDeque::new(),
+            random: StdRng::seed_from_u64(options.seed),
+        }),
+        options,
+        started: Instant::now(),
+        connections: Rc::clone(&connections),
+    });
+    actix_rt::spawn(sample_health(Rc::clone(&standin)));
+    announce("listening", listener.local_addr()?)?;
+    serve(listener, standin, connections).await
+}
--- a/crates/testkit/src/bin/fleet-demo.rs
+++ b/crates/testkit/src/bin/fleet-demo.rs
@@ -1,2 +1,2 @@
-//! placeholder
+//! Shows a small fleet at work; being added.
 fn main() {}
--- a/crates/testkit/src/bin/standin-platform.rs
+++ b/crates/testkit/src/bin/standin-platform.rs
@@ -1,2 +1,10 @@
-//! placeholder
-fn main() {}
+//! The platform stand-in.
+
+use eyre::Result;
+use gumdrop::Options;
+use tarragonpulley_testkit::{PlatformOptions, run_platform};
+
+#[actix_rt::main]
+async fn main() -> Result<()> {
+    run_platform(PlatformOptions::parse_args_default_or_exit()).await
+}
--- /dev/null
+++ b/crates/testkit/src/client.rs
@@ -0,0 +1,321 @@
+//! A caller, an operator and a controller of stand-ins.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
+use awc::http::{Method, StatusCode};
+use awc::{Client, Connector};
+use bytes::Bytes;
+use eyre::{Result, WrapErr, ensure, eyre};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Above every deadline of the product, so that a test sees the product's own
+/// answer and not the client's time-out.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request.
+#[derive(Debug, Clone)]
+pub struct TestRequest {
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+    deadline: Duration,
+}
+
+impl TestRequest {
+    /// A request with this method, as in `POST`, and this path.
+    ///
+    /// # Panics
+    ///
+    /// When the method is not a token.
+    #[must_use]
+    pub fn new(method: &str, path: impl Into<String>) -> Self {
+        Self {
+            method: method.parse().expect("the method is a token"),
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            deadline: DEFAULT_DEADLINE,
+        }
+    }
+
+    /// A GET request.
+    #[must_use]
+    pub fn get(path: impl Into<String>) -> Self {
+        Self::new("GET", path)
+    }
+
+    /// A POST request.
+    #[must_use]
+    pub fn post(path: impl Into<String>) -> Self {
+        Self::new("POST", path)
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Shows a team's key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", format!("Bearer {key}"))
+    }
+
+    /// Sets the `idempotency-key`.
+    #[must_use]
+    pub fn identity(self, key: &str) -> Self {
+        self.header("idempotency-key", key)
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// When the value cannot be written as JSON.
+    #[must_use]
+    pub fn json(self, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("the value is JSON");
+        self.header("content-type", "application/json").body(body)
+    }
+
+    /// Sets how long the client waits for the whole answer.
+    #[must_use]
+    pub const fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct TestAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl TestAnswer {
+    /// The status as a number.
+    #[must_use]
+    pub fn code(&self) -> u16 {
+        self.status.as_u16()
+    }
+
+    /// A header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The header `x-outcome`.
+    #[must_use]
+    pub fn outcome(&self) -> Option<&str> {
+        self.header("x-outcome")
+    }
+
+    /// The body as text, with replacement characters.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// When it is not JSON of this form.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body)
+            .wrap_err_with(|| format!("status {}, body {:?}", self.status, self.text()))
+    }
+}
+
+/// Sends requests and returns whatever was answered.
+#[derive(Clone)]
+pub struct TestClient {
+    client: Client,
+}
+
+impl fmt::Debug for TestClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TestClient").finish_non_exhaustive()
+    }
+}
+
+impl Default for TestClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TestClient {
+    /// A client with connections of its own, which it keeps open.
+    #[must_use]
+    pub fn new() -> Self {
+        let connector = Connector::new().timeout(DEFAULT_DEADLINE).limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self { client }
+    }
+
+    /// Sends a request once.
+    ///
+    /// # Errors
+    ///
+    /// When there is no whole answer.
+    pub async fn send(&self, address: SocketAddr, request: &TestRequest) -> Result<TestAnswer> {
+        let exchange = self.exchange(address, request);
+        match actix_rt::time::timeout(request.deadline, exchange).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(eyre!(
+                "{} {}: no answer within {} ms",
+                request.method,
+                request.path,
+                request.deadline.as_millis()
+            )),
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: &TestRequest) -> Result<TestAnswer> {
+        let url = format!("http://{address}{}", request.path);
+        let mut sending = self.client.request(request.method.clone(), &url);
+        for (name, value) in &request.headers {
+            sending = sending.append_header((name.as_str(), value.as_str()));
+        }
+        let mut answer = sending
+            .send_body(request.body.clone())
+            .await
+            .map_err(|error| eyre!("{url}: {error}"))?;
+        let body = answer
+            .body()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(|error| eyre!("{url}: body: {error}"))?;
+        let headers = answer.headers().clone();
+        let announced = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+        // awc gives a truncated body without an error.
+        if let Some(length) = announced.filter(|_| request.method != Method::HEAD) {
+            ensure!(
+                length == body.len().to_string(),
+                "{url}: the body ended after {} of {length} bytes",
+                body.len()
+            );
+        }
+        Ok(TestAnswer {
+            status: answer.status(),
+            headers,
+            body,
+        })
+    }
+
+    /// Sends a request and reads the JSON of a 2xx answer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no whole answer, or another status.
+    pub async fn expect_json<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &TestRequest,
+    ) -> Result<T> {
+        let answer = self.send(address, request).await?;
+        ensure!(
+            answer.status.is_success(),
+            "{} {}: status {}, body {:?}",
+            request.method,
+            request.path,
+            answer.status,
+            answer.text()
+        );
+        answer.json()
+    }
+
+    /// Sends a message to a control endpoint of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// When the stand-in refuses it.
+    pub async fn control(&self, address: SocketAddr, message: &impl Serialize) -> Result<Value> {
+        let request = TestRequest::post("/control").json(message);
+        self.expect_json(address, &request).await
+    }
+
+    /// Reads `/control/counts` of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer of this form.
+    pub async fn counts<T: DeserializeOwned>(&self, address: SocketAddr) -> Result<T> {
+        let request = TestRequest::get("/control/counts");
+        self.expect_json(address, &request).await
+    }
+
+    /// Asks an instance which entry instances to use.
+    ///
+    /// # Errors
+    ///
+    /// When there is no whole answer.
+    pub async fn look_up(&self, service: SocketAddr, customer: &str) -> Result<TestAnswer> {
+        let request = TestRequest::get(format!("/v1/lookup?customer={customer}"));
+        self.send(service, &request).await
+    }
+
+    /// Applies contract files, given as file name and text, through an
+    /// operator port.
+    ///
+    /// # Errors
+    ///
+    /// When they are not accepted.
+    pub async fn apply(&self, operator: SocketAddr, files: &[(String, String)]) -> Result<Value> {
+        let files: Vec<Value> = files
+            .iter()
+            .map(|(file, text)| serde_json::json!({"file": file, "text": text}))
+            .collect();
+        let request = TestRequest::post("/v1/apply").json(&serde_json::json!({"files": files}));
+        self.expect_json(operator, &request).await
+    }
+
+    /// Grants a key to a team, written `customer/team`.
+    ///
+    /// # Errors
+    ///
+    /// When it is not accepted.
+    pub async fn grant(&self, operator: SocketAddr, team: &str, key: &str) -> Result<Value> {
+        let message = serde_json::json!({"team": team, "key": key});
+        let request = TestRequest::post("/v1/keys/grant").json(&message);
+        self.expect_json(operator, &request).await
+    }
+
+    /// Withdraws a key.
+    ///
+    /// # Errors
+    ///
+    /// When it is not accepted.
+    pub async fn withdraw(&self, operator: SocketAddr, key: &str) -> Result<Value> {
+        let message = serde_json::json!({"key": key});
+        let request = TestRequest::post("/v1/keys/withdraw").json(&message);
+        self.expect_json(operator, &request).await
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,348 @@
+//! A fleet of entry instances with its platform and backend servers.
+
+mod builder;
+mod links;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use serde::Deserialize;
+
+pub use builder::FleetBuilder;
+use links::LinkSet;
+
+use crate::client::TestClient;
+use crate::control::{BackendControl, BackendCounts, CatalogRecord, LinkControl, PlatformControl};
+use crate::deployment::{Deployment, ServerSite, contract_text};
+use crate::process::{Process, ProcessCommand};
+
+/// Addresses of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct InstanceAddresses {
+    /// Look-ups and requests.
+    pub service: SocketAddr,
+    /// Operators.
+    pub operator: SocketAddr,
+    /// Other instances.
+    pub peer: SocketAddr,
+}
+
+/// An instance of the fleet.
+#[derive(Debug)]
+pub struct InstanceHandle {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Its process.
+    pub process: Process,
+    /// Where it listens itself.
+    pub direct: InstanceAddresses,
+    /// Where callers reach it: the link before it, if there is one.
+    pub service: SocketAddr,
+}
+
+/// A backend server of the fleet.
+#[derive(Debug)]
+pub struct BackendHandle {
+    /// What the contract says about it.
+    pub site: ServerSite,
+    /// Its process.
+    pub process: Process,
+    command: ProcessCommand,
+}
+
+/// Running processes of a fleet. Dropping it kills them.
+#[derive(Debug)]
+pub struct Fleet {
+    /// A client for callers, operators and control endpoints.
+    pub client: TestClient,
+    /// The platform stand-in.
+    pub platform: Process,
+    /// Its address, without links.
+    pub platform_address: SocketAddr,
+    /// Instances in the order of their start.
+    pub instances: Vec<InstanceHandle>,
+    /// Backend servers of all services.
+    pub backends: Vec<BackendHandle>,
+    deployments: Vec<Deployment>,
+    instance_flags: Vec<(String, String)>,
+    links: Option<LinkSet>,
+    peer_views: BTreeMap<String, BTreeMap<String, SocketAddr>>,
+}
+
+impl Fleet {
+    /// The contract files of all deployments: file name and text.
+    ///
+    /// # Errors
+    ///
+    /// When one cannot be written as TOML.
+    pub fn contracts(&self) -> Result<Vec<(String, String)>> {
+        let sites: Vec<_> = self.backends.iter().map(|b| b.site.clone()).collect();
+        self.deployments
+            .iter()
+            .map(|deployment| {
+                let file = format!("{}.toml", deployment.customer);
+                Ok((file, contract_text(deployment, &sites)?))
+            })
+            .collect()
+    }
+
+    /// The deployments, for tests that change them and apply them again.
+    pub const fn deployments(&mut self) -> &mut Vec<Deployment> {
+        &mut self.deployments
+    }
+
+    /// Applies all contracts through the first instance.
+    ///
+    /// # Errors
+    ///
+    /// When there is no instance, or it does not accept them.
+    pub async fn apply_contracts(&self) -> Result<()> {
+        let first = self
+            .instances
+            .first()
+            .ok_or_else(|| eyre!("no instance runs"))?;
+        self.client
+            .apply(first.direct.operator, &self.contracts()?)
+            .await?;
+        Ok(())
+    }
+
+    /// The instance with this name.
+    ///
+    /// # Errors
+    ///
+    /// When there is none.
+    pub fn instance(&mut self, name: &str) -> Result<&mut InstanceHandle> {
+        let found = self.instances.iter_mut().find(|i| i.name == name);
+        found.ok_or_else(|| eyre!("no instance is named {name}"))
+    }
+
+    /// The backend server with this name.
+    ///
+    /// # Errors
+    ///
+    /// When there is none.
+    pub fn backend(&mut self, name: &str) -> Result<&mut BackendHandle> {
+        let found = self.backends.iter_mut().find(|b| b.site.name == name);
+        found.ok_or_else(|| eyre!("no backend server is named {name}"))
+    }
+
+    /// Sends a message to the platform's control endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When it is refused.
+    pub async fn control_platform(&self, message: &PlatformControl) -> Result<()> {
+        self.client.control(self.platform_address, message).await?;
+        Ok(())
+    }
+
+    /// Sends a message to a backend server's control endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such server, or it refuses.
+    pub async fn control_backend(&mut self, name: &str, message: &BackendControl) -> Result<()> {
+        let address = self.backend(name)?.site.address;
+        self.client.control(address, message).await?;
+        Ok(())
+    }
+
+    /// Reads the counts of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such server, or it does not answer.
+    pub async fn backend_counts(&mut self, name: &str) -> Result<BackendCounts> {
+        let address = self.backend(name)?.site.address;
+        self.client.counts(address).await
+    }
+
+    /// Sets faults of links. Their names are `platform/{instance}`,
+    /// `service/{instance}` and `peer/{from}/{to}`, where `from` is the
+    /// instance that connects.
+    ///
+    /// # Errors
+    ///
+    /// When the fleet has no links, or none of this name.
+    pub async fn control_link(&self, message: &LinkControl) -> Result<()> {
+        let links = self
+            .links
+            .as_ref()
+            .ok_or_else(|| eyre!("the fleet has no links"))?;
+        links.control(&self.client, message).await
+    }
+
+    /// Starts one more instance and registers it in the list.
+    ///
+    /// # Errors
+    ///
+    /// When it does not start.
+    pub async fn start_instance(&mut self, name: &str, centre: &str) -> Result<()> {
+        let handle = self.launch(name, centre).await?;
+        self.instances.push(handle);
+        self.register(name, "live").await
+    }
+
+    /// Kills an instance, if it runs, and starts it again under its name on
+    /// new ports.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such instance, or it does not start.
+    pub async fn restart_instance(&mut self, name: &str) -> Result<()> {
+        let old = self.instance(name)?;
+        old.process.kill()?;
+        let centre = old.centre.clone();
+        let handle = self.launch(name, &centre).await?;
+        *self.instance(name)? = handle;
+        self.register(name, "live").await
+    }
+
+    /// Starts a backend server again at its old address, killing it first if
+    /// it runs.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such server, or it does not start.
+    pub async fn restart_backend(&mut self, name: &str) -> Result<()> {
+        let backend = self.backend(name)?;
+        backend.process.kill()?;
+        let address = backend.site.address;
+        let command = backend.command.clone().flag("--listen", &address);
+        backend.process = command.start()?;
+        backend.process.wait_address("listening").await?;
+        Ok(())
+    }
+
+    /// Registers a running instance in the list with a state, `live` or
+    /// `leaving`.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such instance.
+    pub async fn register(&mut self, name: &str, state: &str) -> Result<()> {
+        self.connect_peers(name).await?;
+        let peer_views = self.links.is_some().then(|| self.peer_views.clone());
+        let handle = self.instance(name)?;
+        let meta = [
+            ("data_centre", handle.centre.clone()),
+            ("peer_address", handle.direct.peer.to_string()),
+            ("state", state.to_owned()),
+        ];
+        let record = CatalogRecord {
+            id: handle.name.clone(),
+            address: handle.service.ip(),
+            port: handle.service.port(),
+            meta: meta.map(|(k, v)| (k.to_owned(), v)).into(),
+        };
+        let message = PlatformControl {
+            register: Some(record),
+            peer_views,
+            ..PlatformControl::default()
+        };
+        self.control_platform(&message).await
+    }
+
+    /// Removes an instance from the list.
+    ///
+    /// # Errors
+    ///
+    /// When the platform stand-in does not answer.
+    pub async fn deregister(&self, name: &str) -> Result<()> {
+        let message = PlatformControl {
+            deregister: Some(name.to_owned()),
+            ..PlatformControl::default()
+        };
+        self.control_platform(&message).await
+    }
+
+    /// Stops all instances gracefully, each within `deadline`, then the
+    /// stand-ins. Returns the exit status of each instance by name.
+    ///
+    /// # Errors
+    ///
+    /// When an instance goes on after `deadline`.
+    pub async fn stop(
+        mut self,
+        deadline: Duration,
+    ) -> Result<BTreeMap<String, std::process::ExitStatus>> {
+        for instance in &mut self.instances {
+            if instance.process.is_running() {
+                instance.process.terminate()?;
+            }
+        }
+        let mut statuses = BTreeMap::new();
+        for instance in &mut self.instances {
+            let status = instance.process.wait_end(deadline).await?;
+            statuses.insert(instance.name.clone(), status);
+        }
+        Ok(statuses)
+    }
+
+    async fn launch(&mut self, name: &str, centre: &str) -> Result<InstanceHandle> {
+        let platform = self
+            .link(&format!("platform/{name}"), self.platform_address)
+            .await?;
+        let mut command = ProcessCommand::new("tarragonpulleyd")
+            .flag("--instance", name)
+            .flag("--data-centre", centre)
+            .flag("--service-address", "127.0.0.1:0")
+            .flag("--operator-address", "127.0.0.1:0")
+            .flag("--peer-address", "127.0.0.1:0")
+            .flag("--table-url", &format!("http://{platform}"))
+            .flag("--object-url", &format!("http://{platform}"))
+            .flag("--list-url", &format!("http://{platform}/view/{name}"));
+        for (flag, value) in &self.instance_flags {
+            command = command.flag(flag, value);
+        }
+        let mut process = command.start()?;
+        let direct: InstanceAddresses = process
+            .wait_line(|line| serde_json::from_str(line).ok())
+            .await
+            .wrap_err_with(|| format!("instance {name}"))?;
+        let service = self
+            .link(&format!("service/{name}"), direct.service)
+            .await?;
+        Ok(InstanceHandle {
+            name: name.to_owned(),
+            centre: centre.to_owned(),
+            process,
+            direct,
+            service,
+        })
+    }
+
+    /// Opens the links between an instance and every other one, each way.
+    async fn connect_peers(&mut self, name: &str) -> Result<()> {
+        let own = self.instance(name)?.direct.peer;
+        let others: Vec<_> = self
+            .instances
+            .iter()
+            .filter(|other| other.name != name)
+            .map(|other| (other.name.clone(), other.direct.peer))
+            .collect();
+        for (other, address) in others {
+            let there = self.link(&format!("peer/{name}/{other}"), address).await?;
+            let back = self.link(&format!("peer/{other}/{name}"), own).await?;
+            let view = self.peer_views.entry(name.to_owned()).or_default();
+            view.insert(other.clone(), there);
+            let view = self.peer_views.entry(other).or_default();
+            view.insert(name.to_owned(), back);
+        }
+        Ok(())
+    }
+
+    /// The address of a link that leads to `target`, or `target` itself when
+    /// the fleet has no links.
+    async fn link(&mut self, name: &str, target: SocketAddr) -> Result<SocketAddr> {
+        match &mut self.links {
+            Some(links) => links.lead(&self.client, name, target).await,
+            None => Ok(target),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/builder.rs
@@ -0,0 +1,178 @@
+//! Starts a fleet.
+
+use std::collections::BTreeMap;
+
+use eyre::Result;
+
+use super::links::LinkSet;
+use super::{BackendHandle, Fleet};
+use crate::client::TestClient;
+use crate::control::PlatformControl;
+use crate::deployment::{Deployment, ServerSite, ServiceSpec};
+use crate::process::ProcessCommand;
+
+/// Options of a fleet.
+///
+/// Instances are named `i1`, `i2` and so on. Backend servers are named
+/// `{service}-{data centre}-{number}`.
+#[derive(Debug, Clone)]
+pub struct FleetBuilder {
+    deployments: Vec<Deployment>,
+    instances: usize,
+    centres: Option<Vec<String>>,
+    links: bool,
+    list_lag_ms: u64,
+    instance_flags: Vec<(String, String)>,
+}
+
+impl FleetBuilder {
+    /// A fleet without instances for these deployments.
+    #[must_use]
+    pub fn new(deployments: impl IntoIterator<Item = Deployment>) -> Self {
+        Self {
+            deployments: deployments.into_iter().collect(),
+            instances: 0,
+            centres: None,
+            links: false,
+            list_lag_ms: 0,
+            instance_flags: Vec::new(),
+        }
+    }
+
+    /// Sets the number of instances.
+    #[must_use]
+    pub const fn instances(mut self, count: usize) -> Self {
+        self.instances = count;
+        self
+    }
+
+    /// Sets the data centres that instances are placed in, in turn. Without
+    /// it, the data centres of all deployments are taken in turn.
+    #[must_use]
+    pub fn centres(mut self, centres: &[&str]) -> Self {
+        self.centres = Some(centres.iter().map(|&c| c.to_owned()).collect());
+        self
+    }
+
+    /// Puts a link that can fail before each instance's service port, between
+    /// each instance and the platform, and between each two instances each
+    /// way.
+    #[must_use]
+    pub const fn links(mut self, links: bool) -> Self {
+        self.links = links;
+        self
+    }
+
+    /// Sets how late the instance list shows changes.
+    #[must_use]
+    pub const fn list_lag_ms(mut self, lag: u64) -> Self {
+        self.list_lag_ms = lag;
+        self
+    }
+
+    /// Adds a flag to the command line of each instance.
+    #[must_use]
+    pub fn instance_flag(mut self, name: &str, value: &(impl ToString + ?Sized)) -> Self {
+        self.instance_flags
+            .push((name.to_owned(), value.to_string()));
+        self
+    }
+
+    /// Starts all processes. Contracts are not applied yet.
+    ///
+    /// # Errors
+    ///
+    /// When a process does not start.
+    pub async fn start(self) -> Result<Fleet> {
+        let mut platform = ProcessCommand::new("standin-platform")
+            .arg("--until-stdin-closes")
+            .start()?;
+        let platform_address = platform.wait_address("listening").await?;
+        let links = if self.links {
+            Some(LinkSet::start().await?)
+        } else {
+            None
+        };
+        let mut fleet = Fleet {
+            client: TestClient::new(),
+            platform,
+            platform_address,
+            instances: Vec::new(),
+            backends: self.start_backends().await?,
+            deployments: self.deployments.clone(),
+            instance_flags: self.instance_flags.clone(),
+            links,
+            peer_views: BTreeMap::new(),
+        };
+        fleet
+            .control_platform(&PlatformControl {
+                list_lag_ms: Some(self.list_lag_ms),
+                ..PlatformControl::default()
+            })
+            .await?;
+        let centres = self.placement();
+        for (number, centre) in (1..=self.instances).zip(centres.iter().cycle()) {
+            fleet.start_instance(&format!("i{number}"), centre).await?;
+        }
+        Ok(fleet)
+    }
+
+    fn placement(&self) -> Vec<String> {
+        if let Some(centres) = &self.centres {
+            return centres.clone();
+        }
+        let by_customer: Vec<_> = self.deployments.iter().map(Deployment::centres).collect();
+        let most = by_customer.iter().map(Vec::len).max().unwrap_or(0);
+        (0..most)
+            .flat_map(|place| by_customer.iter().filter_map(move |list| list.get(place)))
+            .cloned()
+            .collect()
+    }
+
+    async fn start_backends(&self) -> Result<Vec<BackendHandle>> {
+        let mut backends = Vec::new();
+        for deployment in &self.deployments {
+            for service in &deployment.services {
+                for centre in deployment.centres() {
+                    for number in 1..=service.servers_per_centre {
+                        let name = format!("{}-{centre}-{number}", service.name);
+                        backends.push(start_backend(deployment, service, &centre, name)?);
+                    }
+                }
+            }
+        }
+        for backend in &mut backends {
+            backend.site.address = backend.process.wait_address("listening").await?;
+        }
+        Ok(backends)
+    }
+}
+
+fn start_backend(
+    deployment: &Deployment,
+    service: &ServiceSpec,
+    centre: &str,
+    name: String,
+) -> Result<BackendHandle> {
+    let command = ProcessCommand::new("standin-backend")
+        .arg("--until-stdin-closes")
+        .flag("--name", &name)
+        .flag("--version", &service.version)
+        .flag("--slots", &service.slots)
+        .flag("--work-ms", &service.work_ms)
+        .flag("--cold-ms", &service.cold_ms);
+    Ok(BackendHandle {
+        site: ServerSite {
+            customer: deployment.customer.clone(),
+            service: service.name.clone(),
+            name,
+            version: service.version.clone(),
+            centre: centre.to_owned(),
+            // Replaced by the address that the server prints.
+            address: ([0, 0, 0, 0], 0).into(),
+            leaving: false,
+        },
+        process: command.start()?,
+        command,
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/table.rs
@@ -0,0 +1,265 @@
+//! An in-memory table that answers as the JSON gateway of the etcd v3 API.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use actix_http::StatusCode;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+/// The default `max-txn-ops` of the server.
+const MAX_OPERATIONS: usize = 128;
+/// The default `max-request-bytes` of the server.
+pub(crate) const MAX_REQUEST_BYTES: usize = 1536 * 1024;
+
+const INVALID_ARGUMENT: u32 = 3;
+const UNIMPLEMENTED: u32 = 12;
+const UNAVAILABLE: u32 = 14;
+
+/// A refusal: nothing was applied.
+#[derive(Debug, Serialize)]
+pub(crate) struct TableRefusal {
+    error: String,
+    code: u32,
+    message: String,
+}
+
+impl TableRefusal {
+    pub(crate) fn invalid(message: impl Into<String>) -> Self {
+        Self::new(INVALID_ARGUMENT, message)
+    }
+
+    pub(crate) fn no_leader() -> Self {
+        Self::new(UNAVAILABLE, "etcdserver: no leader")
+    }
+
+    fn new(code: u32, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self {
+            error: message.clone(),
+            code,
+            message,
+        }
+    }
+
+    pub(crate) fn status(&self) -> StatusCode {
+        match self.code {
+            INVALID_ARGUMENT => StatusCode::BAD_REQUEST,
+            UNIMPLEMENTED => StatusCode::NOT_IMPLEMENTED,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+type TableResult = Result<Value, TableRefusal>;
+
+#[derive(Debug, Clone)]
+struct StoredRow {
+    value: Vec<u8>,
+    created: u64,
+    modified: u64,
+    version: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RangeMessage {
+    key: String,
+    #[serde(default)]
+    range_end: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TxnMessage {
+    #[serde(default)]
+    compare: Vec<CompareMessage>,
+    #[serde(default)]
+    success: Vec<OperationMessage>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CompareMessage {
+    key: String,
+    target: String,
+    result: String,
+    create_revision: Option<String>,
+    mod_revision: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum OperationMessage {
+    RequestPut { key: String, value: String },
+    RequestDeleteRange { key: String },
+}
+
+#[derive(Debug)]
+enum Operation {
+    Put(Vec<u8>, Vec<u8>),
+    Delete(Vec<u8>),
+}
+
+/// The table, with one revision counter for all rows.
+#[derive(Debug)]
+pub(crate) struct MemoryTable {
+    rows: BTreeMap<Vec<u8>, StoredRow>,
+    revision: u64,
+}
+
+impl MemoryTable {
+    pub(crate) const fn new() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            // The server's first revision.
+            revision: 1,
+        }
+    }
+
+    pub(crate) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn header(&self) -> Value {
+        json!({
+            "cluster_id": "1", "member_id": "1", "raft_term": "2",
+            "revision": self.revision.to_string(),
+        })
+    }
+
+    pub(crate) fn range(&self, body: &[u8]) -> TableResult {
+        let message: RangeMessage = parse(body)?;
+        let key = decode(&message.key)?;
+        if key.is_empty() {
+            return Err(TableRefusal::invalid("etcdserver: key is not provided"));
+        }
+        let end = decode(&message.range_end)?;
+        let wanted = |row: &[u8]| match end.as_slice() {
+            [] => row == key,
+            [0] => row >= key.as_slice(),
+            end => row >= key.as_slice() && row < end,
+        };
+        let pairs: Vec<Value> = self
+            .rows
+            .range(key.clone()..)
+            .filter(|(row, _)| wanted(row))
+            .map(|(row, stored)| {
+                json!({
+                    "key": STANDARD.encode(row),
+                    "value": STANDARD.encode(&stored.value),
+                    "create_revision": stored.created.to_string(),
+                    "mod_revision": stored.modified.to_string(),
+                    "version": stored.version.to_string(),
+                })
+            })
+            .collect();
+        let mut answer = json!({"header": self.header()});
+        // The gateway leaves out fields with their default value.
+        if !pairs.is_empty() {
+            answer["count"] = json!(pairs.len().to_string());
+            answer["kvs"] = json!(pairs);
+        }
+        Ok(answer)
+    }
+
+    pub(crate) fn transact(&mut self, body: &[u8]) -> TableResult {
+        let message: TxnMessage = parse(body)?;
+        if message.compare.len().max(message.success.len()) > MAX_OPERATIONS {
+            let text = "etcdserver: too many operations in txn request";
+            return Err(TableRefusal::invalid(text));
+        }
+        let operations = message
+            .success
+            .into_iter()
+            .map(decode_operation)
+            .collect::<Result<Vec<_>, _>>()?;
+        check_repeats(&operations)?;
+        for compare in &message.compare {
+            if !self.holds(compare)? {
+                return Ok(json!({"header": self.header()}));
+            }
+        }
+        self.apply(operations);
+        Ok(json!({"header": self.header(), "succeeded": true}))
+    }
+
+    fn holds(&self, compare: &CompareMessage) -> Result<bool, TableRefusal> {
+        let row = self.rows.get(&decode(&compare.key)?);
+        let (found, expected) = match compare.target.as_str() {
+            "CREATE" => (row.map(|r| r.created), &compare.create_revision),
+            "MOD" => (row.map(|r| r.modified), &compare.mod_revision),
+            other => return Err(unsupported(other)),
+        };
+        if compare.result != "EQUAL" {
+            return Err(unsupported(&compare.result));
+        }
+        let expected: u64 = expected
+            .as_deref()
+            .unwrap_or("0")
+            .parse()
+            .map_err(|error| TableRefusal::invalid(format!("{error}")))?;
+        Ok(found.unwrap_or(0) == expected)
+    }
+
+    fn apply(&mut self, operations: Vec<Operation>) {
+        let next = self.revision + 1;
+        for operation in operations {
+            match operation {
+                Operation::Put(key, value) => {
+                    let row = self.rows.entry(key).or_insert(StoredRow {
+                        value: Vec::new(),
+                        created: next,
+                        modified: next,
+                        version: 0,
+                    });
+                    row.value = value;
+                    row.modified = next;
+                    row.version += 1;
+                    self.revision = next;
+                }
+                Operation::Delete(key) => {
+                    if self.rows.remove(&key).is_some() {
+                        self.revision = next;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn parse<'de, T: Deserialize<'de>>(body: &'de [u8]) -> Result<T, TableRefusal> {
+    serde_json::from_slice(body).map_err(|error| TableRefusal::invalid(error.to_string()))
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, TableRefusal> {
+    STANDARD
+        .decode(text)
+        .map_err(|error| TableRefusal::invalid(error.to_string()))
+}
+
+fn decode_operation(message: OperationMessage) -> Result<Operation, TableRefusal> {
+    Ok(match message {
+        OperationMessage::RequestPut { key, value } => {
+            Operation::Put(decode(&key)?, decode(&value)?)
+        }
+        OperationMessage::RequestDeleteRange { key } => Operation::Delete(decode(&key)?),
+    })
+}
+
+/// The server refuses a transaction that writes a row twice.
+fn check_repeats(operations: &[Operation]) -> Result<(), TableRefusal> {
+    let mut seen = BTreeSet::new();
+    for operation in operations {
+        let (Operation::Put(key, _) | Operation::Delete(key)) = operation;
+        if !seen.insert(key) {
+            let text = "etcdserver: duplicate key given in txn request";
+            return Err(TableRefusal::invalid(text));
+        }
+    }
+    Ok(())
+}
+
+fn unsupported(what: &str) -> TableRefusal {
+    TableRefusal::new(UNIMPLEMENTED, format!("{what} is not part of the stand-in"))
+}
