--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -105,6 +105,13 @@
         }
     }
 
+    fn keep_sample(&mut self) {
+        if self.samples.len() == SAMPLE_LIMIT {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(self.sample());
+    }
+
     /// The sample that is as old as the lag, or the oldest there is.
     fn lagging_sample(&self) -> HealthSample {
         if self.health.lag_ms == 0 {
@@ -409,13 +416,8 @@
 
 async fn sample_health(standin: Rc<BackendStandin>) {
     loop {
+        standin.state.borrow_mut().keep_sample();
         actix_rt::time::sleep(SAMPLE_INTERVAL).await;
-        let mut state = standin.state.borrow_mut();
-        let sample = state.sample();
-        if state.samples.len() == SAMPLE_LIMIT {
-            state.samples.pop_front();
-        }
-        state.samples.push_back(sample);
     }
 }
 
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -68,6 +68,7 @@
     /// Backend servers of all services.
     pub backends: Vec<BackendHandle>,
     deployments: Vec<Deployment>,
+    instance_binary: String,
     instance_flags: Vec<(String, String)>,
     links: Option<LinkSet>,
     peer_views: BTreeMap<String, BTreeMap<String, SocketAddr>>,
@@ -288,7 +289,7 @@
         let platform = self
             .link(&format!("platform/{name}"), self.platform_address)
             .await?;
-        let mut command = ProcessCommand::new("tarragonpulleyd")
+        let mut command = ProcessCommand::new(&self.instance_binary)
             .flag("--instance", name)
             .flag("--data-centre", centre)
             .flag("--service-address", "127.0.0.1:0")
--- a/crates/testkit/src/fleet/builder.rs
+++ b/crates/testkit/src/fleet/builder.rs
@@ -22,6 +22,7 @@
     centres: Option<Vec<String>>,
     links: bool,
     list_lag_ms: u64,
+    instance_binary: String,
     instance_flags: Vec<(String, String)>,
 }
 
@@ -35,6 +36,7 @@
             centres: None,
             links: false,
             list_lag_ms: 0,
+            instance_binary: "tarragonpulleyd".to_owned(),
             instance_flags: Vec::new(),
         }
     }
@@ -70,6 +72,13 @@
         self
     }
 
+    /// Sets the binary of the instances, in place of `tarragonpulleyd`.
+    #[must_use]
+    pub fn instance_binary(mut self, binary: &str) -> Self {
+        binary.clone_into(&mut self.instance_binary);
+        self
+    }
+
     /// Adds a flag to the command line of each instance.
     #[must_use]
     pub fn instance_flag(mut self, name: &str, value: &(impl ToString + ?Sized)) -> Self {
@@ -100,6 +109,7 @@
             instances: Vec::new(),
             backends: self.start_backends().await?,
             deployments: self.deployments.clone(),
+            instance_binary: self.instance_binary.clone(),
             instance_flags: self.instance_flags.clone(),
             links,
             peer_views: BTreeMap::new(),
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr, ensure, eyre};
@@ -96,21 +96,26 @@
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", path.display()))?;
         let output = Arc::new(Mutex::new(VecDeque::new()));
+        let mut readers = Vec::new();
         if let Some(stdout) = child.stdout.take() {
-            collect_lines(stdout, Arc::clone(&output));
+            readers.push(collect_lines(stdout, Arc::clone(&output)));
         }
         if let Some(stderr) = child.stderr.take() {
-            collect_lines(stderr, Arc::clone(&output));
+            readers.push(collect_lines(stderr, Arc::clone(&output)));
         }
         Ok(Process {
             name: self.binary.clone(),
             child,
             output,
+            readers,
         })
     }
 }
 
-fn collect_lines(stream: impl Read + Send + 'static, output: Arc<Mutex<VecDeque<String>>>) {
+fn collect_lines(
+    stream: impl Read + Send + 'static,
+    output: Arc<Mutex<VecDeque<String>>>,
+) -> JoinHandle<()> {
     thread::spawn(move || {
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             let mut lines = output.lock().unwrap_or_else(PoisonError::into_inner);
@@ -119,7 +124,7 @@
             }
             lines.push_back(line);
         }
-    });
+    })
 }
 
 /// A running process. Dropping it kills it and waits for its end.
@@ -128,6 +133,7 @@
     name: String,
     child: Child,
     output: Arc<Mutex<VecDeque<String>>>,
+    readers: Vec<JoinHandle<()>>,
 }
 
 impl Process {
@@ -154,6 +160,12 @@
         let end = Instant::now() + START_DEADLINE;
         loop {
             let ended = self.child.try_wait()?;
+            if ended.is_some() {
+                // Its pipes are closed, so the readers end with its last line.
+                for reader in self.readers.drain(..) {
+                    let _result = reader.join();
+                }
+            }
             if let Some(value) = self.output().iter().find_map(|line| read(line)) {
                 return Ok(value);
             }
--- /dev/null
+++ b/crates/testkit/tests/kit/backend.rs
@@ -0,0 +1,304 @@
+//! The backend stand-in.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use serde_json::Value;
+use tarragonpulley_testkit::{
+    BackendControl, BackendCounts, BackendFault, HealthFault, Process, ProcessCommand, ServiceMode,
+    TestAnswer, TestClient, TestRequest, wait_until,
+};
+use yare::parameterized;
+
+use crate::{PATIENCE, SILENCE, block_on};
+
+struct TestBackend {
+    process: Process,
+    address: SocketAddr,
+    client: TestClient,
+}
+
+impl TestBackend {
+    async fn start(flags: &[(&str, &str)]) -> Self {
+        let command = ProcessCommand::new("standin-backend").arg("--until-stdin-closes");
+        let command = flags
+            .iter()
+            .fold(command, |c, (name, value)| c.flag(name, value));
+        let mut process = command.start().unwrap();
+        Self {
+            address: process.wait_address("listening").await.unwrap(),
+            process,
+            client: TestClient::new(),
+        }
+    }
+
+    async fn control(&self, message: BackendControl) {
+        self.client.control(self.address, &message).await.unwrap();
+    }
+
+    async fn fault(&self, fault: BackendFault) {
+        self.control(BackendControl {
+            fault: Some(fault),
+            ..BackendControl::default()
+        })
+        .await;
+    }
+
+    async fn send(&self, request: TestRequest) -> eyre::Result<TestAnswer> {
+        self.client.send(self.address, &request).await
+    }
+
+    async fn counts(&self) -> BackendCounts {
+        self.client.counts(self.address).await.unwrap()
+    }
+
+    async fn health(&self) -> Value {
+        let answer = self.send(TestRequest::get("/health")).await.unwrap();
+        answer.json().unwrap()
+    }
+}
+
+/// Guards against runs that are not counted, which would hide a request that
+/// ran twice, and against a leaked credential that is not noticed.
+#[test]
+fn counts_runs_and_echoes_the_request() {
+    block_on(async {
+        let backend = TestBackend::start(&[("--name", "s1"), ("--work-ms", "50")]).await;
+        let request = TestRequest::post("/swaps/7")
+            .identity("k1")
+            .header("x-request-id", "r-9")
+            .body("abc");
+        let both = join_all([backend.send(request.clone()), backend.send(request)]).await;
+        for answer in both {
+            let answer = answer.unwrap();
+            assert_eq!(answer.code(), 200);
+            assert_eq!(answer.header("x-request-id"), Some("r-9"));
+            let body: Value = answer.json().unwrap();
+            assert_eq!(body["server"], "s1");
+            let digest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+            assert_eq!(body["body_sha256"], digest);
+        }
+        let counts = backend.counts().await;
+        let run = counts.by_key["k1"];
+        assert_eq!((run.started, run.finished, run.most_running), (2, 2, 2));
+        assert_eq!(counts.by_path["/swaps/7"], run);
+        assert!(!counts.authorization_seen);
+        backend
+            .send(TestRequest::get("/").key("secret"))
+            .await
+            .unwrap();
+        assert!(backend.counts().await.authorization_seen);
+    });
+}
+
+/// Guards against a server that runs more than its slots, or counts what it
+/// shed as a run.
+#[test]
+fn sheds_what_exceeds_its_slots() {
+    block_on(async {
+        let backend = TestBackend::start(&[("--slots", "2"), ("--work-ms", "300")]).await;
+        let requests = (0..5).map(|_| backend.send(TestRequest::get("/fit")));
+        let answers = join_all(requests).await;
+        let answers: Vec<_> = answers.into_iter().map(Result::unwrap).collect();
+        let shed: Vec<_> = answers.iter().filter(|a| a.code() == 503).collect();
+        assert_eq!(shed.len(), 3);
+        assert!(shed.iter().all(|a| a.outcome() == Some("not-run")));
+        let counts = backend.counts().await;
+        assert_eq!((counts.all.started, counts.all.most_running), (2, 2));
+        assert_eq!(counts.shed, 3);
+    });
+}
+
+/// Guards against a fault that hits other paths, or none.
+#[parameterized(
+    fails = { BackendFault { fail_share: 1.0, ..only_fit() }, "status 500" },
+    wrong_id = { BackendFault { wrong_id_share: 1.0, ..only_fit() }, "id other-r" },
+    cut = { BackendFault { cut_share: 1.0, ..only_fit() }, "no answer" },
+    slow = { BackendFault { slow_ms: 10_000, ..only_fit() }, "no answer" },
+)]
+fn a_fault_hits_only_its_path(fault: BackendFault, expected: &str) {
+    block_on(async {
+        let backend = TestBackend::start(&[]).await;
+        backend.fault(fault).await;
+        for (path, expected) in [("/fit/1", expected), ("/open", "sound")] {
+            let request = TestRequest::get(path)
+                .header("x-request-id", "r")
+                .deadline(Duration::from_secs(1));
+            let seen = match backend.send(request).await {
+                Err(_) => "no answer".to_owned(),
+                Ok(answer) if answer.code() != 200 => format!("status {}", answer.code()),
+                Ok(answer) => match answer.header("x-request-id") {
+                    Some("r") => "sound".to_owned(),
+                    id => format!("id {}", id.unwrap_or_default()),
+                },
+            };
+            assert_eq!(seen, expected, "{path}");
+        }
+    });
+}
+
+fn only_fit() -> BackendFault {
+    BackendFault {
+        only_path: Some("/fit".to_owned()),
+        ..BackendFault::default()
+    }
+}
+
+/// Guards against a share of failures that differs from run to run.
+#[test]
+fn the_same_seed_fails_the_same_requests() {
+    block_on(async {
+        let mut runs = Vec::new();
+        for _ in 0..2 {
+            let backend = TestBackend::start(&[("--seed", "42"), ("--work-ms", "0")]).await;
+            let fail_share = 0.3;
+            backend
+                .fault(BackendFault {
+                    fail_share,
+                    ..BackendFault::default()
+                })
+                .await;
+            let mut codes = Vec::new();
+            for _ in 0..40 {
+                codes.push(backend.send(TestRequest::get("/")).await.unwrap().code());
+            }
+            runs.push(codes);
+        }
+        assert_eq!(runs[0], runs[1]);
+        assert!(runs[0].contains(&500) && runs[0].contains(&200), "{runs:?}");
+    });
+}
+
+/// Guards against a crash that leaves the server running, or that other
+/// requests trigger.
+#[test]
+fn crashes_on_the_marker_only() {
+    block_on(async {
+        let mut backend = TestBackend::start(&[]).await;
+        let crash_marker = Some("poison".to_owned());
+        backend
+            .fault(BackendFault {
+                crash_marker,
+                ..BackendFault::default()
+            })
+            .await;
+        let sound = backend.send(TestRequest::post("/fit").body("plain")).await;
+        assert_eq!(sound.unwrap().code(), 200);
+        let crashed = backend
+            .send(TestRequest::post("/fit").body("a poison b"))
+            .await;
+        assert!(crashed.is_err(), "{crashed:?}");
+        backend.process.wait_end(PATIENCE).await.unwrap();
+    });
+}
+
+/// Guards against a cancelled request that keeps its slot.
+#[test]
+fn a_caller_that_hangs_up_cancels_its_request() {
+    block_on(async {
+        let backend = TestBackend::start(&[("--work-ms", "60000")]).await;
+        let request = TestRequest::get("/fit").deadline(SILENCE);
+        assert!(backend.send(request).await.is_err());
+        wait_until("the run is cancelled", PATIENCE, async || {
+            let all = backend.counts().await.all;
+            (all.started, all.running, all.finished) == (1, 0, 0)
+        })
+        .await
+        .unwrap();
+    });
+}
+
+/// Guards against health answers that cannot lie, lag or fail.
+#[test]
+fn health_answers_may_lie_and_lag() {
+    block_on(async {
+        let backend = TestBackend::start(&[]).await;
+        let truth = backend.health().await;
+        assert_eq!(truth["healthy"], true);
+        assert_eq!(truth["leaving"], false);
+        assert!(truth["uptime_ms"].is_u64());
+        let set = |health, leaving| BackendControl {
+            health: Some(health),
+            leaving,
+            ..BackendControl::default()
+        };
+        let lie = HealthFault {
+            healthy: Some(false),
+            load: Some(99),
+            ..HealthFault::default()
+        };
+        backend.control(set(lie, None)).await;
+        let claimed = backend.health().await;
+        assert_eq!(
+            (&claimed["healthy"], &claimed["load"]),
+            (&false.into(), &99.into())
+        );
+
+        let lag = HealthFault {
+            lag_ms: 500,
+            ..HealthFault::default()
+        };
+        backend.control(set(lag, Some(true))).await;
+        let start = Instant::now();
+        assert_eq!(backend.health().await["leaving"], false);
+        wait_until("the leaving state shows", PATIENCE, async || {
+            backend.health().await["leaving"] == true
+        })
+        .await
+        .unwrap();
+        assert!(
+            start.elapsed() >= Duration::from_millis(400),
+            "{:?}",
+            start.elapsed()
+        );
+
+        let hang = HealthFault {
+            mode: ServiceMode::Hang,
+            ..HealthFault::default()
+        };
+        backend.control(set(hang, None)).await;
+        let request = TestRequest::get("/health").deadline(SILENCE);
+        assert!(backend.send(request).await.is_err());
+    });
+}
+
+/// Guards against new work on a leaving server that is not noticed.
+#[test]
+fn counts_work_after_leaving() {
+    block_on(async {
+        let backend = TestBackend::start(&[]).await;
+        backend.send(TestRequest::get("/fit")).await.unwrap();
+        let leaving = Some(true);
+        backend
+            .control(BackendControl {
+                leaving,
+                ..BackendControl::default()
+            })
+            .await;
+        assert_eq!(backend.counts().await.after_leaving, 0);
+        backend.send(TestRequest::get("/fit")).await.unwrap();
+        assert_eq!(backend.counts().await.after_leaving, 1);
+    });
+}
+
+/// Guards against a cold start without effect.
+#[test]
+fn work_takes_longer_while_cold() {
+    block_on(async {
+        let cold = [
+            ("--work-ms", "100"),
+            ("--cold-ms", "3600000"),
+            ("--cold-factor", "5"),
+        ];
+        let backend = TestBackend::start(&cold).await;
+        let start = Instant::now();
+        backend.send(TestRequest::get("/fit")).await.unwrap();
+        // The factor has fallen a little by the time the request arrives.
+        assert!(
+            start.elapsed() >= Duration::from_millis(450),
+            "{:?}",
+            start.elapsed()
+        );
+    });
+}
--- /dev/null
+++ b/crates/testkit/tests/kit/fleet.rs
@@ -0,0 +1,190 @@
+//! The launcher, with instances that only listen.
+
+use std::net::SocketAddr;
+use std::process::ExitStatus;
+
+use actix_rt::time::timeout;
+use tarragonpulley_platform::{HttpList, InstanceList, ListedInstance};
+use tarragonpulley_policy::contract::CustomerContract;
+use tarragonpulley_testkit::{
+    BackendControl, BackendFault, Deployment, DirectionFault, Fleet, FleetBuilder, LinkControl,
+    ProcessCommand, TestRequest, wait_until,
+};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+use crate::{PATIENCE, SILENCE, block_on};
+
+fn small(deployment: Deployment) -> Deployment {
+    let mut deployment = deployment.first_regions(1);
+    deployment.services.truncate(1);
+    deployment
+}
+
+fn builder(instances: usize) -> FleetBuilder {
+    FleetBuilder::new([small(Deployment::lunwan())])
+        .instance_binary("examples/plain-instance")
+        .instances(instances)
+}
+
+/// What an instance that only listens says: its name.
+async fn name_at(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let mut name = String::new();
+    stream.read_to_string(&mut name).await.unwrap();
+    name
+}
+
+async fn list_seen_by(fleet: &Fleet, reader: &str) -> Vec<ListedInstance> {
+    let url = format!("http://{}/view/{reader}", fleet.platform_address);
+    HttpList::new(url, PATIENCE).read().await.unwrap()
+}
+
+/// Guards against contract files that the product refuses, and against
+/// addresses in them where no server listens.
+#[test]
+fn contracts_are_valid_and_name_the_running_servers() {
+    block_on(async {
+        let deployments = [Deployment::lunwan(), Deployment::al_jabal()];
+        let fleet = FleetBuilder::new(deployments.map(|d| d.first_regions(2)));
+        let fleet = fleet.start().await.unwrap();
+        let contracts = fleet.contracts().unwrap();
+        let names: Vec<_> = contracts.iter().map(|(file, _)| file.as_str()).collect();
+        assert_eq!(names, ["lunwan.toml", "al-jabal.toml"]);
+        for (file, text) in contracts {
+            let contract = CustomerContract::parse(&file, &text).unwrap();
+            assert_eq!((contract.regions.len(), contract.centres.len()), (2, 4));
+            assert_eq!((contract.teams.len(), contract.services.len()), (8, 3));
+            for server in contract.services.values().flat_map(|s| s.servers.values()) {
+                let request = TestRequest::get("/health");
+                let answer = fleet.client.send(server.address, &request).await.unwrap();
+                assert_eq!(answer.code(), 200);
+            }
+        }
+    });
+}
+
+/// Guards against instances that the list does not name as they run, and
+/// against a stop that kills.
+#[test]
+fn starts_registers_and_stops_instances() {
+    block_on(async {
+        let mut fleet = builder(3).start().await.unwrap();
+        let listed = list_seen_by(&fleet, "i1").await;
+        assert_eq!(listed.len(), 3);
+        for (entry, instance) in listed.iter().zip(&fleet.instances) {
+            assert_eq!(entry.instance.as_str(), instance.name);
+            assert_eq!(entry.centre.as_str(), instance.centre);
+            assert_eq!(entry.service_address, instance.direct.service);
+            assert_eq!(entry.peer_address, instance.direct.peer);
+        }
+        let centres: Vec<_> = fleet.instances.iter().map(|i| i.centre.as_str()).collect();
+        assert_eq!(centres, ["north-1", "north-2", "north-1"]);
+        fleet.register("i2", "leaving").await.unwrap();
+        fleet.deregister("i3").await.unwrap();
+        assert_eq!(list_seen_by(&fleet, "i1").await.len(), 2);
+        let statuses = fleet.stop(PATIENCE).await.unwrap();
+        assert_eq!(statuses.len(), 3);
+        assert!(statuses.values().all(ExitStatus::success), "{statuses:?}");
+    });
+}
+
+/// Guards against a process that survives its guard, or that cannot be paused.
+#[test]
+fn a_process_is_paused_resumed_and_killed() {
+    block_on(async {
+        let mut fleet = builder(1).start().await.unwrap();
+        let instance = fleet.instance("i1").unwrap();
+        let address = instance.direct.service;
+        assert_eq!(name_at(address).await, "i1");
+        instance.process.pause().unwrap();
+        assert!(timeout(SILENCE, name_at(address)).await.is_err());
+        instance.process.resume().unwrap();
+        assert_eq!(timeout(PATIENCE, name_at(address)).await.unwrap(), "i1");
+        drop(fleet);
+        assert!(TcpStream::connect(address).await.is_err());
+    });
+}
+
+/// Guards against a launcher that waits for ever for an instance that ended,
+/// or hides why it ended.
+#[test]
+fn a_process_that_ends_early_is_reported_with_its_output() {
+    block_on(async {
+        let mut process = ProcessCommand::new("examples/plain-instance")
+            .start()
+            .unwrap();
+        let error = process.wait_address("listening").await.unwrap_err();
+        assert!(error.to_string().contains("is missing"), "{error}");
+        let error = ProcessCommand::new("no-such-binary").start().unwrap_err();
+        assert!(error.to_string().contains("--workspace"), "{error}");
+    });
+}
+
+/// Guards against a link that joins other instances, that others share, or
+/// that leads to the old ports of an instance that was started again.
+#[test]
+fn each_pair_of_instances_has_its_own_links() {
+    block_on(async {
+        let mut fleet = builder(3).links(true).start().await.unwrap();
+        fleet.restart_instance("i2").await.unwrap();
+        let mut addresses = Vec::new();
+        for reader in ["i1", "i2", "i3"] {
+            for entry in list_seen_by(&fleet, reader).await {
+                let name = entry.instance.to_string();
+                assert_eq!(name_at(entry.service_address).await, name);
+                assert_eq!(name_at(entry.peer_address).await, name);
+                if name != reader {
+                    addresses.push(((reader, name), entry.peer_address));
+                }
+            }
+        }
+        assert_eq!(addresses.len(), 6);
+        let cut = DirectionFault {
+            cut: true,
+            ..DirectionFault::default()
+        };
+        fleet
+            .control_link(&LinkControl {
+                link: "peer/i1/i2".to_owned(),
+                to_client: Some(cut),
+                ..LinkControl::default()
+            })
+            .await
+            .unwrap();
+        for ((from, to), address) in addresses {
+            let is_cut = (from, to.as_str()) == ("i1", "i2");
+            let patience = if is_cut { SILENCE } else { PATIENCE };
+            let name = timeout(patience, name_at(address)).await;
+            assert_eq!(name.is_err(), is_cut, "{from} to {to}");
+        }
+    });
+}
+
+/// Guards against a backend server that comes back elsewhere than where the
+/// contract names it.
+#[test]
+fn a_backend_server_starts_again_at_its_address() {
+    block_on(async {
+        let mut fleet = builder(0).start().await.unwrap();
+        let name = "fitdesk-north-1-1";
+        let crash = BackendControl {
+            fault: Some(BackendFault {
+                crash_marker: Some("poison".to_owned()),
+                ..BackendFault::default()
+            }),
+            ..BackendControl::default()
+        };
+        fleet.control_backend(name, &crash).await.unwrap();
+        let address = fleet.backend(name).unwrap().site.address;
+        let request = TestRequest::post("/fit").body("poison");
+        assert!(fleet.client.send(address, &request).await.is_err());
+        wait_until("the server is gone", PATIENCE, async || {
+            !fleet.backend(name).unwrap().process.is_running()
+        })
+        .await
+        .unwrap();
+        fleet.restart_backend(name).await.unwrap();
+        assert_eq!(fleet.backend_counts(name).await.unwrap().all.started, 0);
+    });
+}
--- /dev/null
+++ b/crates/testkit/tests/kit/main.rs
@@ -0,0 +1,16 @@
+//! The stand-ins, the fault proxy and the launcher.
+
+mod backend;
+mod fleet;
+mod proxy;
+
+use std::time::Duration;
+
+/// How long a test waits for what must happen.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// How long a test listens for what must not happen.
+const SILENCE: Duration = Duration::from_millis(250);
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
--- /dev/null
+++ b/crates/testkit/tests/kit/proxy.rs
@@ -0,0 +1,224 @@
+//! Each fault of the fault proxy, on both ends of a connection.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::timeout;
+use tarragonpulley_testkit::{
+    DirectionFault, FreezeDirections, LinkControl, Process, ProcessCommand, TestClient, wait_until,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use yare::parameterized;
+
+use crate::{PATIENCE, SILENCE, block_on};
+
+struct TestLink {
+    listener: TcpListener,
+    address: SocketAddr,
+    control: SocketAddr,
+    client: TestClient,
+    _proxy: Process,
+}
+
+impl TestLink {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut proxy = ProcessCommand::new("fault-proxy")
+            .arg("--until-stdin-closes")
+            .flag("--target", &listener.local_addr().unwrap())
+            .start()
+            .unwrap();
+        Self {
+            listener,
+            address: proxy.wait_address("listening").await.unwrap(),
+            control: proxy.wait_address("control").await.unwrap(),
+            client: TestClient::new(),
+            _proxy: proxy,
+        }
+    }
+
+    /// Both ends of a new connection.
+    async fn connect(&self) -> (TcpStream, TcpStream) {
+        let near = TcpStream::connect(self.address).await.unwrap();
+        let (far, _peer) = timeout(PATIENCE, self.listener.accept())
+            .await
+            .unwrap()
+            .unwrap();
+        (near, far)
+    }
+
+    async fn set(&self, message: LinkControl) {
+        let link = "main".to_owned();
+        let message = LinkControl { link, ..message };
+        let answer = self.client.control(self.control, &message).await;
+        answer.unwrap();
+    }
+}
+
+async fn passes(from: &mut TcpStream, to: &mut TcpStream) -> bool {
+    from.write_all(b"ping").await.unwrap();
+    receives(to, PATIENCE).await
+}
+
+async fn receives(stream: &mut TcpStream, patience: Duration) -> bool {
+    let mut bytes = [0; 4];
+    let read = timeout(patience, stream.read_exact(&mut bytes)).await;
+    read.is_ok_and(|result| result.is_ok() && bytes == *b"ping")
+}
+
+fn both_directions(to_target: DirectionFault, to_client: DirectionFault) -> LinkControl {
+    LinkControl {
+        to_target: Some(to_target),
+        to_client: Some(to_client),
+        ..LinkControl::default()
+    }
+}
+
+const CUT: DirectionFault = DirectionFault {
+    cut: true,
+    delay_ms: 0,
+    bytes_per_second: 0,
+};
+const SOUND: DirectionFault = DirectionFault { cut: false, ..CUT };
+
+/// Guards against bytes or the end of a stream that are lost without a fault.
+#[test]
+fn passes_bytes_and_the_end_both_ways() {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        assert!(passes(&mut near, &mut far).await);
+        assert!(passes(&mut far, &mut near).await);
+        near.shutdown().await.unwrap();
+        assert_eq!(far.read(&mut [0]).await.unwrap(), 0);
+        // The other direction of a half-closed connection goes on.
+        assert!(passes(&mut far, &mut near).await);
+    });
+}
+
+/// Guards against a cut that hits the other direction, loses bytes that TCP
+/// would send again, or lasts.
+#[parameterized(
+    to_target = { true },
+    to_client = { false },
+)]
+fn a_cut_holds_one_direction(to_target: bool) {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        assert!(passes(&mut near, &mut far).await);
+        if to_target {
+            link.set(both_directions(CUT, SOUND)).await;
+        } else {
+            link.set(both_directions(SOUND, CUT)).await;
+            (near, far) = (far, near);
+        }
+        near.write_all(b"ping").await.unwrap();
+        assert!(!receives(&mut far, SILENCE).await);
+        assert!(passes(&mut far, &mut near).await);
+        link.set(both_directions(SOUND, SOUND)).await;
+        assert!(receives(&mut far, PATIENCE).await);
+    });
+}
+
+/// Guards against silence that ends, and against new connections that are
+/// silent too.
+#[parameterized(
+    to_target = { true },
+    to_client = { false },
+)]
+fn frozen_connections_stay_silent_while_new_ones_work(to_target: bool) {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        assert!(passes(&mut near, &mut far).await);
+        link.set(LinkControl {
+            freeze_existing: FreezeDirections {
+                to_target,
+                to_client: !to_target,
+            },
+            ..LinkControl::default()
+        })
+        .await;
+        if !to_target {
+            (near, far) = (far, near);
+        }
+        near.write_all(b"ping").await.unwrap();
+        assert!(passes(&mut far, &mut near).await);
+        link.set(both_directions(SOUND, SOUND)).await;
+        assert!(!receives(&mut far, SILENCE).await);
+        let (mut new_near, mut new_far) = link.connect().await;
+        assert!(passes(&mut new_near, &mut new_far).await);
+        assert!(passes(&mut new_far, &mut new_near).await);
+    });
+}
+
+/// Guards against a delay or a throttle that has no effect, or hits the other
+/// direction.
+#[parameterized(
+    delay = { DirectionFault { delay_ms: 300, ..SOUND }, Duration::from_millis(300) },
+    // 10 bytes a second, for 4 bytes.
+    throttle = { DirectionFault { bytes_per_second: 10, ..SOUND }, Duration::from_millis(400) },
+)]
+fn a_slow_direction_takes_its_time(fault: DirectionFault, least: Duration) {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        link.set(both_directions(fault, SOUND)).await;
+        let start = Instant::now();
+        assert!(passes(&mut near, &mut far).await);
+        assert!(start.elapsed() >= least, "{:?}", start.elapsed());
+        let start = Instant::now();
+        assert!(passes(&mut far, &mut near).await);
+        assert!(start.elapsed() < least, "{:?}", start.elapsed());
+    });
+}
+
+/// Guards against a refusal that clients see as an accepted connection, and
+/// against one that closes connections in use.
+#[test]
+fn refuses_new_connections_only() {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        let refuse = |refuse| LinkControl {
+            refuse: Some(refuse),
+            ..LinkControl::default()
+        };
+        link.set(refuse(true)).await;
+        wait_until("connections are refused", PATIENCE, async || {
+            TcpStream::connect(link.address).await.is_err()
+        })
+        .await
+        .unwrap();
+        assert!(passes(&mut near, &mut far).await);
+        link.set(refuse(false)).await;
+        wait_until("connections are accepted", PATIENCE, async || {
+            TcpStream::connect(link.address).await.is_ok()
+        })
+        .await
+        .unwrap();
+    });
+}
+
+/// Guards against open connections that survive the loss of a link.
+#[test]
+fn closes_existing_connections() {
+    block_on(async {
+        let link = TestLink::start().await;
+        let (mut near, mut far) = link.connect().await;
+        assert!(passes(&mut near, &mut far).await);
+        link.set(LinkControl {
+            close_existing: true,
+            ..LinkControl::default()
+        })
+        .await;
+        for end in [&mut near, &mut far] {
+            let read = timeout(PATIENCE, end.read(&mut [0])).await.unwrap();
+            assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
+        }
+        let (mut near, mut far) = link.connect().await;
+        assert!(passes(&mut near, &mut far).await);
+    });
+}
