Wire the request path, the fleet's state and the operator API into the daemon

An instance binds its three ports, prints their addresses, serves look-ups, requests, slow work and operators, and stops in the order that cuts no request. Limits and evidence of versions are placeholders that admit everything; their modules follow.

--- /dev/null
+++ b/crates/daemon/src/instance.rs
@@ -0,0 +1,203 @@
+//! One entry instance from start to stop.
+//!
+//! A planned stop must cut no request: the order of [`EntryInstance::stop`]
+//! follows from what still refers to the instance. Clients keep look-up
+//! answers, peers count on its rights, and claims wait for their results.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use eyre::WrapErr;
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use tarragonpulley_platform::{HttpList, HttpObjects, HttpTable};
+use tarragonpulley_policy::clock::{SystemClock, TimeSource};
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::IncarnationId;
+use tarragonpulley_policy::movement::MovementChart;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::border::{ConfigSource, InstanceContext};
+use crate::fleet::{FleetOptions, FleetState};
+use crate::frontend::{FrontendHandler, FrontendLimits, ServiceFrontend};
+use crate::http_server::{HttpServer, HttpServerHandle, ServerLimits};
+use crate::operator::OperatorApi;
+use crate::settings::InstanceSettings;
+use crate::unlimited::UnlimitedRights;
+
+/// Validity of look-up answers while no contract is known.
+const DEFAULT_LOOKUP_VALIDITY: Duration = Duration::from_secs(1);
+
+/// Longest wait for requests and claims after the service port closed. Route
+/// timeouts end requests earlier; only claims through a table outage reach it.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How often a stopping instance looks whether it is idle.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Most open connections on the operator port.
+const OPERATOR_CONNECTIONS: usize = 64;
+
+/// The addresses that an instance listens on, printed as one line of JSON.
+#[derive(Debug, Serialize)]
+struct ListenReport {
+    service: SocketAddr,
+    operator: SocketAddr,
+    peer: SocketAddr,
+}
+
+/// A running entry instance.
+struct EntryInstance {
+    context: InstanceContext,
+    fleet: FleetState,
+    frontend: FrontendHandler,
+    service: HttpServerHandle,
+    operator: HttpServerHandle,
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// Prints the addresses on standard output once it listens. SIGTERM and SIGINT
+/// start a graceful stop; a second signal ends the process at once.
+///
+/// # Errors
+///
+/// An error when a port cannot be bound or a signal cannot be watched.
+pub async fn run(settings: InstanceSettings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("watching SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("watching SIGINT")?;
+    let instance = EntryInstance::start(&settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        () = instance.stop() => {}
+        _ = terminate.recv() => log::warn!("second signal: stopping without a drain"),
+        _ = interrupt.recv() => log::warn!("second signal: stopping without a drain"),
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, port: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("listening on {address} for the {port} port"))
+}
+
+/// Numbers this run. Milliseconds since 1970 grow from start to start, and an
+/// instance has no disk to keep a counter on.
+fn incarnation(settings: &InstanceSettings, clock: &dyn TimeSource) -> IncarnationId {
+    let elapsed = clock.system().duration_since(UNIX_EPOCH);
+    let millis = elapsed.unwrap_or_default().as_millis();
+    IncarnationId {
+        instance: settings.instance.clone(),
+        number: u64::try_from(millis).unwrap_or(u64::MAX),
+    }
+}
+
+impl EntryInstance {
+    async fn start(settings: &InstanceSettings) -> eyre::Result<Self> {
+        let service = bind(settings.service_address, "service").await?;
+        let operator = bind(settings.operator_address, "operator").await?;
+        let peer = bind(settings.peer_address, "peer").await?;
+        let report = ListenReport {
+            service: service.local_addr()?,
+            operator: operator.local_addr()?,
+            peer: peer.local_addr()?,
+        };
+
+        let clock: Rc<dyn TimeSource> = Rc::new(SystemClock);
+        let own = incarnation(settings, &*clock);
+        let timeout = settings.platform_timeout;
+        let table = Rc::new(HttpTable::new(settings.table_url.as_str(), timeout));
+        let objects = Rc::new(HttpObjects::new(settings.object_url.as_str(), timeout));
+        let list = Rc::new(HttpList::new(settings.list_url.as_str(), timeout));
+        let chart = Rc::new(MovementChart::standard().wrap_err("loading the movement chart")?);
+        let mut registry = Registry::with_prefix("tarragonpulley");
+        let options = FleetOptions {
+            own: own.clone(),
+            centre: settings.data_centre.clone(),
+            service_address: report.service,
+            peer_address: report.peer,
+            listener: peer,
+            clock: Rc::clone(&clock),
+            table: Rc::<HttpTable>::clone(&table),
+            list,
+        };
+        let fleet = FleetState::start(options, &mut registry);
+        let context = InstanceContext {
+            own,
+            centre: settings.data_centre.clone(),
+            clock,
+            config: fleet.config(),
+            rights: Rc::new(UnlimitedRights),
+            facts: fleet.facts(),
+            members: fleet.members(),
+            events: fleet.events(),
+            evidence: Rc::new(UnlimitedRights),
+            table,
+            objects,
+        };
+        let frontend =
+            ServiceFrontend::start(context.clone(), FrontendLimits::default(), &mut registry);
+        let operator_api = OperatorApi::new(context.clone(), Rc::new(registry), chart);
+        let limits = ServerLimits {
+            connections: settings.max_connections,
+            ..ServerLimits::default()
+        };
+        let operator_limits = ServerLimits {
+            connections: OPERATOR_CONNECTIONS,
+            ..ServerLimits::default()
+        };
+        let instance = Self {
+            service: HttpServer::start(service, Rc::new(frontend.clone()), limits),
+            operator: HttpServer::start(operator, operator_api, operator_limits),
+            context,
+            fleet,
+            frontend,
+        };
+        println!("{}", serde_json::to_string(&report)?);
+        let events = &instance.context.events;
+        events.record(
+            "instance_started",
+            instance.context.own.instance.as_str(),
+            "",
+        );
+        Ok(instance)
+    }
+
+    /// Stops without cutting a request.
+    async fn stop(self) {
+        let own = &self.context.own;
+        let events = &self.context.events;
+        events.record("instance_leaving", own.instance.as_str(), "");
+        let leaving = FactKey::InstanceLeaving(own.clone());
+        self.context.facts.state(leaving, FactValue::Latched, true);
+        // Clients go on using this instance until their answers lapse.
+        actix_rt::time::sleep(longest_validity(&*self.context.config)).await;
+        self.service.drain().await;
+        let settled = actix_rt::time::timeout(SETTLE_TIMEOUT, settle(&self.frontend)).await;
+        if settled.is_err() {
+            log::warn!("stopping with unsettled requests after {SETTLE_TIMEOUT:?}");
+        }
+        drop(self.frontend);
+        drop(self.fleet);
+        events.record("instance_stopped", own.instance.as_str(), "");
+        self.operator.drain().await;
+    }
+}
+
+async fn settle(frontend: &FrontendHandler) {
+    while !frontend.frontend().is_idle() {
+        actix_rt::time::sleep(SETTLE_INTERVAL).await;
+    }
+}
+
+fn longest_validity(config: &dyn ConfigSource) -> Duration {
+    let snapshot = config.snapshot();
+    let validity = snapshot.contracts.values().map(|c| c.lookup.valid_for);
+    validity.max().unwrap_or(DEFAULT_LOOKUP_VALIDITY)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,61 +5,34 @@
 //! configuration and limits. One thread runs everything; state is shared by
 //! `Rc`, and the borders between modules are the traits in `border`.
 
-#[allow(dead_code, reason = "the wiring is being added")]
 mod backends;
-#[allow(dead_code, reason = "the modules behind the borders are being added")]
+#[allow(dead_code, reason = "limits and moves are being added")]
 mod border;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod claims;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod errors;
-#[allow(dead_code, reason = "the wiring of the instance is being added")]
+#[allow(dead_code, reason = "limits and moves are being added")]
 mod fleet;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod frontend;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod headers;
-#[allow(dead_code, reason = "the wiring is being added")]
+#[allow(dead_code, reason = "limits and moves are being added")]
 mod http_server;
-#[allow(dead_code, reason = "the wiring is being added")]
+mod instance;
 mod jobs;
 mod logging;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod metrics;
-#[allow(dead_code, reason = "`run` does not serve the operator port yet")]
 mod operator;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod pipeline;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod probe;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod queue;
 mod settings;
-#[allow(dead_code, reason = "the wiring is being added")]
 mod tasks;
-#[allow(dead_code, reason = "the wiring is being added")]
+mod unlimited;
+#[allow(dead_code, reason = "limits and moves are being added")]
 mod upstream;
 
+pub use instance::run;
 pub use logging::{LoggingError, start_logging};
 pub use settings::{
     EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, PlatformUrl, SettingMistake, SettingsError,
     SettingsOutcome,
 };
-
-/// Runs an instance until it is stopped.
-///
-/// # Errors
-///
-/// An error when the instance cannot start or cannot go on.
-#[expect(
-    clippy::unused_async,
-    reason = "the servers that it awaits are being added"
-)]
-pub async fn run(settings: InstanceSettings) -> eyre::Result<()> {
-    log::info!(
-        "instance {} in data centre {}: settings read",
-        settings.instance,
-        settings.data_centre
-    );
-    Ok(())
-}
--- a/crates/daemon/src/operator/metrics.rs
+++ b/crates/daemon/src/operator/metrics.rs
@@ -41,11 +41,6 @@
             gauge.set(value);
             registry.register(format!("tarragonpulley_{name}"), help, gauge);
         };
-        add(
-            "config_revision",
-            "Configuration revision of this instance",
-            i64::try_from(snapshot.revision.get()).unwrap_or(i64::MAX),
-        );
         add(
             "config_proof_age_ms",
             "Milliseconds since the configuration was proved current, -1 without a proof",
--- a/crates/testkit/src/bin/fleet-demo.rs
+++ b/crates/testkit/src/bin/fleet-demo.rs
@@ -13,8 +13,8 @@
     Deployment, Fleet, FleetBuilder, TestAnswer, TestRequest, wait_until,
 };
 
-const KEY: &str = "demo-key";
-const WRONG_KEY: &str = "no-such-key";
+const KEY: &str = "demo-key-0123456789";
+const WRONG_KEY: &str = "no-such-key-0123456789";
 /// Far above the seconds in which a change is in force everywhere.
 const IN_FORCE_DEADLINE: Duration = Duration::from_secs(30);
 const JOB_DEADLINE: Duration = Duration::from_mins(1);
