--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -1,8 +1,9 @@
 //! The backend stand-in: a server with slots that works, sheds, drains, lies
 //! and fails as told.
 
+mod state;
+
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,27 +11,23 @@
 use actix_http::body::{BoxBody, SizedStream};
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
-use eyre::{Result, ensure, eyre};
+use eyre::{Result, eyre};
 use futures_util::future::LocalBoxFuture;
 use futures_util::{FutureExt, StreamExt, stream};
 use gumdrop::Options;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use tokio::net::TcpListener;
 
-use crate::control::{
-    BackendControl, BackendCounts, BackendFault, HealthFault, RunCount, ServiceMode,
-};
+use state::{BackendState, RunPlan, start_run};
+
+use crate::control::{BackendCounts, ServiceMode};
 use crate::http_server::{
     ConnectionCloser, ConnectionCount, StandinService, announce, control_answer, exit_with_stdin,
     json as json_answer, read_body, read_json, serve, text,
 };
 
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
-/// One minute of health samples.
-const SAMPLE_LIMIT: usize = 3000;
 /// Gives the first half of a cut body time to leave before the connection
 /// closes.
 const CUT_DELAY: Duration = Duration::from_millis(20);
@@ -75,121 +72,6 @@
     until_stdin_closes: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct HealthSample {
-    at: Instant,
-    leaving: bool,
-    load: u32,
-}
-
-#[derive(Debug)]
-struct BackendState {
-    fault: BackendFault,
-    health: HealthFault,
-    leaving_since: Option<Instant>,
-    slots: u32,
-    work: Duration,
-    answer_bytes: usize,
-    running: u32,
-    counts: BackendCounts,
-    samples: VecDeque<HealthSample>,
-    random: StdRng,
-}
-
-impl BackendState {
-    fn sample(&self) -> HealthSample {
-        HealthSample {
-            at: Instant::now(),
-            leaving: self.leaving_since.is_some(),
-            load: self.running,
-        }
-    }
-
-    fn keep_sample(&mut self) {
-        if self.samples.len() == SAMPLE_LIMIT {
-            self.samples.pop_front();
-        }
-        self.samples.push_back(self.sample());
-    }
-
-    /// The sample that is as old as the lag, or the oldest there is.
-    fn lagging_sample(&self) -> HealthSample {
-        if self.health.lag_ms == 0 {
-            return self.sample();
-        }
-        let lag = Duration::from_millis(self.health.lag_ms);
-        let old = self.samples.iter().rev().find(|s| s.at.elapsed() >= lag);
-        old.or(self.samples.front())
-            .copied()
-            .unwrap_or_else(|| self.sample())
-    }
-
-    fn control(&mut self, message: BackendControl) -> Result<()> {
-        if let Some(fault) = message.fault {
-            for share in [fault.fail_share, fault.wrong_id_share, fault.cut_share] {
-                ensure!(
-                    (0.0..=1.0).contains(&share),
-                    "share {share} is not from 0 to 1"
-                );
-            }
-            self.fault = fault;
-        }
-        if let Some(health) = message.health {
-            self.health = health;
-        }
-        if let Some(leaving) = message.leaving {
-            let since = self.leaving_since.unwrap_or_else(Instant::now);
-            self.leaving_since = leaving.then_some(since);
-        }
-        self.slots = message.slots.unwrap_or(self.slots);
-        self.work = message.work_ms.map_or(self.work, Duration::from_millis);
-        self.answer_bytes = message.answer_bytes.unwrap_or(self.answer_bytes);
-        Ok(())
-    }
-
-    /// Counts an arrival. Shed requests count too: the fleet sent them.
-    fn note_arrival(&mut self, request: &Request) {
-        self.counts.authorization_seen |= request.head().headers.contains_key("authorization");
-        if let Some(since) = self.leaving_since {
-            let elapsed = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
-            self.counts.after_leaving += 1;
-            self.counts.last_after_leaving_ms = elapsed;
-        }
-    }
-
-    /// Decides what goes wrong with a request that runs.
-    fn plan(&mut self, path: &str) -> RunPlan {
-        let fault = &self.fault;
-        let hit = fault
-            .only_path
-            .as_ref()
-            .is_none_or(|prefix| path.starts_with(prefix.as_str()));
-        if !hit {
-            return RunPlan::default();
-        }
-        RunPlan {
-            slow: Duration::from_millis(fault.slow_ms),
-            fail: self.random.random_bool(fault.fail_share),
-            wrong_id: self.random.random_bool(fault.wrong_id_share),
-            cut: self.random.random_bool(fault.cut_share),
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct RunPlan {
-    slow: Duration,
-    fail: bool,
-    wrong_id: bool,
-    cut: bool,
-}
-
-fn start_run(count: &mut RunCount) {
-    count.started += 1;
-    count.running += 1;
-    count.most_running = count.most_running.max(count.running);
-}
-
 /// A run going on; ends when dropped, cancelled or not.
 struct RunGuard {
     standin: Rc<BackendStandin>,
@@ -435,18 +317,7 @@
         .map_err(|error| eyre!("cannot listen on {}: {error}", options.listen))?;
     let connections = Rc::new(ConnectionCount::default());
     let standin = Rc::new(BackendStandin {
-        state: RefCell::new(BackendState {
-            fault: BackendFault::default(),
-            health: HealthFault::default(),
-            leaving_since: None,
-            slots: options.slots,
-            work: Duration::from_millis(options.work_ms),
-            answer_bytes: 0,
-            running: 0,
-            counts: BackendCounts::default(),
-            samples: VecDeque::new(),
-            random: StdRng::seed_from_u64(options.seed),
-        }),
+        state: RefCell::new(BackendState::new(&options)),
         options,
         started: Instant::now(),
         connections: Rc::clone(&connections),
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -204,6 +204,30 @@
         self.register(name, "live").await
     }
 
+    /// Starts one more backend server, for example of a new version. The
+    /// contract names it when it is applied the next time.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such customer or service, or it does not start.
+    pub async fn start_backend(
+        &mut self,
+        customer: &str,
+        service: &str,
+        centre: &str,
+        name: &str,
+        version: &str,
+    ) -> Result<()> {
+        let deployment = self.deployments.iter().find(|d| d.customer == customer);
+        let deployment = deployment.ok_or_else(|| eyre!("no customer is named {customer}"))?;
+        let spec = deployment.services.iter().find(|s| s.name == service);
+        let spec = spec.ok_or_else(|| eyre!("no service is named {service}"))?;
+        let mut backend = builder::start_backend(deployment, spec, centre, name, version)?;
+        backend.site.address = backend.process.wait_address("listening").await?;
+        self.backends.push(backend);
+        Ok(())
+    }
+
     /// Starts a backend server again at its old address, killing it first if
     /// it runs.
     ///
--- a/crates/testkit/src/fleet/builder.rs
+++ b/crates/testkit/src/fleet/builder.rs
@@ -146,7 +146,8 @@
                 for centre in deployment.centres() {
                     for number in 1..=service.servers_per_centre {
                         let name = format!("{}-{centre}-{number}", service.name);
-                        backends.push(start_backend(deployment, service, &centre, name)?);
+                        let version = &service.version;
+                        backends.push(start_backend(deployment, service, &centre, &name, version)?);
                     }
                 }
             }
@@ -158,16 +159,17 @@
     }
 }
 
-fn start_backend(
+pub(super) fn start_backend(
     deployment: &Deployment,
     service: &ServiceSpec,
     centre: &str,
-    name: String,
+    name: &str,
+    version: &str,
 ) -> Result<BackendHandle> {
     let command = ProcessCommand::new("standin-backend")
         .arg("--until-stdin-closes")
-        .flag("--name", &name)
-        .flag("--version", &service.version)
+        .flag("--name", name)
+        .flag("--version", version)
         .flag("--slots", &service.slots)
         .flag("--work-ms", &service.work_ms)
         .flag("--cold-ms", &service.cold_ms);
@@ -175,8 +177,8 @@
         site: ServerSite {
             customer: deployment.customer.clone(),
             service: service.name.clone(),
-            name,
-            version: service.version.clone(),
+            name: name.to_owned(),
+            version: version.to_owned(),
             centre: centre.to_owned(),
             // Replaced by the address that the server prints.
             address: ([0, 0, 0, 0], 0).into(),
--- a/crates/testkit/tests/kit/fleet.rs
+++ b/crates/testkit/tests/kit/fleet.rs
@@ -188,3 +188,27 @@
         assert_eq!(fleet.backend_counts(name).await.unwrap().all.started, 0);
     });
 }
+
+/// Guards against a rollout test whose new version the contract does not name.
+#[test]
+fn contracts_name_a_server_that_was_added() {
+    block_on(async {
+        let mut fleet = builder(0).start().await.unwrap();
+        fleet
+            .start_backend("lunwan", "fitdesk", "north-2", "new", "v2")
+            .await
+            .unwrap();
+        let (file, text) = fleet.contracts().unwrap().remove(0);
+        let contract = CustomerContract::parse(&file, &text).unwrap();
+        let service = contract.services.values().next().unwrap();
+        let server = &service.servers[&"new".parse().unwrap()];
+        assert_eq!(server.version.as_str(), "v2");
+        assert_eq!(service.version.as_str(), "v1");
+        let answer = fleet
+            .client
+            .send(server.address, &TestRequest::get("/fit"))
+            .await;
+        let body: serde_json::Value = answer.unwrap().json().unwrap();
+        assert_eq!(body["version"], "v2");
+    });
+}
