--- a/crates/testkit/tests/kit/backend.rs
+++ b/crates/testkit/tests/kit/backend.rs
@@ -97,7 +97,7 @@
 #[test]
 fn sheds_what_exceeds_its_slots() {
     block_on(async {
-        let backend = TestBackend::start(&[("--slots", "2"), ("--work-ms", "300")]).await;
+        let backend = TestBackend::start(&[("--slots", "2"), ("--work-ms", "1000")]).await;
         let requests = (0..5).map(|_| backend.send(TestRequest::get("/fit")));
         let answers = join_all(requests).await;
         let answers: Vec<_> = answers.into_iter().map(Result::unwrap).collect();
@@ -236,7 +236,7 @@
         );
 
         let lag = HealthFault {
-            lag_ms: 500,
+            lag_ms: 1000,
             ..HealthFault::default()
         };
         backend.control(set(lag, Some(true))).await;
@@ -248,7 +248,7 @@
         .await
         .unwrap();
         assert!(
-            start.elapsed() >= Duration::from_millis(400),
+            start.elapsed() >= Duration::from_millis(900),
             "{:?}",
             start.elapsed()
         );
--- a/crates/testkit/tests/kit/proxy.rs
+++ b/crates/testkit/tests/kit/proxy.rs
@@ -157,9 +157,9 @@
 /// Guards against a delay or a throttle that has no effect, or hits the other
 /// direction.
 #[parameterized(
-    delay = { DirectionFault { delay_ms: 300, ..SOUND }, Duration::from_millis(300) },
-    // 10 bytes a second, for 4 bytes.
-    throttle = { DirectionFault { bytes_per_second: 10, ..SOUND }, Duration::from_millis(400) },
+    delay = { DirectionFault { delay_ms: 1000, ..SOUND }, Duration::from_secs(1) },
+    // For 4 bytes.
+    throttle = { DirectionFault { bytes_per_second: 4, ..SOUND }, Duration::from_secs(1) },
 )]
 fn a_slow_direction_takes_its_time(fault: DirectionFault, least: Duration) {
     block_on(async {
