Count a connection that ends without an answer as broken, not as refused

Cause: the HTTP client reports a connection that closed after the request was sent as a connect error, and every connect error was told as "not run". Ruled out: the stream adapter alone, which turns the end of a stream into an error; it does not cover a close that the client sees in another way. Conclusion: only a failed connect is "not run".

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -15,7 +15,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
@@ -350,6 +350,9 @@
 
 fn failure_of(error: &SendRequestError) -> AttemptFailure {
     match error {
+        // The client also reports a connection that ended without an answer as
+        // this connect error, after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => AttemptFailure::ConnectionBroken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => AttemptFailure::NotConnected,
         SendRequestError::Timeout => AttemptFailure::TimedOut,
         SendRequestError::Response(actix_http::error::ParseError::Io(_))
