--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -350,13 +350,13 @@
 
 fn failure_of(error: &SendRequestError) -> AttemptFailure {
     match error {
-        // The client also reports a connection that ended without an answer as
-        // this connect error, after the request was sent.
-        SendRequestError::Connect(ConnectError::Disconnected) => AttemptFailure::ConnectionBroken,
+        // A connection that ended without an answer, after the request was
+        // sent, is reported as a connect error too.
+        SendRequestError::Connect(ConnectError::Disconnected)
+        | SendRequestError::Response(actix_http::error::ParseError::Io(_))
+        | SendRequestError::Send(_) => AttemptFailure::ConnectionBroken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => AttemptFailure::NotConnected,
         SendRequestError::Timeout => AttemptFailure::TimedOut,
-        SendRequestError::Response(actix_http::error::ParseError::Io(_))
-        | SendRequestError::Send(_) => AttemptFailure::ConnectionBroken,
         _ => AttemptFailure::AnswerBroken,
     }
 }
