--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -95,6 +95,18 @@
         Rc::<FleetCore>::clone(&self.core)
     }
 
+    /// The present incarnation. A process that the fleet fenced while it was
+    /// paused goes on as a new one.
+    pub(crate) fn own(&self) -> IncarnationId {
+        self.core.own().clone()
+    }
+
+    /// Rows of the configuration that do not parse and keep an earlier value.
+    pub(crate) fn row_faults(&self) -> Vec<String> {
+        let config = self.core.config.borrow();
+        config.faults.iter().map(ToString::to_string).collect()
+    }
+
     /// Resolves once the configuration has been proved current.
     pub(crate) async fn ready(&self) {
         self.core.wait_for(|core| core.proof_age().is_some()).await;
--- a/crates/daemon/src/fleet/change.rs
+++ b/crates/daemon/src/fleet/change.rs
@@ -107,6 +107,7 @@
     async fn attempt(&self, run: &mut ChangeRun) -> AttemptOutcome {
         let base = match self.read_base().await {
             Ok(base) => base,
+            Err(SyncError::Moved) => return AttemptOutcome::Again { pause: true },
             Err(error) => return run.table_failed(error.to_string()),
         };
         let revision = base.snapshot.revision;
--- a/crates/daemon/src/fleet/events.rs
+++ b/crates/daemon/src/fleet/events.rs
@@ -1,22 +1,29 @@
 //! The time line of this instance and of the fleet.
 
 use std::cell::RefCell;
+use std::time::Duration;
 
 use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
-use log::info;
+use futures_util::future::{LocalBoxFuture, join_all};
+use log::{debug, info};
 use serde::Serialize;
 use tarragonpulley_policy::ids::IncarnationId;
 use tarragonpulley_policy::timeline::{
     EventRecord, EventRing, HybridClock, HybridStamp, merge_events,
 };
+use tarragonpulley_wire::peer::{PeerAnswer, PeerRequest, read_events};
 
 use super::core::FleetCore;
+use super::link::PeerLink;
+use super::peering::PeerError;
 use crate::border::EventSink;
 
 /// Events that an instance keeps: hours of ordinary operation.
 const RING_EVENTS: usize = 4096;
 
+/// Time for a peer to give its events.
+const QUERY_DEADLINE: Duration = Duration::from_secs(1);
+
 /// The events of this process and the clock that stamps them.
 #[derive(Debug)]
 pub(super) struct EventLog {
@@ -87,6 +94,31 @@
     serde_json::to_string(&line).unwrap_or_else(|error| error.to_string())
 }
 
+impl FleetCore {
+    /// The events of one peer; none when it does not answer.
+    async fn events_of(
+        &self,
+        link: &PeerLink,
+        after: HybridStamp,
+        most: usize,
+    ) -> Vec<EventRecord> {
+        let request = PeerRequest::EventQuery {
+            after: after.into(),
+            most: u32::try_from(most).unwrap_or(u32::MAX),
+        };
+        let answer = link.call(self, &request, QUERY_DEADLINE).await;
+        let events = match answer {
+            Ok(PeerAnswer::Events(entries)) => read_events(entries).map_err(PeerError::Wire),
+            Ok(_other) => Err(PeerError::OtherAnswer),
+            Err(error) => Err(error),
+        };
+        events.unwrap_or_else(|error| {
+            debug!("events of {} not read: {error}", link.instance);
+            Vec::new()
+        })
+    }
+}
+
 impl EventSink for FleetCore {
     fn record(&self, kind: &str, subject: &str, detail: &str) {
         self.record_event(kind, subject, detail);
@@ -101,6 +133,14 @@
         after: HybridStamp,
         most: usize,
     ) -> LocalBoxFuture<'_, Vec<EventRecord>> {
-        async move { merge_events(self.own_events(after, most), most) }.boxed_local()
+        async move {
+            let asks = self.all_links().into_iter();
+            let asks = asks.map(|link| async move { self.events_of(&link, after, most).await });
+            let answers = join_all(asks).await;
+            let others = answers.into_iter().flatten();
+            let events = self.own_events(after, most).into_iter().chain(others);
+            merge_events(events.collect(), most)
+        }
+        .boxed_local()
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,3 +9,5 @@
 mod border;
 #[allow(dead_code, reason = "the wiring of the instance is being added")]
 mod fleet;
+#[doc(hidden)]
+pub mod test_support;
--- /dev/null
+++ b/crates/daemon/src/test_support.rs
@@ -0,0 +1,209 @@
+//! Handles on internal modules for the tests of this crate.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use prometheus_client::registry::Registry;
+use tarragonpulley_platform::{InstanceList, TableService};
+use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::{CentreName, IncarnationId, MoveName, TeamKey};
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, MoveRecord};
+use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
+use tarragonpulley_policy::units::ConfigRevision;
+use tokio::net::TcpListener;
+
+use crate::border::{ChangeOutcome, ConfigEdit, MemberView, ProofState};
+use crate::fleet::{FleetOptions, FleetState};
+
+/// What a [`FleetNode`] is started with.
+#[derive(Debug)]
+pub struct NodeOptions {
+    /// The incarnation.
+    pub own: IncarnationId,
+    /// The data centre.
+    pub centre: CentreName,
+    /// The peer listener.
+    pub listener: TcpListener,
+    /// The address of the listener.
+    pub address: SocketAddr,
+    /// Time.
+    pub clock: Rc<dyn TimeSource>,
+    /// The table.
+    pub table: Rc<dyn TableService>,
+    /// The list.
+    pub list: Rc<dyn InstanceList>,
+}
+
+/// The shared state of one instance, without its ports for callers.
+#[derive(Debug)]
+pub struct FleetNode {
+    state: FleetState,
+    registry: Registry,
+}
+
+impl FleetNode {
+    /// Starts the state on the present thread's runtime.
+    #[must_use]
+    pub fn start(options: NodeOptions) -> Self {
+        let mut registry = Registry::default();
+        let options = FleetOptions {
+            own: options.own,
+            centre: options.centre,
+            service_address: options.address,
+            peer_address: options.address,
+            listener: options.listener,
+            clock: options.clock,
+            table: options.table,
+            list: options.list,
+        };
+        let state = FleetState::start(options, &mut registry);
+        Self { state, registry }
+    }
+
+    /// Resolves after the first proof.
+    pub async fn ready(&self) {
+        self.state.ready().await;
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Rc<ConfigSnapshot> {
+        self.state.config().snapshot()
+    }
+
+    /// The age of the proof.
+    #[must_use]
+    pub fn proof_age(&self) -> Option<Duration> {
+        match self.state.config().proof() {
+            ProofState::Proved(age) => Some(age),
+            ProofState::Missing => None,
+        }
+    }
+
+    /// Whether the key is refused: withdrawn, or nothing is proved.
+    #[must_use]
+    pub fn refuses(&self, digest: &KeyDigest) -> bool {
+        self.proof_age().is_none() || self.state.config().is_withdrawn(digest)
+    }
+
+    /// Whether the key is known to be withdrawn.
+    #[must_use]
+    pub fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        self.state.config().is_withdrawn(digest)
+    }
+
+    async fn change(&self, edit: ConfigEdit) -> Result<ConfigRevision, String> {
+        match self.state.config().change(edit).await {
+            ChangeOutcome::Accepted(revision) => Ok(revision),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    /// Applies a contract. An error names the outcome.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, when it is not `Accepted`.
+    pub async fn put_contract(
+        &self,
+        text: &str,
+        base: Option<ConfigRevision>,
+    ) -> Result<ConfigRevision, String> {
+        let files = vec![("test.toml".to_owned(), text.to_owned())];
+        self.change(ConfigEdit::PutContracts { files, base }).await
+    }
+
+    /// Grants a key.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, when it is not `Accepted`.
+    pub async fn grant_key(
+        &self,
+        digest: KeyDigest,
+        team: TeamKey,
+    ) -> Result<ConfigRevision, String> {
+        self.change(ConfigEdit::GrantKey(digest, team)).await
+    }
+
+    /// Withdraws a key.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, when it is not `Accepted`.
+    pub async fn withdraw_key(&self, digest: KeyDigest) -> Result<ConfigRevision, String> {
+        self.change(ConfigEdit::WithdrawKey(digest)).await
+    }
+
+    /// Writes a move.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, when it is not `Accepted`.
+    pub async fn put_move(
+        &self,
+        name: MoveName,
+        epoch: u64,
+        record: MoveRecord,
+    ) -> Result<ConfigRevision, String> {
+        let edit = ConfigEdit::PutMove {
+            name,
+            epoch,
+            record,
+        };
+        self.change(edit).await
+    }
+
+    /// States a fact.
+    pub fn state_fact(&self, key: FactKey, value: FactValue, urgent: bool) {
+        self.state.facts().state(key, value, urgent);
+    }
+
+    /// The value of a fact.
+    #[must_use]
+    pub fn fact(&self, key: &FactKey) -> Option<FactValue> {
+        self.state.facts().get(key)
+    }
+
+    /// Names of the other instances that answer, with their leaving flags.
+    #[must_use]
+    pub fn answering(&self) -> Vec<(String, bool)> {
+        let others = self.state.members().members();
+        let answering = |view: &MemberView| view.answering && view.incarnation != Some(self.own());
+        others
+            .iter()
+            .filter(|view| answering(view))
+            .map(|view| (view.instance.to_string(), view.leaving))
+            .collect()
+    }
+
+    /// The present incarnation.
+    #[must_use]
+    pub fn own(&self) -> IncarnationId {
+        self.state.own()
+    }
+
+    /// Records an event.
+    pub fn record(&self, kind: &str, subject: &str) {
+        self.state.events().record(kind, subject, "");
+    }
+
+    /// The events of the fleet.
+    pub async fn fleet_events(&self, most: usize) -> Vec<EventRecord> {
+        let events = self.state.events();
+        events.fleet_events(HybridStamp::default(), most).await
+    }
+
+    /// The value of a metric in the text format.
+    #[must_use]
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.registry).ok()?;
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line?.parse().ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! The shared state of instances over loopback, against a fake platform.
+
+mod changes;
+mod harness;
+mod links;
+mod platform;
--- /dev/null
+++ b/crates/daemon/tests/fleet/platform.rs
@@ -0,0 +1,167 @@
+//! In-memory stand-ins of the platform's table and list.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use tarragonpulley_platform::{
+    CommitOutcome, InstanceList, ListedInstance, PlatformError, RowChange, RowCondition, RowKey,
+    TableRow, TableService, TableSnapshot, TableTransaction,
+};
+
+/// The rows that all views share.
+#[derive(Debug, Default)]
+pub(crate) struct FakeTable {
+    rows: RefCell<TableSnapshot>,
+}
+
+impl FakeTable {
+    pub(crate) fn put(&self, key: &str, value: &[u8]) {
+        let change = RowChange::Put(RowKey::new(key), value.to_vec());
+        self.apply(&[change]);
+    }
+
+    fn apply(&self, changes: &[RowChange]) -> u64 {
+        let mut table = self.rows.borrow_mut();
+        table.revision += 1;
+        let modified = table.revision;
+        for change in changes {
+            match change {
+                RowChange::Put(key, value) => {
+                    let value = value.clone();
+                    table.rows.insert(key.clone(), TableRow { value, modified });
+                }
+                RowChange::Delete(key) => {
+                    table.rows.remove(key);
+                }
+            }
+        }
+        modified
+    }
+
+    fn holds(&self, condition: &RowCondition) -> bool {
+        let table = self.rows.borrow();
+        match condition {
+            RowCondition::Absent(key) => !table.rows.contains_key(key),
+            RowCondition::Unchanged(key, modified) => table
+                .rows
+                .get(key)
+                .is_some_and(|row| row.modified == *modified),
+        }
+    }
+}
+
+/// How a view of the table behaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum TableMode {
+    #[default]
+    Up,
+    /// Calls fail at once.
+    Down,
+    /// Calls get no answer and have no effect.
+    Silent,
+    /// Writes take effect, but their answers are lost, this many times.
+    LoseAnswers(u32),
+    /// Writes are lost before they take effect, this many times.
+    LoseWrites(u32),
+}
+
+/// The table as one instance sees it.
+#[derive(Debug)]
+pub(crate) struct TableView {
+    table: Rc<FakeTable>,
+    pub(crate) mode: Cell<TableMode>,
+}
+
+/// The deadline of calls, as the real client has one.
+const CALL_DEADLINE: Duration = Duration::from_millis(400);
+
+/// The time that a call takes, so that racing calls interleave.
+const CALL_TIME: Duration = Duration::from_millis(2);
+
+impl TableView {
+    pub(crate) fn new(table: &Rc<FakeTable>) -> Rc<Self> {
+        Rc::new(Self {
+            table: Rc::clone(table),
+            mode: Cell::default(),
+        })
+    }
+
+    async fn pass(&self) -> Result<(), PlatformError> {
+        tokio::time::sleep(CALL_TIME).await;
+        match self.mode.get() {
+            TableMode::Down => Err(PlatformError::NotReached("down".to_owned())),
+            TableMode::Silent => {
+                tokio::time::sleep(CALL_DEADLINE).await;
+                Err(PlatformError::NoAnswer("silent".to_owned()))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn write(&self, transaction: &TableTransaction) -> CommitOutcome {
+        if !transaction.conditions.iter().all(|c| self.table.holds(c)) {
+            return CommitOutcome::Conflict;
+        }
+        CommitOutcome::Committed(self.table.apply(&transaction.changes))
+    }
+}
+
+impl TableService for TableView {
+    fn read(&self, prefix: RowKey) -> LocalBoxFuture<'_, Result<TableSnapshot, PlatformError>> {
+        async move {
+            self.pass().await?;
+            let mut read = self.table.rows.borrow().clone();
+            read.rows
+                .retain(|key, _| key.as_str().starts_with(prefix.as_str()));
+            Ok(read)
+        }
+        .boxed_local()
+    }
+
+    fn commit(&self, transaction: TableTransaction) -> LocalBoxFuture<'_, CommitOutcome> {
+        async move {
+            let lost = || CommitOutcome::Unknown(PlatformError::NoAnswer("lost".to_owned()));
+            match self.pass().await {
+                Err(error @ PlatformError::NotReached(_)) => CommitOutcome::NotApplied(error),
+                Err(error) => CommitOutcome::Unknown(error),
+                Ok(()) => match self.mode.get() {
+                    TableMode::LoseAnswers(left) if left > 0 => {
+                        self.mode.set(TableMode::LoseAnswers(left - 1));
+                        self.write(&transaction);
+                        lost()
+                    }
+                    TableMode::LoseWrites(left) if left > 0 => {
+                        self.mode.set(TableMode::LoseWrites(left - 1));
+                        lost()
+                    }
+                    _ => self.write(&transaction),
+                },
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// The list as one instance sees it.
+#[derive(Debug, Default)]
+pub(crate) struct ListView {
+    pub(crate) listed: RefCell<Vec<ListedInstance>>,
+    pub(crate) down: Cell<bool>,
+}
+
+impl InstanceList for ListView {
+    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>> {
+        let listed = self.listed.borrow().clone();
+        let down = self.down.get();
+        async move {
+            if down {
+                return Err(PlatformError::NotReached("down".to_owned()));
+            }
+            Ok(listed)
+        }
+        .boxed_local()
+    }
+}
