--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,26 +12,31 @@
 mod events;
 mod facts;
 mod heartbeat;
+mod leave;
 mod link;
 mod members;
 mod metrics;
 mod peering;
+mod reclaim;
+mod rights_service;
+mod rights_state;
 mod serve;
 mod sync;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use prometheus_client::registry::Registry;
 use tarragonpulley_platform::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
-use tarragonpulley_policy::ids::{CentreName, IncarnationId};
+use tarragonpulley_policy::ids::{CentreName, IncarnationId, LimitKey};
 use tokio::net::TcpListener;
 
 use self::core::FleetCore;
 use self::metrics::FleetMetrics;
-use crate::border::{ConfigSource, EventSink, FactBoard, MemberSource};
+use crate::border::{ConfigSource, EventSink, FactBoard, MemberSource, RightsSource};
 
 /// What a [`FleetState`] is started with.
 #[derive(Debug)]
@@ -66,11 +71,11 @@
     /// Its metrics go into `registry`.
     pub(crate) fn start(options: FleetOptions, registry: &mut Registry) -> Self {
         let (core, listener) = FleetCore::new(options, FleetMetrics::register(registry));
-        let core = Rc::new(core);
         let tasks = vec![
             actix_rt::spawn(peering::serve(Rc::clone(&core), listener)),
             actix_rt::spawn(sync::read_table(Rc::clone(&core))),
             actix_rt::spawn(sync::read_list(Rc::clone(&core))),
+            actix_rt::spawn(reclaim::keep_rights(Rc::clone(&core))),
         ];
         Self { core, tasks }
     }
@@ -80,6 +85,11 @@
         Rc::<FleetCore>::clone(&self.core)
     }
 
+    /// The fleet-wide limits.
+    pub(crate) fn rights(&self) -> Rc<dyn RightsSource> {
+        Rc::<FleetCore>::clone(&self.core)
+    }
+
     /// Facts that travel between instances.
     pub(crate) fn facts(&self) -> Rc<dyn FactBoard> {
         Rc::<FleetCore>::clone(&self.core)
@@ -101,12 +111,25 @@
         self.core.own().clone()
     }
 
+    /// Shares that this instance holds of a limit.
+    pub(crate) fn shares(&self, limit: &LimitKey) -> u64 {
+        self.core.rights.borrow().ledger.shares(limit)
+    }
+
     /// Rows of the configuration that do not parse and keep an earlier value.
     pub(crate) fn row_faults(&self) -> Vec<String> {
         let config = self.core.config.borrow();
         config.faults.iter().map(ToString::to_string).collect()
     }
 
+    /// Tells the peers that this instance leaves, gives them its rights and
+    /// waits until they have acknowledged both, `limit` at most. Returns
+    /// whether they have. Slots of running requests keep their shares until
+    /// the requests end.
+    pub(crate) async fn leave(&self, limit: Duration) -> bool {
+        self.core.leave_within(limit).await
+    }
+
     /// Resolves once the configuration has been proved current.
     pub(crate) async fn ready(&self) {
         self.core.wait_for(|core| core.proof_age().is_some()).await;
--- a/crates/daemon/src/fleet/change.rs
+++ b/crates/daemon/src/fleet/change.rs
@@ -209,7 +209,7 @@
         if head.revision > self.revision() {
             // The rows and the head must be of the same reading, so the head
             // is read again when the loop of attempts comes back.
-            self.load_config(self.now()).await?;
+            self.load_config().await?;
         }
         let config = self.config.borrow();
         if config.freshness.revision() != head.revision {
--- a/crates/daemon/src/fleet/config.rs
+++ b/crates/daemon/src/fleet/config.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::freshness::ConfigFreshness;
+use tarragonpulley_policy::freshness::{ConfigFreshness, RightsVersion};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest};
 use tarragonpulley_policy::units::ConfigRevision;
 use tarragonpulley_wire::rows::{self, ConfigRows, RowError};
@@ -49,6 +49,7 @@
             config.snapshot = Rc::new(snapshot);
             config.faults = faults;
         }
+        self.configure_rights();
         for digest in withdrawn {
             self.state_fact(FactKey::KeyWithdrawn(digest), FactValue::Latched, true);
         }
@@ -57,10 +58,15 @@
         Ok(true)
     }
 
-    /// Notes a reading of `config/head` that began at `started`.
-    pub(super) fn note_table_read(&self, revision: ConfigRevision, started: Instant) {
+    /// Notes a reading of `config/head` and `rights/generation` that began at
+    /// `started`.
+    pub(super) fn note_table_read(
+        &self,
+        revision: ConfigRevision,
+        rights: RightsVersion,
+        started: Instant,
+    ) {
         let mut config = self.config.borrow_mut();
-        let rights = config.freshness.rights();
         let proved = config.freshness.table_read(revision, rights, started);
         drop(config);
         if proved {
--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use tarragonpulley_platform::{InstanceList, TableService};
@@ -17,13 +17,16 @@
 use super::FleetOptions;
 use super::config::ConfigState;
 use super::events::EventLog;
-use super::heartbeat::{PeerRecord, SentHeartbeat};
+use super::heartbeat::PeerRecord;
 use super::link::PeerLink;
 use super::metrics::FleetMetrics;
+use super::rights_state::RightsState;
 
 /// The state of one instance.
 #[derive(Debug)]
 pub(super) struct FleetCore {
+    /// This state, for the tasks and guards that it starts.
+    pub(super) me: Weak<Self>,
     own: RefCell<IncarnationId>,
     pub(super) place: MemberPlace,
     pub(super) clock: Rc<dyn TimeSource>,
@@ -32,12 +35,17 @@
     pub(super) config: RefCell<ConfigState>,
     pub(super) members: RefCell<MemberTable>,
     pub(super) facts: RefCell<FactStore>,
+    pub(super) rights: RefCell<RightsState>,
     pub(super) log: EventLog,
     pub(super) metrics: FleetMetrics,
     pub(super) peers: RefCell<BTreeMap<InstanceName, PeerRecord>>,
     pub(super) links: RefCell<BTreeMap<InstanceName, Rc<PeerLink>>>,
     /// The change of the fact store that peers must hear of at once.
     pub(super) urgent_facts: Cell<u64>,
+    /// Whether transfers of rights must reach their receivers at once.
+    pub(super) urgent_rights: Cell<bool>,
+    /// Counts transfers of rights received.
+    pub(super) arrivals: Cell<u64>,
     /// The revision that peers must hear of at once.
     pub(super) urgent_revision: Cell<ConfigRevision>,
     /// The revision that a change waits for peers to have; zero when none.
@@ -54,8 +62,9 @@
 }
 
 impl FleetCore {
-    pub(super) fn new(options: FleetOptions, metrics: FleetMetrics) -> (Self, TcpListener) {
-        let core = Self {
+    pub(super) fn new(options: FleetOptions, metrics: FleetMetrics) -> (Rc<Self>, TcpListener) {
+        let core = Rc::new_cyclic(|me| Self {
+            me: Weak::clone(me),
             place: MemberPlace {
                 centre: options.centre,
                 service_address: options.service_address,
@@ -67,6 +76,7 @@
             config: RefCell::default(),
             members: RefCell::new(MemberTable::new(options.own.instance.clone())),
             facts: RefCell::default(),
+            rights: RefCell::new(RightsState::new(options.own.clone())),
             log: EventLog::new(options.own.clone()),
             own: RefCell::new(options.own),
             metrics,
@@ -74,12 +84,14 @@
             links: RefCell::default(),
             urgent_facts: Cell::default(),
             urgent_revision: Cell::default(),
+            urgent_rights: Cell::default(),
+            arrivals: Cell::default(),
             spreading: Cell::default(),
             change_turn: Mutex::default(),
             heartbeat_wake: watch::Sender::new(0),
             progress: watch::Sender::new(0),
             table_wake: watch::Sender::new(0),
-        };
+        });
         (core, options.listener)
     }
 
@@ -88,6 +100,10 @@
         self.own.borrow()
     }
 
+    pub(super) fn set_own(&self, own: IncarnationId) {
+        *self.own.borrow_mut() = own;
+    }
+
     pub(super) fn now(&self) -> Instant {
         self.clock.instant()
     }
@@ -130,18 +146,6 @@
         self.links.borrow().values().cloned().collect()
     }
 
-    /// Notes that a peer refused a heartbeat of this incarnation as fenced.
-    pub(super) fn note_fenced_by(&self, instance: &InstanceName, _sent: &SentHeartbeat) {
-        let detail = self.own().to_string();
-        self.record_event("fenced", instance.as_str(), &detail);
-    }
-
-    /// Whether messages of an incarnation are refused.
-    pub(super) fn is_fenced(&self, _incarnation: &IncarnationId) -> bool {
-        let _ = &self.own;
-        false
-    }
-
     /// Resolves once `condition` holds.
     pub(super) async fn wait_for(&self, condition: impl Fn(&Self) -> bool) {
         let mut progress = self.progress.subscribe();
--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -1,16 +1,17 @@
 //! What heartbeats carry, and what becomes of it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use tarragonpulley_policy::facts::FactKey;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::freshness::{PeerStatement, RightsVersion};
-use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName, LimitKey};
 use tarragonpulley_policy::membership::MemberPlace;
+use tarragonpulley_policy::rights::RightsSummary;
 use tarragonpulley_policy::units::ConfigRevision;
 use tarragonpulley_wire::peer::{
-    FactEntry, HeartbeatAnswer, HeartbeatRequest, MAX_FACTS, PeerAnswer, WireError, read_facts,
-    read_incarnations,
+    FactEntry, HeartbeatAnswer, HeartbeatRequest, MAX_FACTS, PeerAnswer, SummaryEntry, WireError,
+    read_counters, read_facts, read_incarnations, read_summaries, write_counters,
 };
 
 use super::core::FleetCore;
@@ -31,6 +32,19 @@
     told_known: BTreeSet<IncarnationId>,
     /// The revision that it was told of.
     told_revision: ConfigRevision,
+    /// What it said that it has of each limit.
+    pub(super) summaries: BTreeMap<LimitKey, RightsSummary>,
+    /// What it was told that this instance has; `None` when that is uncertain.
+    told_summaries: Option<BTreeMap<LimitKey, RightsSummary>>,
+}
+
+impl PeerRecord {
+    /// Forgets what the peer has of this instance, except facts: those do not
+    /// depend on the incarnation.
+    pub(super) fn forget_delivered(&mut self) {
+        self.told_known.clear();
+        self.told_summaries = None;
+    }
 }
 
 /// What a heartbeat carried, to be noted once it is answered.
@@ -41,10 +55,20 @@
     to: Option<IncarnationId>,
     started: Instant,
     facts_through: u64,
+    /// The mark of the transfer counters.
+    mark: u64,
+    summaries: BTreeMap<LimitKey, RightsSummary>,
     known: BTreeSet<IncarnationId>,
     revision: ConfigRevision,
 }
 
+impl SentHeartbeat {
+    /// The incarnation that sent it.
+    pub(super) const fn own(&self) -> &IncarnationId {
+        &self.own
+    }
+}
+
 impl FleetCore {
     /// What this instance says about its configuration now.
     fn statement(&self) -> PeerStatement {
@@ -67,6 +91,13 @@
         let (facts, facts_through) = self.facts_for(to, peer.acked_facts);
         let told = known == peer.told_known;
         let statement = self.statement();
+        let mut rights = self.rights.borrow_mut();
+        let to = peer.incarnation.clone();
+        let update = to.as_ref().map(|to| rights.ledger.counters_since_ack(to));
+        let update = update.unwrap_or_default();
+        let present = rights.ledger.summary(started);
+        drop(rights);
+        let summaries = summary_news(&present, peer.told_summaries.as_ref());
         let request = HeartbeatRequest {
             sender: (&own).into(),
             place: (!peer.introduced).then(|| (&self.place).into()),
@@ -78,15 +109,21 @@
             } else {
                 known.iter().map(Into::into).collect()
             },
-            counters: Vec::new(),
-            all_summaries: false,
-            summaries: Vec::new(),
+            counters_for: to.as_ref().map_or(0, |to| to.number),
+            counters: write_counters(&update.counters),
+            all_summaries: peer.told_summaries.is_none(),
+            summaries: summaries
+                .iter()
+                .map(|(l, s)| SummaryEntry::new(l, s))
+                .collect(),
         };
         let sent = SentHeartbeat {
             own,
-            to: peer.incarnation.clone(),
+            to,
             started,
             facts_through,
+            mark: update.mark,
+            summaries,
             known,
             revision: statement.revision,
         };
@@ -124,6 +161,13 @@
         };
         self.urgent_facts.get() > peer.acked_facts
             || self.urgent_revision.get() > peer.told_revision
+            || (self.urgent_rights.get() && self.owes_rights(peer.incarnation.as_ref()))
+    }
+
+    /// Whether a peer has not acknowledged all that it was given.
+    fn owes_rights(&self, to: Option<&IncarnationId>) -> bool {
+        let rights = self.rights.borrow();
+        to.is_some_and(|to| !rights.ledger.counters_since_ack(to).counters.is_empty())
     }
 
     /// Whether an accepted change waits for this peer to have it.
@@ -168,6 +212,10 @@
         }
         self.note_statement(&sender, &statement);
         self.note_delivered(&sender, sent);
+        if answer.counters_applied && sent.to.as_ref() == Some(&sender) {
+            let mut rights = self.rights.borrow_mut();
+            rights.ledger.acknowledge(&sender, sent.mark);
+        }
         let mut config = self.config.borrow_mut();
         config
             .freshness
@@ -198,6 +246,15 @@
         peer.introduced = true;
         peer.told_known.clone_from(&sent.known);
         peer.told_revision = peer.told_revision.max(sent.revision);
+        let told = peer.told_summaries.get_or_insert_default();
+        told.extend(sent.summaries.clone());
+    }
+
+    /// Notes that it is uncertain whether a peer got a heartbeat.
+    pub(super) fn note_undelivered(&self, instance: &InstanceName) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(instance) {
+            peer.told_summaries = None;
+        }
     }
 
     /// Notes which incarnation of a peer speaks. A new one knows nothing.
@@ -243,6 +300,8 @@
         let place = request.place.map(MemberPlace::try_from).transpose()?;
         let facts = read_facts(request.facts)?;
         let known = read_incarnations(request.known)?;
+        let counters = read_counters(request.counters)?;
+        let summaries = read_summaries(request.summaries)?;
         if self.is_fenced(&sender) {
             return Ok(PeerAnswer::Fenced);
         }
@@ -252,12 +311,14 @@
         self.observe_stamp(request.stamp.into());
         let statement = PeerStatement::from(request.statement);
         self.note_statement(&sender, &statement);
-        let mut members = self.members.borrow_mut();
         for incarnation in &known {
-            members.heard_of(incarnation);
+            self.note_known(incarnation);
         }
-        drop(members);
         self.merge_facts(&sender.instance, facts);
+        self.note_summaries(&sender.instance, summaries, request.all_summaries);
+        let for_this_run = request.counters_for == self.own().number;
+        let counters_applied =
+            counters.is_empty() || (for_this_run && self.receive_rights(&sender, &counters));
         if self.is_behind(&sender.instance) {
             self.wake_table_reader();
         }
@@ -266,16 +327,26 @@
             sender: (&*self.own()).into(),
             statement: self.statement().into(),
             stamp: self.stamp().into(),
-            counters_applied: false,
+            counters_applied,
         }))
     }
 
-    /// Merges facts of a peer. What it just sent need not go back to it.
-    fn merge_facts(
+    fn note_summaries(
         &self,
         from: &InstanceName,
-        facts: Vec<(FactKey, tarragonpulley_policy::facts::FactValue)>,
+        summaries: BTreeMap<LimitKey, RightsSummary>,
+        all: bool,
     ) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(from.clone()).or_default();
+        if all {
+            peer.summaries.clear();
+        }
+        peer.summaries.extend(summaries);
+    }
+
+    /// Merges facts of a peer. What it just sent need not go back to it.
+    fn merge_facts(&self, from: &InstanceName, facts: Vec<(FactKey, FactValue)>) {
         let before = self.facts.borrow().last_change();
         for (key, value) in facts {
             let urgent = matches!(key, FactKey::KeyWithdrawn(_) | FactKey::InstanceLeaving(_));
@@ -290,3 +361,34 @@
         }
     }
 }
+
+/// Differences of a summary that are not worth a message: one part in this many.
+const SUMMARY_TOLERANCE: u64 = 16;
+
+fn differs(a: u64, b: u64) -> bool {
+    a.abs_diff(b) > a.max(b) / SUMMARY_TOLERANCE
+}
+
+/// The summaries that a peer has to be told: those that differ from what it was
+/// told last. A limit that is left out of `present` has become empty.
+fn summary_news(
+    present: &BTreeMap<LimitKey, RightsSummary>,
+    told: Option<&BTreeMap<LimitKey, RightsSummary>>,
+) -> BTreeMap<LimitKey, RightsSummary> {
+    let empty = BTreeMap::new();
+    let told = told.unwrap_or(&empty);
+    let limits: BTreeSet<_> = present.keys().chain(told.keys()).collect();
+    let value = |summaries: &BTreeMap<LimitKey, RightsSummary>, limit| {
+        summaries.get(limit).copied().unwrap_or_default()
+    };
+    limits
+        .into_iter()
+        .map(|limit| (limit, value(present, limit), value(told, limit)))
+        .filter(|(_limit, now, before)| {
+            differs(now.shares, before.shares)
+                || differs(now.spare, before.spare)
+                || differs(now.demand, before.demand)
+        })
+        .map(|(limit, now, _before)| (limit.clone(), now))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/leave.rs
@@ -0,0 +1,81 @@
+//! Leaving the fleet.
+
+use std::time::Duration;
+
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::IncarnationId;
+
+use super::core::FleetCore;
+
+/// Time between two attempts to hand over the shares of slots that have become
+/// free since.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(50);
+
+impl FleetCore {
+    pub(super) fn is_leaving(&self) -> bool {
+        let own = self.own().clone();
+        self.states_leaving(&own)
+    }
+
+    /// Tells the peers that this instance leaves, gives them all its rights and
+    /// waits for their acknowledgement, `limit` at most.
+    pub(super) async fn leave_within(&self, limit: Duration) -> bool {
+        let own = self.own().clone();
+        let fact = FactKey::InstanceLeaving(own.clone());
+        self.state_fact(fact, FactValue::Latched, true);
+        self.record_event("instance_leaving", &own.to_string(), "");
+        let end = self.now() + limit;
+        let heir = self.heir();
+        loop {
+            let emptied = self.hand_over(heir.as_ref());
+            let told = |core: &Self| core.all_told() && core.rights_acknowledged(heir.as_ref());
+            let left = end.saturating_duration_since(self.now());
+            let told = self.wait_at_most(left.min(HANDOVER_INTERVAL), told).await;
+            if emptied && told {
+                return true;
+            }
+            if left.is_zero() {
+                return false;
+            }
+            if told {
+                tokio::time::sleep(left.min(HANDOVER_INTERVAL)).await;
+            }
+        }
+    }
+
+    /// The peer that takes the rights: one of this region if possible.
+    fn heir(&self) -> Option<IncarnationId> {
+        let near = self.near_peers();
+        let peers = self.peer_summaries();
+        let mut peers: Vec<_> = peers.into_keys().collect();
+        peers.sort_by_key(|peer| !near.contains(peer));
+        peers.into_iter().next()
+    }
+
+    /// Gives the heir what can be given now; returns whether nothing is left.
+    fn hand_over(&self, heir: Option<&IncarnationId>) -> bool {
+        let Some(heir) = heir.filter(|_| self.may_spend()) else {
+            return true;
+        };
+        let now = self.now();
+        let emptied = self.rights.borrow_mut().ledger.hand_over(heir, now);
+        if !self.rights_acknowledged(Some(heir)) {
+            self.urgent_rights.set(true);
+            self.wake_heartbeats();
+        }
+        emptied
+    }
+
+    fn rights_acknowledged(&self, heir: Option<&IncarnationId>) -> bool {
+        let rights = self.rights.borrow();
+        heir.is_none_or(|heir| rights.ledger.counters_since_ack(heir).counters.is_empty())
+    }
+
+    /// Whether each answering peer has heard the urgent facts.
+    fn all_told(&self) -> bool {
+        let now = self.now();
+        let members = self.members.borrow();
+        let mut answering = members.iter().filter(|(_name, entry)| entry.answers(now));
+        answering.all(|(name, _entry)| !self.has_news_for(name))
+    }
+}
--- a/crates/daemon/src/fleet/link.rs
+++ b/crates/daemon/src/fleet/link.rs
@@ -133,9 +133,12 @@
             Ok(_other) => Err(PeerError::OtherAnswer),
             Err(error) => Err(error),
         };
+        if outcome.is_err() {
+            core.note_undelivered(&self.instance);
+        }
         match &outcome {
             Ok(()) => {}
-            Err(PeerError::Fenced) => core.note_fenced_by(&self.instance, &sent),
+            Err(PeerError::Fenced) => core.note_fenced_by(&self.instance, sent.own()),
             Err(PeerError::Refused(_)) => core.introduce_again(&self.instance),
             Err(_) => self.disconnect(),
         }
--- a/crates/daemon/src/fleet/members.rs
+++ b/crates/daemon/src/fleet/members.rs
@@ -9,7 +9,7 @@
 use crate::border::{MemberSource, MemberView};
 
 impl FleetCore {
-    fn states_leaving(&self, incarnation: &IncarnationId) -> bool {
+    pub(super) fn states_leaving(&self, incarnation: &IncarnationId) -> bool {
         let key = FactKey::InstanceLeaving(incarnation.clone());
         self.facts.borrow().get(&key).is_some()
     }
--- /dev/null
+++ b/crates/daemon/src/fleet/reclaim.rs
@@ -0,0 +1,349 @@
+//! The rights record: its first generation, reclaims, and new generations.
+//!
+//! A reclaim awards what dead incarnations held to one survivor. Every survivor
+//! first refuses the dead ones and reports what it exchanged with them, so the
+//! amounts are final when the record is written. When no survivor took part in
+//! the generation, nobody knows all its holders, and a new generation replaces
+//! it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use log::{debug, info};
+use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
+use tarragonpulley_policy::rights::{
+    FenceReport, GenerationRecord, ReclaimError, ReclaimRecord, plan_reclaim,
+};
+use tarragonpulley_wire::peer::{FenceAnswer, PeerAnswer, PeerRequest};
+use tarragonpulley_wire::rows::{self, GENERATION_KEY};
+
+use super::core::FleetCore;
+use super::peering::{PeerError, refused};
+use super::sync::SyncError;
+
+/// Time between two looks at the record and at the demand of peers.
+const KEEPER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How much longer each next instance in name order waits before it reclaims,
+/// so that the first one usually does it alone.
+const RANK_DELAY: Duration = Duration::from_secs(1);
+
+/// Time for a survivor to fence and report.
+const FENCE_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Reclaims after which a new generation begins. Each adds about 2 KB to a row
+/// that every instance reads twice a second.
+const MAX_RECLAIMS: usize = 64;
+
+/// Why a reclaim did not happen now.
+#[derive(Debug, thiserror::Error)]
+enum KeeperError {
+    #[error(transparent)]
+    Sync(#[from] SyncError),
+    #[error("{0} did not report: {1}")]
+    Survivor(IncarnationId, PeerError),
+    #[error("{0} is known to a survivor only")]
+    Unknown(IncarnationId),
+    #[error("{0} is listed, but was not heard from")]
+    Unheard(InstanceName),
+    #[error(transparent)]
+    Plan(#[from] ReclaimError),
+    #[error("the record was not written: {0:?}")]
+    Commit(CommitOutcome),
+}
+
+/// Reports of all survivors and of this instance.
+type SurvivorReports = BTreeMap<IncarnationId, FenceReport>;
+
+/// Keeps the rights record for as long as the instance runs.
+pub(super) async fn keep_rights(core: Rc<FleetCore>) {
+    let mut due_since: Option<Instant> = None;
+    loop {
+        core.rebalance_rights();
+        let wait = core
+            .now()
+            .saturating_duration_since(*due_since.get_or_insert_with(|| core.now()));
+        if !core.record_is_due() {
+            due_since = None;
+        } else if wait >= core.rank_delay()
+            && let Err(error) = core.renew_record().await
+        {
+            debug!("rights record not renewed: {error}");
+        }
+        core.prune_members();
+        tokio::time::sleep(KEEPER_INTERVAL).await;
+    }
+}
+
+impl FleetCore {
+    /// Whether the record needs a write that this instance could make.
+    fn record_is_due(&self) -> bool {
+        let known = self.members.borrow().list_known();
+        let proved = self.proof_age().is_some() && !self.is_leaving();
+        known && proved && (self.rights.borrow().record.is_none() || !self.newly_dead().is_empty())
+    }
+
+    /// Gone incarnations that no reclaim covers yet.
+    fn newly_dead(&self) -> BTreeSet<IncarnationId> {
+        let rights = self.rights.borrow();
+        let mut dead = self.gone();
+        let recorded = rights.recorded_dead();
+        dead.retain(|gone| !recorded.contains(gone) && !rights.settled.contains(gone));
+        dead
+    }
+
+    /// Known incarnations that are gone, earlier runs of this instance included.
+    fn gone(&self) -> BTreeSet<IncarnationId> {
+        let mut gone = self.members.borrow().gone(self.now());
+        gone.extend(self.rights.borrow().own_past.iter().cloned());
+        gone
+    }
+
+    /// Notes an incarnation that others know of.
+    pub(super) fn note_known(&self, incarnation: &IncarnationId) {
+        let own = self.own().clone();
+        if incarnation.instance != own.instance {
+            self.members.borrow_mut().heard_of(incarnation);
+        } else if incarnation.number < own.number {
+            self.rights
+                .borrow_mut()
+                .own_past
+                .insert(incarnation.clone());
+        }
+    }
+
+    fn rank_delay(&self) -> Duration {
+        let own = self.own().clone();
+        let (now, members) = (self.now(), self.members.borrow());
+        let before = members
+            .iter()
+            .filter(|(name, entry)| **name < own.instance && entry.answers(now));
+        RANK_DELAY * u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Creates the record, or reclaims the rights of the newly dead.
+    async fn renew_record(&self) -> Result<(), KeeperError> {
+        let (bytes, modified) = self.read_generation_row().await.map_err(SyncError::from)?;
+        self.take_generation(bytes.as_deref())
+            .map_err(SyncError::from)?;
+        let own = self.own().clone();
+        let record = self.rights.borrow().record.clone();
+        let key = RowKey::new(GENERATION_KEY);
+        let (record, condition) = match (record, modified) {
+            (None, None) => {
+                let first = new_generation(1, own);
+                return self.write_record(first, RowCondition::Absent(key)).await;
+            }
+            (Some(record), Some(modified)) => (record, RowCondition::Unchanged(key, modified)),
+            _ => return Err(SyncError::Moved.into()),
+        };
+        let newly_dead = self.newly_dead();
+        if newly_dead.is_empty() {
+            return Ok(());
+        }
+        let mut dead = self.rights.borrow().recorded_dead();
+        dead.extend(self.gone());
+        let reports = self.fence_everywhere(&dead).await?;
+        if own != *self.own() {
+            return Err(SyncError::Moved.into());
+        }
+        if !took_part(&record, &dead, &reports) || record.reclaims.len() >= MAX_RECLAIMS {
+            let next = new_generation(record.number + 1, own);
+            return self.write_record(next, condition).await;
+        }
+        let reclaim = plan_reclaim(&record, &dead, &own, &reports)?;
+        if awards_nothing(&reclaim) {
+            self.rights.borrow_mut().settled.extend(newly_dead);
+            return Ok(());
+        }
+        let subject = names(&reclaim.dead);
+        let mut next = record;
+        next.reclaims.push(reclaim);
+        self.write_record(next, condition).await?;
+        self.metrics.rights_reclaims.inc();
+        self.record_event("rights_reclaimed", &subject, &own.to_string());
+        Ok(())
+    }
+
+    /// Writes the record. A lost answer needs no reading back here: the next
+    /// look at the table shows what came of it.
+    async fn write_record(
+        &self,
+        record: GenerationRecord,
+        condition: RowCondition,
+    ) -> Result<(), KeeperError> {
+        let bytes = rows::write_generation(&record);
+        let transaction = TableTransaction {
+            conditions: vec![condition],
+            changes: vec![RowChange::Put(RowKey::new(GENERATION_KEY), bytes.clone())],
+        };
+        self.metrics.table_writes.inc();
+        match self.table.commit(transaction).await {
+            CommitOutcome::Committed(_) => {
+                self.take_generation(Some(&bytes))
+                    .map_err(SyncError::from)?;
+                Ok(())
+            }
+            other => {
+                self.wake_table_reader();
+                Err(KeeperError::Commit(other))
+            }
+        }
+    }
+
+    /// Has every survivor refuse the dead and report.
+    async fn fence_everywhere(
+        &self,
+        dead: &BTreeSet<IncarnationId>,
+    ) -> Result<SurvivorReports, KeeperError> {
+        let own = self.own().clone();
+        info!("fencing {}", names(dead));
+        let required = self.members.borrow().required(self.now());
+        let required = required.ok_or(SyncError::Moved)?;
+        if let Some(unheard) = required.unheard.first() {
+            return Err(KeeperError::Unheard(unheard.clone()));
+        }
+        let survivors = required.incarnations;
+        let asks = survivors
+            .iter()
+            .map(|survivor| self.ask_fence(survivor, dead));
+        let mut reports = SurvivorReports::new();
+        let mut known = BTreeSet::new();
+        for answer in join_all(asks).await {
+            let (survivor, report, known_there) = answer?;
+            reports.insert(survivor, report);
+            known.extend(known_there);
+        }
+        // An incarnation that only a survivor knows of must be judged first.
+        for incarnation in known {
+            if incarnation != own
+                && !dead.contains(&incarnation)
+                && !reports.contains_key(&incarnation)
+            {
+                self.note_known(&incarnation);
+                return Err(KeeperError::Unknown(incarnation));
+            }
+        }
+        reports.insert(own, self.fence_here(dead));
+        Ok(reports)
+    }
+
+    async fn ask_fence(
+        &self,
+        survivor: &IncarnationId,
+        dead: &BTreeSet<IncarnationId>,
+    ) -> Result<(IncarnationId, FenceReport, BTreeSet<IncarnationId>), KeeperError> {
+        let failed = |error| KeeperError::Survivor(survivor.clone(), error);
+        let link = self.link(&survivor.instance);
+        let link = link.ok_or_else(|| failed(PeerError::NoAddress))?;
+        let request = PeerRequest::FenceReport {
+            sender: (&*self.own()).into(),
+            dead: dead.iter().map(Into::into).collect(),
+        };
+        match link.call(self, &request, FENCE_DEADLINE).await {
+            Ok(PeerAnswer::Fence(answer)) => {
+                let report = answer.read().map_err(|e| failed(e.into()))?;
+                if report.0 == *survivor {
+                    Ok(report)
+                } else {
+                    Err(failed(PeerError::OtherAnswer))
+                }
+            }
+            Ok(_other) => Err(failed(PeerError::OtherAnswer)),
+            Err(error) => Err(failed(error)),
+        }
+    }
+
+    fn fence_here(&self, dead: &BTreeSet<IncarnationId>) -> FenceReport {
+        let mut rights = self.rights.borrow_mut();
+        rights.fenced.extend(dead.iter().cloned());
+        rights.ledger.fence(dead)
+    }
+
+    /// Serves a fence request: refuses to fence an incarnation that is not
+    /// gone by this instance's own list and links.
+    pub(super) fn serve_fence(
+        &self,
+        sender: &IncarnationId,
+        dead: &BTreeSet<IncarnationId>,
+    ) -> PeerAnswer {
+        if self.is_fenced(sender) {
+            return PeerAnswer::Fenced;
+        }
+        let own = self.own().clone();
+        let gone = self.gone();
+        let (now, members) = (self.now(), self.members.borrow());
+        let is_gone = |incarnation: &IncarnationId| {
+            gone.contains(incarnation)
+                || self.is_fenced(incarnation)
+                || (incarnation.instance == own.instance && incarnation.number < own.number)
+                || (members.list_known() && members.is_gone(incarnation, now))
+        };
+        if let Some(alive) = dead.iter().find(|i| **i == own || !is_gone(i)) {
+            return refused(&format!("{alive} is not gone"));
+        }
+        let known = members.known();
+        drop(members);
+        let report = self.fence_here(dead);
+        let answer = FenceAnswer::new(&own, &report, &known);
+        PeerAnswer::Fence(Box::new(answer))
+    }
+
+    /// Drops what is known of incarnations whose rights are settled.
+    fn prune_members(&self) {
+        let now = self.now();
+        let mut rights = self.rights.borrow_mut();
+        let mut settled = rights.recorded_dead();
+        settled.extend(rights.settled.iter().cloned());
+        rights.own_past.retain(|run| !settled.contains(run));
+        drop(rights);
+        let mut members = self.members.borrow_mut();
+        let gone = members.gone(now);
+        members.prune(now, &|incarnation| settled.contains(incarnation));
+        let known: BTreeSet<_> = members.iter().map(|(name, _)| name.clone()).collect();
+        drop(members);
+        self.peers
+            .borrow_mut()
+            .retain(|name, _| known.contains(name));
+        let mut config = self.config.borrow_mut();
+        let mut facts = self.facts.borrow_mut();
+        for incarnation in gone.intersection(&settled) {
+            config.freshness.forget(incarnation);
+            facts.forget(incarnation);
+        }
+    }
+}
+
+fn new_generation(number: u64, first_holder: IncarnationId) -> GenerationRecord {
+    GenerationRecord {
+        number,
+        first_holder,
+        reclaims: Vec::new(),
+    }
+}
+
+/// Whether a survivor was issued or exchanged shares of the generation.
+fn took_part(
+    record: &GenerationRecord,
+    dead: &BTreeSet<IncarnationId>,
+    reports: &SurvivorReports,
+) -> bool {
+    let mut issued = record.reclaims.iter().map(|reclaim| &reclaim.recipient);
+    issued.any(|recipient| !dead.contains(recipient))
+        || !dead.contains(&record.first_holder)
+        || reports
+            .values()
+            .any(|report| !report.amounts.is_empty() || !report.peers.is_empty())
+}
+
+fn awards_nothing(reclaim: &ReclaimRecord) -> bool {
+    !reclaim.takes_unlisted && reclaim.amounts.values().all(|shares| *shares == 0)
+}
+
+fn names(incarnations: &BTreeSet<IncarnationId>) -> String {
+    let names: Vec<String> = incarnations.iter().map(ToString::to_string).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -0,0 +1,245 @@
+//! The fleet-wide limits as the request path uses them.
+//!
+//! Rights are spent and given away only while the configuration is proved: an
+//! incarnation whose shares were reclaimed has no proof by the time that they
+//! may be used elsewhere.
+
+use std::collections::BTreeMap;
+use std::rc::Weak;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, join_all};
+use log::{debug, warn};
+use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
+use tarragonpulley_policy::rights::{ReceiveOutcome, RightsOutcome, RightsWant, TransferCounter};
+use tarragonpulley_wire::peer::{
+    PeerAnswer, PeerRequest, RightsAnswer, RightsAskRequest, WireError, read_counters,
+    write_counters,
+};
+
+use super::core::FleetCore;
+use super::link::PeerLink;
+use super::peering::{PeerError, refused};
+use crate::border::{AdmitOutcome, RightsSource, SlotGuard};
+
+/// How long a request waits for rights of peers, and how long an ask may take.
+/// A round trip between regions is 110 ms at most.
+const ASK_DEADLINE: Duration = Duration::from_millis(150);
+
+/// Peers that are asked at the same time. Each may give all that is wanted.
+const ASK_FANOUT: usize = 3;
+
+/// What a refused caller is told when this instance cannot say when there may
+/// be a token.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
+/// Slots that a request holds.
+#[derive(Debug)]
+struct HeldSlots {
+    core: Weak<FleetCore>,
+    limits: Vec<LimitKey>,
+}
+
+impl SlotGuard for HeldSlots {}
+
+impl Drop for HeldSlots {
+    fn drop(&mut self) {
+        if let Some(core) = self.core.upgrade() {
+            core.rights.borrow_mut().ledger.release_slots(&self.limits);
+            core.progressed();
+        }
+    }
+}
+
+impl RightsSource for FleetCore {
+    fn admit(&self, limit: LimitKey, deadline: Instant) -> LocalBoxFuture<'_, AdmitOutcome> {
+        async move { self.admit_within(&limit, deadline).await }.boxed_local()
+    }
+
+    fn take_slots(&self, limits: &[LimitKey]) -> Option<Box<dyn SlotGuard>> {
+        if !self.may_spend() || !self.rights.borrow_mut().ledger.take_slots(limits) {
+            return None;
+        }
+        Some(Box::new(HeldSlots {
+            core: Weak::clone(&self.me),
+            limits: limits.to_vec(),
+        }))
+    }
+
+    fn request_slots(&self, limits: Vec<LimitKey>, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+        async move {
+            let free = |core: &Self| {
+                let rights = core.rights.borrow();
+                limits
+                    .iter()
+                    .all(|limit| rights.ledger.free_slots(limit) > 0)
+            };
+            while !free(self) && self.now() < deadline {
+                for limit in &limits {
+                    self.ask_if_short(limit);
+                }
+                let left = deadline.saturating_duration_since(self.now());
+                self.wait_at_most(left.min(ASK_DEADLINE), free).await;
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl FleetCore {
+    /// Whether rights may be spent or given away now.
+    pub(super) fn may_spend(&self) -> bool {
+        self.proof_age().is_some() && self.rights.borrow().ledger.generation().is_some()
+    }
+
+    async fn admit_within(&self, limit: &LimitKey, deadline: Instant) -> AdmitOutcome {
+        if !self.may_spend() {
+            return AdmitOutcome::NotReady;
+        }
+        let start = self.now();
+        let mut outcome = self.rights.borrow_mut().ledger.admit(limit, start);
+        let end = deadline.min(start + ASK_DEADLINE);
+        loop {
+            let wait = match outcome {
+                RightsOutcome::Granted => return AdmitOutcome::Admitted,
+                // Without a limit for the team nothing may be spent.
+                RightsOutcome::Unknown => return AdmitOutcome::NotReady,
+                RightsOutcome::Short { wait } => wait,
+            };
+            let left = end.saturating_duration_since(self.now());
+            if left.is_zero() {
+                let retry_after = wait.min(DEFAULT_RETRY);
+                return AdmitOutcome::Exceeded { retry_after };
+            }
+            self.ask_if_short(limit);
+            self.rights_arrival(left.min(wait)).await;
+            if !self.may_spend() {
+                return AdmitOutcome::NotReady;
+            }
+            let now = self.now();
+            outcome = self.rights.borrow_mut().ledger.admit_waiting(limit, now);
+        }
+    }
+
+    /// Resolves when rights arrived from a peer or `limit` has passed.
+    async fn rights_arrival(&self, limit: Duration) {
+        let seen = self.arrivals.get();
+        self.wait_at_most(limit, |core| core.arrivals.get() != seen)
+            .await;
+    }
+
+    /// Starts asking peers for a limit that this instance is short of.
+    fn ask_if_short(&self, limit: &LimitKey) {
+        let now = self.now();
+        let Some(want) = self.rights.borrow_mut().ledger.want(limit, now) else {
+            return;
+        };
+        if let Some(core) = self.me.upgrade() {
+            let limit = limit.clone();
+            actix_rt::spawn(async move { core.ask_peers(limit, want).await });
+        }
+    }
+
+    /// Asks the peers with the greatest surplus, those of this region first.
+    async fn ask_peers(&self, limit: LimitKey, want: RightsWant) {
+        let (summaries, near) = (self.peer_summaries(), self.near_peers());
+        let order = self
+            .rights
+            .borrow()
+            .ledger
+            .ask_order(&limit, &summaries, &near);
+        let links = order.iter().filter_map(|peer| self.link(&peer.instance));
+        let asks = links.take(ASK_FANOUT).map(|link| {
+            let limit = &limit;
+            async move {
+                if let Err(error) = self.ask(&link, limit, want).await {
+                    debug!("{} gave nothing of {limit}: {error}", link.instance);
+                }
+            }
+        });
+        join_all(asks).await;
+    }
+
+    async fn ask(
+        &self,
+        link: &PeerLink,
+        limit: &LimitKey,
+        want: RightsWant,
+    ) -> Result<(), PeerError> {
+        let own = self.own().clone();
+        let request = PeerRequest::RightsAsk(RightsAskRequest {
+            sender: (&own).into(),
+            limit: limit.to_string(),
+            shares: want.shares,
+            tokens: want.tokens,
+        });
+        self.metrics.rights_asks.inc();
+        match link.call(self, &request, ASK_DEADLINE).await? {
+            PeerAnswer::Rights(answer) => {
+                let giver = IncarnationId::try_from(answer.sender)?;
+                let counters = read_counters(answer.counters)?;
+                // The counters are for the incarnation that asked.
+                if own == *self.own() {
+                    self.receive_rights(&giver, &counters);
+                }
+                Ok(())
+            }
+            _other => Err(PeerError::OtherAnswer),
+        }
+    }
+
+    /// Takes over a peer's counters. Returns whether they are accounted for.
+    pub(super) fn receive_rights(
+        &self,
+        peer: &IncarnationId,
+        counters: &BTreeMap<LimitKey, TransferCounter>,
+    ) -> bool {
+        let now = self.now();
+        let outcome = self.rights.borrow_mut().ledger.receive(peer, counters, now);
+        match outcome {
+            ReceiveOutcome::Applied { changed } => {
+                if changed {
+                    self.metrics.rights_transfers.inc();
+                    self.arrivals.set(self.arrivals.get() + 1);
+                    self.progressed();
+                }
+                true
+            }
+            ReceiveOutcome::Invalid => {
+                warn!("rights of {peer} not received: counters are late or impossible");
+                false
+            }
+            ReceiveOutcome::Fenced | ReceiveOutcome::OtherGeneration => false,
+        }
+    }
+
+    /// Serves an ask of a peer.
+    pub(super) fn serve_ask(&self, ask: RightsAskRequest) -> Result<PeerAnswer, WireError> {
+        let (peer, limit, want) = ask.try_into()?;
+        if self.is_fenced(&peer) {
+            return Ok(PeerAnswer::Fenced);
+        }
+        if !self.may_spend() {
+            return Ok(refused("this instance has no proof"));
+        }
+        let now = self.now();
+        let mut rights = self.rights.borrow_mut();
+        rights.ledger.give(&peer, &limit, &want, now);
+        let update = rights.ledger.counters_since_ack(&peer);
+        drop(rights);
+        Ok(PeerAnswer::Rights(RightsAnswer {
+            sender: (&*self.own()).into(),
+            counters: write_counters(&update.counters),
+        }))
+    }
+
+    /// Moves shares to peers with more demand.
+    pub(super) fn rebalance_rights(&self) {
+        if self.may_spend() && !self.is_leaving() {
+            let summaries = self.peer_summaries();
+            let now = self.now();
+            self.rights.borrow_mut().ledger.rebalance(&summaries, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/rights_state.rs
@@ -0,0 +1,188 @@
+//! The rights of this instance and the record that they follow from.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tarragonpulley_policy::freshness::{PROOF_LIFETIME, RightsVersion};
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
+use tarragonpulley_policy::rights::{
+    AdoptOutcome, GenerationRecord, PeerSummaries, RightsLedger, limits_of,
+};
+use tarragonpulley_wire::rows::{self, RowError};
+
+use super::core::FleetCore;
+
+/// Added to the lifetime of a proof before an award may be used, for clocks
+/// that run at different speeds.
+const AWARD_MARGIN: Duration = Duration::from_millis(250);
+
+/// The rights of one instance.
+#[derive(Debug)]
+pub(super) struct RightsState {
+    pub(super) ledger: RightsLedger,
+    pub(super) record: Option<GenerationRecord>,
+    /// Incarnations whose messages are refused.
+    pub(super) fenced: BTreeSet<IncarnationId>,
+    /// Earlier runs of this instance whose rights are not settled.
+    pub(super) own_past: BTreeSet<IncarnationId>,
+    /// Incarnations that are gone and held nothing, so that no reclaim is due.
+    pub(super) settled: BTreeSet<IncarnationId>,
+}
+
+impl RightsState {
+    pub(super) const fn new(own: IncarnationId) -> Self {
+        Self {
+            ledger: RightsLedger::new(own),
+            record: None,
+            fenced: BTreeSet::new(),
+            own_past: BTreeSet::new(),
+            settled: BTreeSet::new(),
+        }
+    }
+
+    /// The dead set of the record.
+    pub(super) fn recorded_dead(&self) -> BTreeSet<IncarnationId> {
+        let record = self.record.as_ref();
+        let last = record.and_then(|record| record.reclaims.last());
+        last.map(|reclaim| reclaim.dead.clone()).unwrap_or_default()
+    }
+
+    /// Whether this incarnation exchanged shares with an incarnation that a
+    /// new reclaim covers, without having reported that. What it received then
+    /// was awarded to another one too.
+    fn missed_report(&self, dead: &BTreeSet<IncarnationId>) -> bool {
+        let unreported: BTreeSet<_> = dead.difference(&self.fenced).cloned().collect();
+        let report = self.ledger.clone().fence(&unreported);
+        report.amounts.keys().any(|peer| unreported.contains(peer))
+    }
+}
+
+fn version_of(record: &GenerationRecord) -> RightsVersion {
+    RightsVersion {
+        generation: record.number,
+        reclaims: record.reclaims.len() as u64,
+    }
+}
+
+impl FleetCore {
+    /// Takes over a reading of `rights/generation` and returns its version.
+    pub(super) fn take_generation(&self, row: Option<&[u8]>) -> Result<RightsVersion, RowError> {
+        let Some(bytes) = row else {
+            return Ok(RightsVersion::default());
+        };
+        let record = rows::read_generation(bytes)?;
+        let version = version_of(&record);
+        if self.config.borrow_mut().freshness.adopt_rights(version) {
+            self.adopt_record(&record);
+        }
+        Ok(version)
+    }
+
+    fn adopt_record(&self, record: &GenerationRecord) {
+        let now = self.now();
+        let usable_from = now + PROOF_LIFETIME + AWARD_MARGIN;
+        let version = version_of(record);
+        let mut rights = self.rights.borrow_mut();
+        let known = rights.record.as_ref().map(|known| known.number);
+        let dead = record.reclaims.last().map(|reclaim| reclaim.dead.clone());
+        let dead = dead.unwrap_or_default();
+        // A new generation drops everything that was exchanged before.
+        let tainted = known == Some(record.number) && rights.missed_report(&dead);
+        let outcome = rights.ledger.adopt(record, usable_from, now);
+        rights.fenced.extend(dead);
+        rights.record = Some(record.clone());
+        drop(rights);
+        self.note_known(&record.first_holder);
+        for reclaim in &record.reclaims {
+            self.note_known(&reclaim.recipient);
+        }
+        let detail = format!("{} reclaims", version.reclaims);
+        let subject = version.generation.to_string();
+        self.record_event("rights_record_adopted", &subject, &detail);
+        if tainted || outcome == AdoptOutcome::Fenced {
+            self.restart_incarnation();
+        }
+        self.progressed();
+    }
+
+    /// Goes on as a new incarnation that holds nothing, because the fleet has
+    /// fenced the present one.
+    pub(super) fn restart_incarnation(&self) {
+        let now = self.now();
+        let old = self.own().clone();
+        let next = IncarnationId {
+            instance: old.instance.clone(),
+            number: old.number + 1,
+        };
+        let mut rights = self.rights.borrow_mut();
+        rights.ledger = rights.ledger.restarted(next.clone());
+        rights.own_past.insert(old.clone());
+        if let Some(record) = rights.record.clone() {
+            rights.ledger.adopt(&record, now, now);
+        }
+        drop(rights);
+        self.set_own(next.clone());
+        self.config.borrow_mut().freshness.revoke();
+        for peer in self.peers.borrow_mut().values_mut() {
+            peer.forget_delivered();
+        }
+        self.record_event("incarnation_replaced", &old.to_string(), &next.to_string());
+        self.wake_table_reader();
+    }
+
+    /// Notes that a peer refused a heartbeat of `sent_by` as fenced.
+    pub(super) fn note_fenced_by(&self, peer: &InstanceName, sent_by: &IncarnationId) {
+        if *sent_by == *self.own() {
+            self.record_event("incarnation_fenced", &sent_by.to_string(), peer.as_str());
+            self.restart_incarnation();
+        }
+    }
+
+    /// Whether messages of an incarnation are refused.
+    pub(super) fn is_fenced(&self, incarnation: &IncarnationId) -> bool {
+        self.rights.borrow().fenced.contains(incarnation)
+    }
+
+    /// Applies the limits of the configuration in force.
+    pub(super) fn configure_rights(&self) {
+        let plans = limits_of(&self.snapshot_now());
+        let now = self.now();
+        self.rights.borrow_mut().ledger.configure(&plans, now);
+    }
+
+    /// The latest summaries of the peers that answer and stay.
+    pub(super) fn peer_summaries(&self) -> PeerSummaries {
+        let now = self.now();
+        let members = self.members.borrow();
+        let peers = self.peers.borrow();
+        let mut summaries = BTreeMap::new();
+        for (instance, peer) in peers.iter() {
+            let answers = members.get(instance).is_some_and(|m| m.answers(now));
+            let Some(incarnation) = peer.incarnation.as_ref().filter(|_| answers) else {
+                continue;
+            };
+            if !self.states_leaving(incarnation) && !self.is_fenced(incarnation) {
+                summaries.insert(incarnation.clone(), peer.summaries.clone());
+            }
+        }
+        summaries
+    }
+
+    /// Peers in a data centre of this instance's region.
+    pub(super) fn near_peers(&self) -> BTreeSet<IncarnationId> {
+        let snapshot = self.snapshot_now();
+        let contracts = || snapshot.contracts.values();
+        let own = &self.place.centre;
+        let members = self.members.borrow();
+        let near = members.iter().filter(|(_name, entry)| {
+            let theirs = &entry.place.centre;
+            theirs == own
+                || contracts().any(|contract| {
+                    let region = contract.region_of(own);
+                    region.is_some() && region == contract.region_of(theirs)
+                })
+        });
+        near.filter_map(|(_name, entry)| entry.incarnation.clone())
+            .collect()
+    }
+}
--- a/crates/daemon/src/fleet/serve.rs
+++ b/crates/daemon/src/fleet/serve.rs
@@ -2,12 +2,11 @@
 
 use log::warn;
 use tarragonpulley_wire::peer::{
-    ConfigurationAnswer, MAX_EVENTS, PeerAnswer, PeerRequest, WireError,
+    ConfigurationAnswer, MAX_EVENTS, PeerAnswer, PeerRequest, WireError, read_incarnations,
 };
-use tarragonpulley_wire::rows::ConfigRows;
+use tarragonpulley_wire::rows::{self, ConfigRows};
 
 use super::core::FleetCore;
-use super::peering::refused;
 
 impl FleetCore {
     /// Serves one request.
@@ -22,14 +21,16 @@
                     events.into_iter().map(Into::into).collect(),
                 ))
             }
-            PeerRequest::RightsAsk(_) | PeerRequest::FenceReport { .. } => {
-                Ok(refused("limits are not served yet"))
+            PeerRequest::RightsAsk(ask) => self.serve_ask(ask),
+            PeerRequest::FenceReport { sender, dead } => {
+                Ok(self.serve_fence(&sender.try_into()?, &read_incarnations(dead)?))
             }
         }
     }
 
     fn serve_fetch(&self, revision: u64) -> PeerAnswer {
         let config = self.config.borrow();
+        let rights = self.rights.borrow();
         let newer = config.freshness.revision().get() > revision;
         let rows = if newer {
             (*config.rows).clone()
@@ -38,12 +39,16 @@
         };
         PeerAnswer::Configuration(ConfigurationAnswer {
             rows: rows.into_iter().collect(),
-            generation: None,
+            generation: rights.record.as_ref().map(rows::write_generation),
         })
     }
 
     /// Takes over rows that were fetched from a peer.
     pub(super) fn take_fetched(&self, answer: ConfigurationAnswer) {
+        let generation = answer.generation.as_deref();
+        if let Err(error) = self.take_generation(generation) {
+            warn!("rights record of a peer not adopted: {error}");
+        }
         let rows: ConfigRows = answer.rows.into_iter().collect();
         if !rows.is_empty()
             && let Err(error) = self.adopt_rows(rows)
--- a/crates/daemon/src/fleet/sync.rs
+++ b/crates/daemon/src/fleet/sync.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::try_join;
 use log::warn;
 use tarragonpulley_platform::{ListedInstance, ListedState, PlatformError, RowKey, TableSnapshot};
 use tarragonpulley_policy::ids::InstanceName;
@@ -85,29 +86,45 @@
 }
 
 impl FleetCore {
-    /// Reads the head row, and all configuration when it is newer.
+    /// Reads the head row and the rights record, and all configuration when it
+    /// is newer.
     async fn sync_table(&self) -> Result<(), SyncError> {
         let started = self.now();
-        self.metrics.table_reads.inc();
-        let head = self.table.read(RowKey::new(rows::HEAD_KEY)).await?;
+        let (head, generation) = try_join(
+            self.table.read(RowKey::new(rows::HEAD_KEY)),
+            self.read_generation_row(),
+        )
+        .await?;
+        self.metrics.table_reads.inc_by(2);
+        let rights = self.take_generation(generation.0.as_deref())?;
         let (head, _modified) = read_head(&head)?;
-        if head.revision > self.revision() {
-            self.load_config(self.now()).await
+        let revision = if head.revision > self.revision() {
+            self.load_config().await?
         } else {
-            self.note_table_read(head.revision, started);
-            Ok(())
-        }
+            head.revision
+        };
+        self.note_table_read(revision, rights, started);
+        Ok(())
     }
 
-    /// Reads all configuration rows in a reading that begins at `started`.
-    pub(super) async fn load_config(&self, started: Instant) -> Result<(), SyncError> {
+    /// Reads the row of the rights record and its modification number.
+    pub(super) async fn read_generation_row(
+        &self,
+    ) -> Result<(Option<Vec<u8>>, Option<u64>), PlatformError> {
+        let key = RowKey::new(rows::GENERATION_KEY);
+        let mut read = self.table.read(key.clone()).await?;
+        let row = read.rows.remove(&key);
+        Ok(row.map(|row| (row.value, row.modified)).unzip())
+    }
+
+    /// Reads all configuration rows and puts them in force when they are newer.
+    pub(super) async fn load_config(&self) -> Result<ConfigRevision, SyncError> {
         self.metrics.table_reads.inc();
         let read = self.table.read(RowKey::new(rows::CONFIG_PREFIX)).await?;
         let rows = plain_rows(read);
         let revision = rows::head_revision(&rows)?;
         self.adopt_rows(rows)?;
-        self.note_table_read(revision, started);
-        Ok(())
+        Ok(revision)
     }
 
     /// Ends the links to instances that are gone.
--- a/crates/daemon/src/test_support.rs
+++ b/crates/daemon/src/test_support.rs
@@ -2,19 +2,19 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use prometheus_client::registry::Registry;
 use tarragonpulley_platform::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::ids::{CentreName, IncarnationId, MoveName, TeamKey};
+use tarragonpulley_policy::ids::{CentreName, IncarnationId, LimitKey, MoveName, TeamKey};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, MoveRecord};
 use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
 use tarragonpulley_policy::units::ConfigRevision;
 use tokio::net::TcpListener;
 
-use crate::border::{ChangeOutcome, ConfigEdit, MemberView, ProofState};
+use crate::border::{AdmitOutcome, ChangeOutcome, ConfigEdit, MemberView, ProofState};
 use crate::fleet::{FleetOptions, FleetState};
 
 /// What a [`FleetNode`] is started with.
@@ -185,6 +185,42 @@
         self.state.own()
     }
 
+    /// Spends a token; `Err` names the outcome when there is none.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, when it is not `Admitted`.
+    pub async fn admit(&self, limit: LimitKey, wait: Duration) -> Result<(), String> {
+        let deadline = Instant::now() + wait;
+        match self.state.rights().admit(limit, deadline).await {
+            AdmitOutcome::Admitted => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    /// Takes a slot of each limit; it is held until the value is dropped.
+    #[must_use]
+    pub fn take_slots(&self, limits: &[LimitKey]) -> Option<impl Sized + use<>> {
+        self.state.rights().take_slots(limits)
+    }
+
+    /// Asks peers for slots.
+    pub async fn request_slots(&self, limits: Vec<LimitKey>, wait: Duration) {
+        let deadline = Instant::now() + wait;
+        self.state.rights().request_slots(limits, deadline).await;
+    }
+
+    /// Shares that this instance holds of a limit.
+    #[must_use]
+    pub fn shares(&self, limit: &LimitKey) -> u64 {
+        self.state.shares(limit)
+    }
+
+    /// Leaves the fleet; returns whether the peers acknowledged.
+    pub async fn leave(&self, limit: Duration) -> bool {
+        self.state.leave(limit).await
+    }
+
     /// Records an event.
     pub fn record(&self, kind: &str, subject: &str) {
         self.state.events().record(kind, subject, "");
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -121,6 +121,27 @@
     pub(crate) list: Rc<ListView>,
 }
 
+impl TestInstance {
+    fn start(
+        own: &str,
+        listener: TcpListener,
+        clock: Rc<dyn TimeSource>,
+        table: Rc<TableView>,
+        list: Rc<ListView>,
+    ) -> Self {
+        let node = FleetNode::start(NodeOptions {
+            own: own.parse().expect("a valid incarnation"),
+            centre: "north-a".parse().expect("a valid name"),
+            address: listener.local_addr().expect("an address"),
+            listener,
+            clock,
+            table: Rc::clone(&table) as _,
+            list: Rc::clone(&list) as _,
+        });
+        Self { node, table, list }
+    }
+}
+
 /// A fleet on one thread.
 #[derive(Debug)]
 pub(crate) struct TestFleet {
@@ -171,17 +192,10 @@
                 let place = links.get(&(index, other)).map_or(address, |l| l.address);
                 list.listed.borrow_mut().push(listed(&name(other), place));
             }
+            let own = format!("{}#1", name(index));
             let table = TableView::new(&table);
-            let node = FleetNode::start(NodeOptions {
-                own: format!("{}#1", name(index)).parse().expect("valid"),
-                centre: "north-a".parse().expect("valid"),
-                listener,
-                address,
-                clock: Rc::clone(&clock),
-                table: Rc::clone(&table) as _,
-                list: Rc::clone(&list) as _,
-            });
-            instances.push(TestInstance { node, table, list });
+            let clock = Rc::clone(&clock);
+            instances.push(TestInstance::start(&own, listener, clock, table, list));
         }
         Self {
             table,
@@ -242,6 +256,25 @@
         self.instances.pop();
     }
 
+    /// Ends the last instance and starts another run of it.
+    pub(crate) async fn restart_last(&mut self, number: u64) {
+        let last = self.instances.pop().expect("an instance");
+        let own = format!("{}#{number}", last.node.own().instance);
+        let address = self.addresses[self.instances.len()];
+        let TestInstance { node, table, list } = last;
+        drop(node);
+        let listener = loop {
+            // The port is free once the tasks of the earlier run have ended.
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        let clock = Rc::new(SystemClock);
+        let next = TestInstance::start(&own, listener, clock, table, list);
+        self.instances.push(next);
+    }
+
     /// Removes an instance from the list as all others see it.
     pub(crate) fn delist(&self, index: usize) {
         for instance in &self.instances {
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -4,3 +4,4 @@
 mod harness;
 mod links;
 mod platform;
+mod rights;
--- a/crates/daemon/tests/fleet/platform.rs
+++ b/crates/daemon/tests/fleet/platform.rs
@@ -23,6 +23,14 @@
         self.apply(&[change]);
     }
 
+    pub(crate) fn row(&self, key: &str) -> Option<Vec<u8>> {
+        let table = self.rows.borrow();
+        table
+            .rows
+            .get(&RowKey::new(key))
+            .map(|row| row.value.clone())
+    }
+
     fn apply(&self, changes: &[RowChange]) -> u64 {
         let mut table = self.rows.borrow_mut();
         table.revision += 1;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -32,8 +32,9 @@
 pub const MAX_FACTS: usize = 512;
 /// Most limits in a message.
 pub const MAX_LIMITS: usize = 8192;
-/// Most incarnations in a list.
-pub const MAX_INCARNATIONS: usize = 256;
+/// Most incarnations in a list. The dead set of a generation grows with each
+/// restart.
+pub const MAX_INCARNATIONS: usize = 4096;
 /// Most events in an answer.
 pub const MAX_EVENTS: usize = 4096;
 /// Longest reason or detail in bytes.
--- a/crates/wire/src/rows.rs
+++ b/crates/wire/src/rows.rs
@@ -4,6 +4,8 @@
 //! converts to, and a row that does not convert never stops an instance: the
 //! last good value of that row stays in force and the fault is reported.
 
+mod generation;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +20,8 @@
 };
 use tarragonpulley_policy::units::{ConfigRevision, TrafficShare};
 
+pub use generation::{GenerationRow, ReclaimRow, read_generation, write_generation};
+
 /// The prefix of all configuration rows.
 pub const CONFIG_PREFIX: &str = "config/";
 /// The row that each configuration change advances.
