--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,8 @@
 mod queue;
 mod settings;
 mod tasks;
+#[doc(hidden)]
+pub mod test_support;
 mod unlimited;
 #[allow(dead_code, reason = "limits and moves are being added")]
 mod upstream;
