--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -25,7 +25,7 @@
 use crate::http_server::{HttpServer, HttpServerHandle, ServerLimits};
 use crate::operator::OperatorApi;
 use crate::settings::InstanceSettings;
-use crate::unlimited::UnlimitedRights;
+use crate::unlimited::IgnoredEvidence;
 
 /// Validity of look-up answers while no contract is known.
 const DEFAULT_LOOKUP_VALIDITY: Duration = Duration::from_secs(1);
@@ -34,6 +34,10 @@
 /// timeouts end requests earlier; only claims through a table outage reach it.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait for peers to acknowledge the rights given to them. What they
+/// did not get is reclaimed after the stop.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// How often a stopping instance looks whether it is idle.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -133,11 +137,11 @@
             centre: settings.data_centre.clone(),
             clock,
             config: fleet.config(),
-            rights: Rc::new(UnlimitedRights),
+            rights: fleet.rights(),
             facts: fleet.facts(),
             members: fleet.members(),
             events: fleet.events(),
-            evidence: Rc::new(UnlimitedRights),
+            evidence: Rc::new(IgnoredEvidence),
             table,
             objects,
         };
@@ -184,7 +188,11 @@
             log::warn!("stopping with unsettled requests after {SETTLE_TIMEOUT:?}");
         }
         drop(self.frontend);
-        drop(self.fleet);
+        if !self.fleet.leave(LEAVE_TIMEOUT).await {
+            log::warn!(
+                "peers did not acknowledge the rights given to them within {LEAVE_TIMEOUT:?}"
+            );
+        }
         events.record("instance_stopped", own.instance.as_str(), "");
         self.operator.drain().await;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,10 @@
 mod border;
 mod claims;
 mod errors;
-#[allow(dead_code, reason = "limits and moves are being added")]
+#[allow(
+    dead_code,
+    reason = "the status of rows is being added to the operator API"
+)]
 mod fleet;
 mod frontend;
 mod headers;
@@ -38,3 +41,7 @@
     EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, PlatformUrl, SettingMistake, SettingsError,
     SettingsOutcome,
 };
+
+#[cfg(test)]
+#[path = "../tests/unit/mod.rs"]
+mod unit;
--- a/crates/daemon/src/unlimited.rs
+++ b/crates/daemon/src/unlimited.rs
@@ -1,36 +1,11 @@
-//! Borders whose modules are being added: every limit admits, and outcomes of
-//! attempts are dropped.
+//! The border whose module is being added: outcomes of attempts are dropped.
 
-use std::time::Instant;
+use crate::border::{AttemptReport, EvidenceSink};
 
-use futures_util::future::LocalBoxFuture;
-use tarragonpulley_policy::ids::LimitKey;
-
-use crate::border::{AdmitOutcome, AttemptReport, EvidenceSink, RightsSource, SlotGuard};
-
-/// Admits everything.
+/// Drops all reports.
 #[derive(Debug)]
-pub(crate) struct UnlimitedRights;
-
-#[derive(Debug)]
-struct FreeSlot;
-
-impl SlotGuard for FreeSlot {}
-
-impl RightsSource for UnlimitedRights {
-    fn admit(&self, _limit: LimitKey, _deadline: Instant) -> LocalBoxFuture<'_, AdmitOutcome> {
-        Box::pin(async { AdmitOutcome::Admitted })
-    }
-
-    fn take_slots(&self, _limits: &[LimitKey]) -> Option<Box<dyn SlotGuard>> {
-        Some(Box::new(FreeSlot))
-    }
-
-    fn request_slots(&self, _limits: Vec<LimitKey>, _deadline: Instant) -> LocalBoxFuture<'_, ()> {
-        Box::pin(async {})
-    }
-}
+pub(crate) struct IgnoredEvidence;
 
-impl EvidenceSink for UnlimitedRights {
+impl EvidenceSink for IgnoredEvidence {
     fn note(&self, _attempt: &AttemptReport) {}
 }
