--- a/crates/policy/src/rights/counter.rs
+++ b/crates/policy/src/rights/counter.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use sha2::{Digest, Sha256};
+
 use super::record::PairAmounts;
-use crate::ids::LimitKey;
+use crate::ids::{IncarnationId, LimitKey};
 
 /// Everything that one incarnation has ever given to another of one limit.
 ///
@@ -13,6 +15,9 @@
 pub struct TransferCounter {
     /// The generation that the amounts belong to.
     pub generation: u64,
+    /// Digest of the receiving incarnation. An address passes on to the next
+    /// incarnation, which would otherwise count what its predecessor was given.
+    pub receiver: u64,
     /// Shares given.
     pub shares: u64,
     /// Tokens given, in parts of `1 / TOTAL_SHARES` token. Wider than shares,
@@ -30,6 +35,13 @@
     pub counters: BTreeMap<LimitKey, TransferCounter>,
 }
 
+/// The digest that counters name an incarnation by.
+pub(crate) fn digest_of(incarnation: &IncarnationId) -> u64 {
+    let digest = Sha256::digest(incarnation.to_string().as_bytes());
+    let bytes = digest.iter().take(8);
+    bytes.fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
+}
+
 #[derive(Debug, Clone)]
 struct GivenCounter {
     counter: TransferCounter,
@@ -37,8 +49,9 @@
 }
 
 /// What went between this incarnation and one peer.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct PairCounters {
+    receiver: u64,
     given: BTreeMap<LimitKey, GivenCounter>,
     received: BTreeMap<LimitKey, TransferCounter>,
     /// Changes that the peer has not acknowledged.
@@ -47,15 +60,35 @@
 }
 
 impl PairCounters {
+    pub(crate) fn new(peer: &IncarnationId) -> Self {
+        Self {
+            receiver: digest_of(peer),
+            given: BTreeMap::new(),
+            received: BTreeMap::new(),
+            unacknowledged: BTreeMap::new(),
+            last_change: 0,
+        }
+    }
+
+    /// Forgets all amounts. Changes are numbered on, so that an
+    /// acknowledgement of an earlier generation covers none of a later one.
+    pub(crate) fn reset(&mut self) {
+        self.given.clear();
+        self.received.clear();
+        self.unacknowledged.clear();
+    }
+
     /// Counts a gift. The giver has subtracted it before.
     pub(crate) fn give(&mut self, limit: &LimitKey, generation: u64, shares: u64, tokens: u64) {
         self.last_change += 1;
+        let receiver = self.receiver;
         let given = self
             .given
             .entry(limit.clone())
             .or_insert_with(|| GivenCounter {
                 counter: TransferCounter {
                     generation,
+                    receiver,
                     ..TransferCounter::default()
                 },
                 change: 0,
--- a/crates/policy/src/rights/ledger.rs
+++ b/crates/policy/src/rights/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use super::counter::PairCounters;
+use super::counter::{PairCounters, digest_of};
 use super::holding::Holding;
 use super::outcome::{AdoptOutcome, RightsOutcome};
 use super::plan::{LimitPlan, TOTAL_SHARES};
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone)]
 pub struct RightsLedger {
     pub(super) own: IncarnationId,
+    /// The name of this incarnation in counters.
+    pub(super) digest: u64,
     pub(super) holdings: BTreeMap<LimitKey, Holding>,
     pub(super) pairs: BTreeMap<IncarnationId, PairCounters>,
     pub(super) fenced: BTreeSet<IncarnationId>,
@@ -53,8 +55,9 @@
 impl RightsLedger {
     /// Creates the ledger of an incarnation that holds nothing.
     #[must_use]
-    pub const fn new(own: IncarnationId) -> Self {
+    pub fn new(own: IncarnationId) -> Self {
         Self {
+            digest: digest_of(&own),
             own,
             holdings: BTreeMap::new(),
             pairs: BTreeMap::new(),
@@ -223,7 +226,7 @@
         for holding in self.holdings.values_mut() {
             holding.drop_shares();
         }
-        self.pairs.clear();
+        self.pairs.values_mut().for_each(PairCounters::reset);
         self.fenced.clear();
         self.pending.clear();
         self.unlisted = None;
--- a/crates/policy/src/rights/outcome.rs
+++ b/crates/policy/src/rights/outcome.rs
@@ -56,6 +56,9 @@
     /// The counters belong to a generation that is not the adopted one;
     /// nothing changed.
     OtherGeneration,
+    /// The counters are for another incarnation, such as the one that had this
+    /// address before; nothing changed.
+    OtherReceiver,
 }
 
 /// What a holder has of a limit, as heartbeats state it.
--- a/crates/policy/src/rights/transfer.rs
+++ b/crates/policy/src/rights/transfer.rs
@@ -112,11 +112,16 @@
             return false;
         }
         holding.take(shares, gift.tokens, now);
-        let pair = self.pairs.entry(peer.clone()).or_default();
+        let pair = self.pair(peer);
         pair.give(limit, generation, shares, gift.tokens);
         true
     }
 
+    fn pair(&mut self, peer: &IncarnationId) -> &mut PairCounters {
+        let pair = self.pairs.entry(peer.clone());
+        pair.or_insert_with(|| PairCounters::new(peer))
+    }
+
     /// All counters for a peer.
     #[must_use]
     pub fn counters_for(&self, peer: &IncarnationId) -> BTreeMap<LimitKey, TransferCounter> {
@@ -163,6 +168,9 @@
         if counters.values().any(|c| Some(c.generation) != generation) {
             return ReceiveOutcome::OtherGeneration;
         }
+        if counters.values().any(|c| c.receiver != self.digest) {
+            return ReceiveOutcome::OtherReceiver;
+        }
         let Some(news) = self.news(peer, counters) else {
             return ReceiveOutcome::Invalid;
         };
@@ -171,7 +179,7 @@
             let holding = self.holdings.entry(limit.clone()).or_default();
             holding.add(shares, tokens, now);
             holding.asked_at = None;
-            let pair = self.pairs.entry(peer.clone()).or_default();
+            let pair = self.pair(peer);
             pair.set_received(limit, counters[limit]);
         }
         ReceiveOutcome::Applied { changed }
@@ -186,11 +194,13 @@
         if *peer == self.own {
             return None;
         }
-        let fresh = PairCounters::default();
-        let pair = self.pairs.get(peer).unwrap_or(&fresh);
+        let pair = self.pairs.get(peer);
         let mut news = Vec::new();
         for (limit, counter) in counters {
-            let (shares, tokens) = pair.news(limit, counter)?;
+            let (shares, tokens) = match pair {
+                Some(pair) => pair.news(limit, counter)?,
+                None => (counter.shares, counter.tokens),
+            };
             let held = self.shares(limit).saturating_add(self.not_yet_held(limit));
             let most = u128::from(shares) * u128::from(u32::MAX);
             if held.saturating_add(shares) > TOTAL_SHARES || tokens > most {
