--- /dev/null
+++ b/crates/policy/benches/limit_candidates/score.rs
@@ -0,0 +1,150 @@
+//! What a run of one candidate is judged by.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::workload::{FLOODING, TeamLoad, TeamRequest, Verdict};
+
+const NANOS: u128 = 1_000_000_000;
+/// Requests before are not judged: shares spread and buckets fill first.
+const WARM_UP: Duration = Duration::from_secs(10);
+
+/// One bucket for the whole fleet.
+#[derive(Debug, Clone)]
+pub(crate) struct CentralBucket {
+    rate: u128,
+    burst: u128,
+    level: u128,
+    updated: Instant,
+}
+
+impl CentralBucket {
+    pub(crate) fn new(rate: u32, burst: u32, full: bool, now: Instant) -> Self {
+        let burst = u128::from(burst) * NANOS;
+        Self {
+            rate: u128::from(rate),
+            burst,
+            level: if full { burst } else { 0 },
+            updated: now,
+        }
+    }
+
+    pub(crate) fn spend(&mut self, now: Instant) -> bool {
+        self.spend_many(now, 1)
+    }
+
+    /// Spends `count` tokens, or none.
+    pub(crate) fn spend_many(&mut self, now: Instant, count: u32) -> bool {
+        let cost = u128::from(count) * NANOS;
+        let elapsed = now.saturating_duration_since(self.updated).as_nanos();
+        self.updated = self.updated.max(now);
+        self.level = (self.level + elapsed * self.rate).min(self.burst);
+        let granted = self.level >= cost;
+        if granted {
+            self.level -= cost;
+        }
+        granted
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct TeamScore {
+    rightful: u64,
+    wrongful: u64,
+    admitted: u64,
+    over: u64,
+    wait: Duration,
+}
+
+#[derive(Debug)]
+pub(crate) struct RunScore {
+    start: Instant,
+    ideal: Vec<CentralBucket>,
+    fleet: Vec<CentralBucket>,
+    teams: Vec<TeamScore>,
+    waiting: BTreeMap<u64, (usize, Instant, bool)>,
+    messages: f64,
+}
+
+impl RunScore {
+    pub(crate) fn new(start: Instant, teams: &[TeamLoad]) -> Self {
+        let bucket = |t: &TeamLoad| CentralBucket::new(t.rate, t.burst, true, start);
+        let buckets: Vec<_> = teams.iter().map(bucket).collect();
+        Self {
+            start,
+            ideal: buckets.clone(),
+            fleet: buckets,
+            teams: vec![TeamScore::default(); teams.len()],
+            waiting: BTreeMap::new(),
+            messages: 0.0,
+        }
+    }
+
+    pub(crate) fn arrive(&mut self, now: Instant, request: &TeamRequest) {
+        let rightful = self.ideal[request.team].spend(now);
+        self.waiting
+            .insert(request.id, (request.team, now, rightful));
+    }
+
+    pub(crate) fn note(&mut self, now: Instant, verdicts: Vec<Verdict>) {
+        for verdict in verdicts {
+            let Some((team, arrived, rightful)) = self.waiting.remove(&verdict.id) else {
+                continue;
+            };
+            let over = verdict.admitted && !self.fleet[team].spend(now);
+            if now < self.start + WARM_UP {
+                continue;
+            }
+            let score = &mut self.teams[team];
+            score.rightful += u64::from(rightful);
+            score.wrongful += u64::from(rightful && !verdict.admitted);
+            score.admitted += u64::from(verdict.admitted);
+            score.over += u64::from(over);
+            if verdict.admitted {
+                score.wait += now - arrived;
+            }
+        }
+    }
+
+    pub(crate) fn finish(&mut self, messages: u64, time: Duration) {
+        self.messages = as_float(messages) / time.as_secs_f64();
+    }
+
+    /// One row of the table.
+    pub(crate) fn row(&self) -> String {
+        let inside = self.teams.iter().enumerate();
+        let inside: Vec<_> = inside.filter(|(t, _)| *t != FLOODING).collect();
+        let sum = |part: fn(&TeamScore) -> u64| inside.iter().map(|(_, t)| part(t)).sum::<u64>();
+        let over: u64 = self.teams.iter().map(|t| t.over).sum();
+        let worst = self.teams.iter().map(TeamScore::success);
+        let worst = worst.fold(f64::INFINITY, f64::min);
+        let wait: Duration = inside.iter().map(|(_, t)| t.wait).sum();
+        format!(
+            "{over:>9} {:>9.3} {:>9.2} {:>8.2} {:>8.0}",
+            100.0 * as_float(sum(|t| t.wrongful)) / as_float(sum(|t| t.rightful)),
+            100.0 * worst,
+            1000.0 * wait.as_secs_f64() / as_float(sum(|t| t.admitted)),
+            self.messages
+        )
+    }
+
+    /// Success and wrongful refusals of each team.
+    pub(crate) fn by_team(&self) -> String {
+        let teams = self
+            .teams
+            .iter()
+            .map(|t| format!("{:.1}%({}/{})", 100.0 * t.success(), t.wrongful, t.rightful));
+        teams.collect::<Vec<_>>().join(" ")
+    }
+}
+
+impl TeamScore {
+    /// Admitted requests, compared with those that a central bucket admits.
+    fn success(&self) -> f64 {
+        as_float(self.admitted) / as_float(self.rightful.max(1))
+    }
+}
+
+fn as_float(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/policy/benches/limit_candidates/shares.rs
@@ -0,0 +1,380 @@
+//! Transferable shares, by the ledger of this crate.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
+use tarragonpulley_policy::rights::{
+    CounterUpdate, GenerationRecord, LimitPlan, PeerSummaries, ReceiveOutcome, RightsLedger,
+    RightsOutcome, RightsSummary, RightsWant, plan_reclaim,
+};
+use tarragonpulley_policy::units::{BurstSize, RequestRate};
+
+use crate::workload::{
+    CandidateDyn, EventQueue, INSTANCES, LimitCandidate, TEAMS, TeamRequest, Verdict, delay,
+    region_of,
+};
+
+const HEARTBEAT: Duration = Duration::from_millis(500);
+const ASK_DEADLINE: Duration = Duration::from_millis(150);
+/// Time from a commit until an award is usable: proof lifetime and margin.
+const AWARD_DELAY: Duration = Duration::from_millis(2600);
+/// Requests of one team that wait at an instance at the same time.
+const MOST_WAITING: usize = 16;
+
+#[derive(Clone)]
+struct Heartbeat {
+    from: usize,
+    to: usize,
+    update: CounterUpdate,
+    summary: BTreeMap<LimitKey, RightsSummary>,
+    acknowledged: Option<u64>,
+}
+
+enum ShareEvent {
+    Tick(usize),
+    Heartbeat(Heartbeat),
+    HeartbeatAnswer(Heartbeat),
+    Ask {
+        from: usize,
+        to: usize,
+        team: usize,
+        want: RightsWant,
+    },
+    AskAnswer {
+        from: usize,
+        to: usize,
+        team: usize,
+        update: CounterUpdate,
+    },
+    Refill(usize, usize),
+    Deadline(usize, usize, u64),
+    Reclaim,
+}
+
+struct ShareNode {
+    ledger: RightsLedger,
+    live: bool,
+    peers: PeerSummaries,
+    near: BTreeSet<IncarnationId>,
+    waiting: Vec<VecDeque<u64>>,
+    asks: Vec<usize>,
+    /// Marks to acknowledge with the next heartbeat.
+    applied: BTreeMap<usize, u64>,
+}
+
+struct ShareFleet {
+    nodes: Vec<ShareNode>,
+    limits: Vec<LimitKey>,
+    record: GenerationRecord,
+    events: EventQueue<ShareEvent>,
+    verdicts: Vec<Verdict>,
+    messages: u64,
+}
+
+fn incarnation(instance: usize) -> IncarnationId {
+    let text = format!("i{instance:02}#1");
+    text.parse().expect("the name is valid")
+}
+
+pub(crate) fn make(now: Instant) -> CandidateDyn {
+    let limits: Vec<LimitKey> = (0..TEAMS.len())
+        .map(|team| {
+            let text = format!("team:c/t{team}");
+            text.parse().expect("the key is valid")
+        })
+        .collect();
+    let plans = limits.iter().cloned().zip(TEAMS.iter().map(|load| {
+        let (rate, burst) = (
+            RequestRate::per_second(load.rate),
+            BurstSize::new(load.burst),
+        );
+        LimitPlan::Rate { rate, burst }
+    }));
+    let plans = plans.collect();
+    let record = GenerationRecord {
+        number: 1,
+        first_holder: incarnation(0),
+        reclaims: Vec::new(),
+    };
+    let mut events = EventQueue::new();
+    let nodes = (0..INSTANCES).map(|instance| {
+        let mut ledger = RightsLedger::new(incarnation(instance));
+        ledger.configure(&plans, now);
+        ledger.adopt(&record, now, now);
+        let offset = HEARTBEAT * u32::try_from(instance).unwrap_or(0) / 12;
+        events.add(now + offset, ShareEvent::Tick(instance));
+        let near = (0..INSTANCES).filter(|n| region_of(*n) == region_of(instance));
+        ShareNode {
+            ledger,
+            live: true,
+            peers: BTreeMap::new(),
+            near: near.map(incarnation).collect(),
+            waiting: vec![VecDeque::new(); TEAMS.len()],
+            asks: vec![0; TEAMS.len()],
+            applied: BTreeMap::new(),
+        }
+    });
+    Box::new(ShareFleet {
+        nodes: nodes.collect(),
+        limits,
+        record,
+        events,
+        verdicts: Vec::new(),
+        messages: 0,
+    })
+}
+
+impl ShareFleet {
+    fn send(&mut self, now: Instant, from: usize, to: usize, event: ShareEvent) {
+        self.messages += 1;
+        self.events.add(now + delay(from, to), event);
+    }
+
+    fn heartbeat(&mut self, now: Instant, from: usize, to: usize) -> Heartbeat {
+        let peer = incarnation(to);
+        let node = &mut self.nodes[from];
+        Heartbeat {
+            from,
+            to,
+            update: node.ledger.counters_since_ack(&peer),
+            summary: node.ledger.summary(now),
+            acknowledged: node.applied.remove(&to),
+        }
+    }
+
+    fn tick(&mut self, now: Instant, instance: usize) {
+        self.events.add(now + HEARTBEAT, ShareEvent::Tick(instance));
+        let node = &mut self.nodes[instance];
+        node.ledger.rebalance(&node.peers, now);
+        for to in (0..INSTANCES).filter(|to| *to != instance) {
+            let message = self.heartbeat(now, instance, to);
+            self.send(now, instance, to, ShareEvent::Heartbeat(message));
+        }
+    }
+
+    fn take_heartbeat(&mut self, now: Instant, message: Heartbeat) {
+        let peer = incarnation(message.from);
+        let node = &mut self.nodes[message.to];
+        if let Some(mark) = message.acknowledged {
+            node.ledger.acknowledge(&peer, mark);
+        }
+        node.peers.insert(peer, message.summary);
+        self.receive(now, message.from, message.to, &message.update);
+    }
+
+    fn receive(&mut self, now: Instant, from: usize, to: usize, update: &CounterUpdate) {
+        let node = &mut self.nodes[to];
+        let outcome = node
+            .ledger
+            .receive(&incarnation(from), &update.counters, now);
+        if let ReceiveOutcome::Applied { changed } = outcome {
+            node.applied.insert(from, update.mark);
+            if changed {
+                (0..TEAMS.len()).for_each(|team| self.serve(now, to, team));
+            }
+        }
+    }
+
+    /// Admits waiting requests as far as tokens go.
+    fn serve(&mut self, now: Instant, instance: usize, team: usize) {
+        let node = &mut self.nodes[instance];
+        while let Some(id) = node.waiting[team].front().copied() {
+            let outcome = node.ledger.admit_waiting(&self.limits[team], now);
+            if outcome != RightsOutcome::Granted {
+                break;
+            }
+            node.waiting[team].pop_front();
+            self.verdicts.push(Verdict { id, admitted: true });
+        }
+    }
+
+    /// Asks peers, unless an ask is under way.
+    fn ask(&mut self, now: Instant, instance: usize, team: usize) -> bool {
+        let node = &mut self.nodes[instance];
+        if node.asks[team] > 0 {
+            return true;
+        }
+        let limit = &self.limits[team];
+        let Some(want) = node.ledger.want(limit, now) else {
+            return false;
+        };
+        let mut missing = want.shares;
+        for peer in node.ledger.ask_order(limit, &node.peers, &node.near) {
+            let spare = node.peers[&peer][limit].spare;
+            let Some(to) = (0..INSTANCES).find(|n| incarnation(*n) == peer) else {
+                continue;
+            };
+            let want = RightsWant {
+                shares: missing,
+                ..want
+            };
+            node.asks[team] += 1;
+            self.messages += 1;
+            let ask = ShareEvent::Ask {
+                from: instance,
+                to,
+                team,
+                want,
+            };
+            self.events.add(now + delay(instance, to), ask);
+            missing = missing.saturating_sub(spare);
+            if missing == 0 {
+                break;
+            }
+        }
+        node.asks[team] > 0
+    }
+
+    fn take_ask(&mut self, now: Instant, from: usize, to: usize, team: usize, want: &RightsWant) {
+        let ledger = &mut self.nodes[to].ledger;
+        let peer = incarnation(from);
+        ledger.give(&peer, &self.limits[team], want, now);
+        let update = ledger.counters_since_ack(&peer);
+        let answer = ShareEvent::AskAnswer {
+            from: to,
+            to: from,
+            team,
+            update,
+        };
+        self.send(now, to, from, answer);
+    }
+
+    fn reclaim(&mut self, now: Instant) {
+        let dead = self.nodes.iter().filter(|n| !n.live);
+        let dead: BTreeSet<_> = dead.map(|n| n.ledger.own().clone()).collect();
+        let live = self.nodes.iter_mut().filter(|n| n.live);
+        let reports: BTreeMap<_, _> = live
+            .map(|n| (n.ledger.own().clone(), n.ledger.fence(&dead)))
+            .collect();
+        let recipient = reports.keys().next().cloned();
+        let reclaim =
+            recipient.map(|recipient| plan_reclaim(&self.record, &dead, &recipient, &reports));
+        if let Some(Ok(reclaim)) = reclaim {
+            self.record.reclaims.push(reclaim);
+        }
+        for node in self.nodes.iter_mut().filter(|n| n.live) {
+            node.ledger.adopt(&self.record, now + AWARD_DELAY, now);
+            node.peers.retain(|peer, _| !dead.contains(peer));
+        }
+    }
+
+    fn receiver(event: &ShareEvent) -> Option<usize> {
+        match event {
+            ShareEvent::Tick(n) | ShareEvent::Refill(n, _) | ShareEvent::Deadline(n, _, _) => {
+                Some(*n)
+            }
+            ShareEvent::Heartbeat(message) | ShareEvent::HeartbeatAnswer(message) => {
+                Some(message.to)
+            }
+            ShareEvent::Ask { to, .. } | ShareEvent::AskAnswer { to, .. } => Some(*to),
+            ShareEvent::Reclaim => None,
+        }
+    }
+}
+
+impl LimitCandidate for ShareFleet {
+    fn arrive(&mut self, now: Instant, request: &TeamRequest) {
+        let (instance, team, id) = (request.instance, request.team, request.id);
+        let node = &mut self.nodes[instance];
+        let wait = match node.ledger.admit(&self.limits[team], now) {
+            RightsOutcome::Granted => {
+                self.verdicts.push(Verdict { id, admitted: true });
+                return;
+            }
+            RightsOutcome::Short { wait } => wait,
+            RightsOutcome::Unknown => Duration::MAX,
+        };
+        let full = node.waiting[team].len() >= MOST_WAITING;
+        let refills = wait <= ASK_DEADLINE;
+        if full || !(self.ask(now, instance, team) || refills) {
+            self.verdicts.push(Verdict {
+                id,
+                admitted: false,
+            });
+            return;
+        }
+        self.nodes[instance].waiting[team].push_back(id);
+        if refills {
+            self.events
+                .add(now + wait, ShareEvent::Refill(instance, team));
+        }
+        let deadline = ShareEvent::Deadline(instance, team, id);
+        self.events.add(now + ASK_DEADLINE, deadline);
+    }
+
+    fn next_event(&self) -> Option<Instant> {
+        self.events.next()
+    }
+
+    fn run_event(&mut self) {
+        let Some((now, event)) = self.events.pop() else {
+            return;
+        };
+        if Self::receiver(&event).is_some_and(|to| !self.nodes[to].live) {
+            if let ShareEvent::Ask { from, team, .. } = event {
+                self.nodes[from].asks[team] -= 1;
+            }
+            return;
+        }
+        match event {
+            ShareEvent::Tick(instance) => self.tick(now, instance),
+            ShareEvent::Heartbeat(message) => {
+                let (from, to) = (message.to, message.from);
+                self.take_heartbeat(now, message);
+                let answer = self.heartbeat(now, from, to);
+                self.send(now, from, to, ShareEvent::HeartbeatAnswer(answer));
+            }
+            ShareEvent::HeartbeatAnswer(message) => self.take_heartbeat(now, message),
+            ShareEvent::Ask {
+                from,
+                to,
+                team,
+                want,
+            } => self.take_ask(now, from, to, team, &want),
+            ShareEvent::AskAnswer {
+                from,
+                to,
+                team,
+                update,
+            } => {
+                self.nodes[to].asks[team] -= 1;
+                self.receive(now, from, to, &update);
+                if !self.nodes[to].waiting[team].is_empty() {
+                    self.ask(now, to, team);
+                }
+            }
+            ShareEvent::Refill(instance, team) => self.serve(now, instance, team),
+            ShareEvent::Deadline(instance, team, id) => {
+                let waiting = &mut self.nodes[instance].waiting[team];
+                if let Some(index) = waiting.iter().position(|other| *other == id) {
+                    waiting.remove(index);
+                    self.verdicts.push(Verdict {
+                        id,
+                        admitted: false,
+                    });
+                }
+            }
+            ShareEvent::Reclaim => self.reclaim(now),
+        }
+    }
+
+    fn kill(&mut self, _now: Instant, instance: usize) {
+        self.nodes[instance].live = false;
+    }
+
+    fn set_table(&mut self, now: Instant, up: bool) {
+        if up {
+            let lag = Duration::from_secs(1);
+            self.events.add(now + lag, ShareEvent::Reclaim);
+        }
+    }
+
+    fn take_verdicts(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    fn messages(&self) -> u64 {
+        self.messages
+    }
+}
