--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -16,6 +16,7 @@
 mod link;
 mod members;
 mod metrics;
+mod peer_record;
 mod peering;
 mod reclaim;
 mod rights_service;
--- a/crates/daemon/src/fleet/change.rs
+++ b/crates/daemon/src/fleet/change.rs
@@ -9,10 +9,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::warn;
+use log::{debug, warn};
 use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::snapshot::ConfigSnapshot;
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
 use tarragonpulley_policy::units::ConfigRevision;
 use tarragonpulley_wire::rows::{self, ConfigRows, HeadRow};
 use tokio::time::sleep;
@@ -83,6 +83,24 @@
         outcome
     }
 
+    /// Writes withdrawals that are in force, but not in the table because it was
+    /// down, on the first of the answering instances.
+    pub(super) async fn store_withdrawals(&self) {
+        if self.proof_age().is_none() || !self.rank_delay().is_zero() {
+            return;
+        }
+        let snapshot = self.snapshot_now();
+        let missing = |(digest, grant): &(&KeyDigest, &KeyGrant)| {
+            let fact = FactKey::KeyWithdrawn(**digest);
+            !grant.withdrawn && self.facts.borrow().get(&fact).is_some()
+        };
+        let missing = snapshot.keys.iter().find(missing);
+        if let Some((digest, _grant)) = missing {
+            let outcome = self.run_change(ConfigEdit::WithdrawKey(*digest)).await;
+            debug!("withdrawal of {digest} stored: {outcome:?}");
+        }
+    }
+
     async fn run_attempts(&self, edit: ConfigEdit) -> ChangeOutcome {
         let mut run = ChangeRun {
             edit,
--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -17,9 +17,10 @@
 use super::FleetOptions;
 use super::config::ConfigState;
 use super::events::EventLog;
-use super::heartbeat::PeerRecord;
+
 use super::link::PeerLink;
 use super::metrics::FleetMetrics;
+use super::peer_record::PeerRecord;
 use super::rights_state::RightsState;
 
 /// The state of one instance.
--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::freshness::{PeerStatement, RightsVersion};
+use tarragonpulley_policy::freshness::PeerStatement;
 use tarragonpulley_policy::ids::{IncarnationId, InstanceName, LimitKey};
 use tarragonpulley_policy::membership::MemberPlace;
 use tarragonpulley_policy::rights::RightsSummary;
@@ -15,38 +15,9 @@
 };
 
 use super::core::FleetCore;
+use super::peer_record::{PeerRecord, summary_news};
 use super::peering::{PeerError, refused};
 
-/// What this instance knows about a peer, and what the peer has of it.
-#[derive(Debug, Default)]
-pub(super) struct PeerRecord {
-    /// Its incarnation when it answered last.
-    pub(super) incarnation: Option<IncarnationId>,
-    pub(super) revision: ConfigRevision,
-    pub(super) rights: RightsVersion,
-    /// The newest change of the fact store that it has.
-    acked_facts: u64,
-    /// Whether it knows this instance's place.
-    introduced: bool,
-    /// The incarnations that it was told of.
-    told_known: BTreeSet<IncarnationId>,
-    /// The revision that it was told of.
-    told_revision: ConfigRevision,
-    /// What it said that it has of each limit.
-    pub(super) summaries: BTreeMap<LimitKey, RightsSummary>,
-    /// What it was told that this instance has; `None` when that is uncertain.
-    told_summaries: Option<BTreeMap<LimitKey, RightsSummary>>,
-}
-
-impl PeerRecord {
-    /// Forgets what the peer has of this instance, except facts: those do not
-    /// depend on the incarnation.
-    pub(super) fn forget_delivered(&mut self) {
-        self.told_known.clear();
-        self.told_summaries = None;
-    }
-}
-
 /// What a heartbeat carried, to be noted once it is answered.
 #[derive(Debug)]
 pub(super) struct SentHeartbeat {
@@ -153,6 +124,19 @@
         (entries, through)
     }
 
+    /// What this instance says to one peer. A peer that lacks urgent facts, such
+    /// as withdrawn keys that are not in the table yet, gets no proof from here.
+    fn statement_for(&self, peer: &InstanceName) -> PeerStatement {
+        let mut statement = self.statement();
+        let peers = self.peers.borrow();
+        let acked = peers.get(peer).map_or(0, |peer| peer.acked_facts);
+        if self.urgent_facts.get() > acked {
+            statement.proof_age = None;
+            statement.based = false;
+        }
+        statement
+    }
+
     /// Whether a peer lacks something that it should get at once.
     pub(super) fn has_news_for(&self, instance: &InstanceName) -> bool {
         let peers = self.peers.borrow();
@@ -325,7 +309,7 @@
         self.progressed();
         Ok(PeerAnswer::Heartbeat(HeartbeatAnswer {
             sender: (&*self.own()).into(),
-            statement: self.statement().into(),
+            statement: self.statement_for(&sender.instance).into(),
             stamp: self.stamp().into(),
             counters_applied,
         }))
@@ -361,34 +345,3 @@
         }
     }
 }
-
-/// Differences of a summary that are not worth a message: one part in this many.
-const SUMMARY_TOLERANCE: u64 = 16;
-
-fn differs(a: u64, b: u64) -> bool {
-    a.abs_diff(b) > a.max(b) / SUMMARY_TOLERANCE
-}
-
-/// The summaries that a peer has to be told: those that differ from what it was
-/// told last. A limit that is left out of `present` has become empty.
-fn summary_news(
-    present: &BTreeMap<LimitKey, RightsSummary>,
-    told: Option<&BTreeMap<LimitKey, RightsSummary>>,
-) -> BTreeMap<LimitKey, RightsSummary> {
-    let empty = BTreeMap::new();
-    let told = told.unwrap_or(&empty);
-    let limits: BTreeSet<_> = present.keys().chain(told.keys()).collect();
-    let value = |summaries: &BTreeMap<LimitKey, RightsSummary>, limit| {
-        summaries.get(limit).copied().unwrap_or_default()
-    };
-    limits
-        .into_iter()
-        .map(|limit| (limit, value(present, limit), value(told, limit)))
-        .filter(|(_limit, now, before)| {
-            differs(now.shares, before.shares)
-                || differs(now.spare, before.spare)
-                || differs(now.demand, before.demand)
-        })
-        .map(|(limit, now, _before)| (limit.clone(), now))
-        .collect()
-}
--- a/crates/daemon/src/fleet/link.rs
+++ b/crates/daemon/src/fleet/link.rs
@@ -27,8 +27,9 @@
 /// peer is asked for it.
 const TABLE_HEAD_START: Duration = Duration::from_millis(250);
 
-/// Time to fetch the configuration from a peer. It may be megabytes.
-const FETCH_DEADLINE: Duration = Duration::from_secs(5);
+/// Time to fetch the configuration from a peer. Heartbeats to the peer wait for
+/// it, so it is shorter than a proof lasts.
+const FETCH_DEADLINE: Duration = Duration::from_secs(2);
 
 /// The client side towards one instance.
 #[derive(Debug)]
--- a/crates/daemon/src/fleet/reclaim.rs
+++ b/crates/daemon/src/fleet/reclaim.rs
@@ -74,6 +74,7 @@
             debug!("rights record not renewed: {error}");
         }
         core.prune_members();
+        core.store_withdrawals().await;
         tokio::time::sleep(KEEPER_INTERVAL).await;
     }
 }
@@ -115,7 +116,7 @@
         }
     }
 
-    fn rank_delay(&self) -> Duration {
+    pub(super) fn rank_delay(&self) -> Duration {
         let own = self.own().clone();
         let (now, members) = (self.now(), self.members.borrow());
         let before = members
@@ -206,7 +207,7 @@
         if let Some(unheard) = required.unheard.first() {
             return Err(KeeperError::Unheard(unheard.clone()));
         }
-        let survivors = required.incarnations;
+        let survivors = &required.incarnations - dead;
         let asks = survivors
             .iter()
             .map(|survivor| self.ask_fence(survivor, dead));
--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -180,7 +180,7 @@
                 let giver = IncarnationId::try_from(answer.sender)?;
                 let counters = read_counters(answer.counters)?;
                 // The counters are for the incarnation that asked.
-                if own == *self.own() {
+                if giver.instance == link.instance && own == *self.own() {
                     self.receive_rights(&giver, &counters);
                 }
                 Ok(())
@@ -224,6 +224,9 @@
             return Ok(refused("this instance has no proof"));
         }
         let now = self.now();
+        if self.members.borrow().is_gone(&peer, now) {
+            return Ok(refused("the asker is gone as seen from here"));
+        }
         let mut rights = self.rights.borrow_mut();
         rights.ledger.give(&peer, &limit, &want, now);
         let update = rights.ledger.counters_since_ack(&peer);
--- a/crates/daemon/src/fleet/sync.rs
+++ b/crates/daemon/src/fleet/sync.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::try_join;
-use log::warn;
+use log::{info, warn};
 use tarragonpulley_platform::{ListedInstance, ListedState, PlatformError, RowKey, TableSnapshot};
 use tarragonpulley_policy::ids::InstanceName;
 use tarragonpulley_policy::membership::{ListedMember, MemberPlace, MemberState};
@@ -39,10 +39,9 @@
 /// Reads the table for as long as the instance runs.
 pub(super) async fn read_table(core: Rc<FleetCore>) {
     let mut wakes = core.table_wakes();
+    let mut outage = OutageLog::new("table");
     loop {
-        if let Err(error) = core.sync_table().await {
-            warn!("table not read: {error}");
-        }
+        outage.note(core.sync_table().await);
         core.attest();
         core.update_gauges();
         let _woken = tokio::time::timeout(TABLE_INTERVAL, wakes.changed()).await;
@@ -51,16 +50,41 @@
 
 /// Reads the list for as long as the instance runs.
 pub(super) async fn read_list(core: Rc<FleetCore>) {
+    let mut outage = OutageLog::new("list of instances");
     loop {
         let started = core.now();
-        match core.list.read().await {
-            Ok(listed) => take_list(&core, listed, started),
-            Err(error) => warn!("list of instances not read: {error}"),
-        }
+        let read = core.list.read().await;
+        outage.note(read.map(|listed| take_list(&core, listed, started)));
         tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
 
+/// Logs the begin and the end of an outage, not each failure.
+#[derive(Debug)]
+struct OutageLog {
+    what: &'static str,
+    failing: bool,
+}
+
+impl OutageLog {
+    const fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            failing: false,
+        }
+    }
+
+    fn note<E: std::fmt::Display>(&mut self, outcome: Result<(), E>) {
+        let failing = outcome.is_err();
+        match outcome {
+            Err(error) if !self.failing => warn!("{} not read: {error}", self.what),
+            Ok(()) if self.failing => info!("{} read again", self.what),
+            _ => {}
+        }
+        self.failing = failing;
+    }
+}
+
 /// The revision and the modification number of a head row.
 pub(super) fn read_head(snapshot: &TableSnapshot) -> Result<(HeadRow, Option<u64>), RowError> {
     match snapshot.rows.get(&RowKey::new(rows::HEAD_KEY)) {
--- a/crates/daemon/tests/fleet/changes.rs
+++ b/crates/daemon/tests/fleet/changes.rs
@@ -134,7 +134,8 @@
     assert!(refused.starts_with("Refused"), "{refused}");
 }
 
-/// Guards against a withdrawal that is ignored because the table is down.
+/// Guards against a withdrawal that is ignored because the table is down, and
+/// one that is forgotten when the table is back.
 #[actix_rt::test]
 async fn withdrawal_is_passed_on_without_the_table() {
     let fleet = TestFleet::start_configured(2).await;
@@ -145,6 +146,15 @@
     assert!(outcome.expect_err("not stored").starts_with("Unavailable"));
     assert!(fleet.node(0).is_withdrawn(&digest("key")));
     eventually("passed on", || fleet.node(1).is_withdrawn(&digest("key"))).await;
+    for instance in &fleet.instances {
+        instance.table.mode.set(TableMode::Up);
+    }
+    let key = format!("config/key/{}", digest("key"));
+    let stored = || {
+        let row = fleet.table.row(&key).expect("granted");
+        String::from_utf8_lossy(&row).contains("\"withdrawn\":true")
+    };
+    eventually("stored", stored).await;
 }
 
 /// Guards against an instance that goes back to an older configuration.
--- a/crates/daemon/tests/fleet/links.rs
+++ b/crates/daemon/tests/fleet/links.rs
@@ -67,6 +67,29 @@
     }
 }
 
+/// Guards against a new instance that serves before it has heard of the
+/// withdrawals that the table does not have.
+#[actix_rt::test]
+async fn new_instance_knows_withdrawals_before_it_serves() {
+    let mut fleet = TestFleet::start_configured(3).await;
+    for instance in &fleet.instances {
+        instance.table.mode.set(TableMode::Down);
+    }
+    let key = digest("key");
+    fleet
+        .node(0)
+        .withdraw_key(key)
+        .await
+        .expect_err("the table is down");
+    eventually("passed on", || fleet.node(1).is_withdrawn(&key)).await;
+    fleet.restart_last(2).await;
+    while fleet.node(2).proof_age().is_none() {
+        tokio::task::yield_now().await;
+    }
+    assert!(fleet.node(2).snapshot().keys.contains_key(&key));
+    assert!(fleet.node(2).is_withdrawn(&key));
+}
+
 /// Guards against a dead instance that keeps the others from proving anything
 /// once the list has dropped it, while the table is down.
 #[actix_rt::test]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,17 +6,16 @@
 
 mod convert;
 mod message;
+mod rights;
 
-pub use convert::{
-    WireError, read_counters, read_events, read_facts, read_incarnations, read_summaries,
-    write_counters,
-};
+pub use convert::{WireError, read_events, read_facts, read_incarnations};
 pub use message::{
     ConfigurationAnswer, CounterEntry, EventEntry, FactEntry, FactKeyEntry, FactValueEntry,
     FenceAnswer, HeartbeatAnswer, HeartbeatRequest, IncarnationEntry, PairEntry, PeerAnswer,
     PeerRequest, PlaceEntry, RightsAnswer, RightsAskRequest, StampEntry, StatementEntry,
     SummaryEntry,
 };
+pub use rights::{read_counters, read_summaries, write_counters};
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 
--- /dev/null
+++ b/crates/wire/tests/rows.rs
@@ -0,0 +1,165 @@
+//! Rows of the table.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, UNIX_EPOCH};
+
+use tarragonpulley_policy::rights::{GenerationRecord, ReclaimRecord};
+use tarragonpulley_policy::snapshot::{
+    ConfigSnapshot, DrainTarget, KeyDigest, KeyGrant, MoveKind, MoveRecord,
+};
+use tarragonpulley_policy::units::{ConfigRevision, TrafficShare};
+use tarragonpulley_wire::rows::{
+    ConfigRows, KeyRow, MoveRow, drain_key, encode, head_revision, key_key, move_key, read_config,
+    read_generation, write_generation,
+};
+use yare::parameterized;
+
+fn record() -> MoveRecord {
+    MoveRecord {
+        kind: MoveKind::CentreShift {
+            service: "lunwan/fitdesk".parse().expect("valid"),
+            from: "north-a".parse().expect("valid"),
+            to: "north-b".parse().expect("valid"),
+        },
+        state: "shifting".to_owned(),
+        share: TrafficShare::from_percent(25),
+        cap: TrafficShare::from_percent(50),
+        deadline: UNIX_EPOCH + Duration::from_millis(1_796_000_000_123),
+        step_started: UNIX_EPOCH,
+        epoch: 4,
+        reason: "sound so far".to_owned(),
+    }
+}
+
+fn digest() -> KeyDigest {
+    KeyDigest::of_key("key")
+}
+
+fn grant(withdrawn: bool) -> KeyGrant {
+    KeyGrant {
+        team: "lunwan/pram".parse().expect("valid"),
+        withdrawn,
+    }
+}
+
+fn rows(entries: &[(&str, &[u8])]) -> ConfigRows {
+    let entries = entries.iter();
+    entries
+        .map(|(key, value)| ((*key).to_owned(), value.to_vec()))
+        .collect()
+}
+
+/// Guards against a row that reads as something else than was written.
+#[test]
+fn configuration_round_trips() {
+    let name = "to-b".parse().expect("valid");
+    let drains = [
+        DrainTarget::Centre(
+            "lunwan".parse().expect("valid"),
+            "north-a".parse().expect("valid"),
+        ),
+        DrainTarget::Instance("edge-1".parse().expect("valid")),
+    ];
+    let key_row = KeyRow {
+        team: grant(true).team,
+        withdrawn: true,
+    };
+    let mut stored = rows(&[("config/head", br#"{"revision":7}"#)]);
+    stored.insert(key_key(&digest()), encode(&key_row));
+    stored.insert(move_key(&name), encode(&MoveRow::from(record())));
+    for drain in &drains {
+        stored.insert(drain_key(drain), b"{}".to_vec());
+    }
+    let expected = ConfigSnapshot {
+        revision: ConfigRevision::new(7),
+        keys: BTreeMap::from([(digest(), grant(true))]),
+        moves: BTreeMap::from([(name, record())]),
+        drains: drains.into(),
+        ..ConfigSnapshot::default()
+    };
+    let read = read_config(&stored, &ConfigSnapshot::default());
+    assert_eq!(read, Ok((expected, Vec::new())));
+}
+
+/// Guards against a damaged row that takes others with it or goes unnoticed.
+#[parameterized(
+    contract = { "config/contract/lunwan", br#"{"file":"f","text":"customer = 1"}"# },
+    not_json = { "config/contract/lunwan", b"\xff" },
+    bad_digest = { "config/key/12", br#"{"team":"a/b","withdrawn":false}"# },
+    bad_team = { "config/key/0000000000000000000000000000000000000000000000000000000000000000", br#"{"team":"a","withdrawn":false}"# },
+    bad_move = { "config/move/m", br#"{"epoch":1}"# },
+    bad_drain = { "config/drain/rack:7", b"{}" },
+    unknown_kind = { "config/other/x", b"{}" },
+)]
+fn damaged_row_is_reported_alone(key: &str, value: &[u8]) {
+    let mut stored = rows(&[("config/head", br#"{"revision":7}"#), (key, value)]);
+    stored.insert(
+        drain_key(&DrainTarget::Instance("edge-1".parse().expect("valid"))),
+        b"{}".to_vec(),
+    );
+    let (snapshot, faults) = read_config(&stored, &ConfigSnapshot::default()).expect("a head");
+    assert_eq!(
+        faults.iter().map(|f| f.key.as_str()).collect::<Vec<_>>(),
+        [key]
+    );
+    assert_eq!(snapshot.drains.len(), 1);
+}
+
+/// Guards against a withdrawn key that is granted again by a damaged row.
+#[test]
+fn damaged_row_keeps_the_last_good_value() {
+    let last = ConfigSnapshot {
+        keys: BTreeMap::from([(digest(), grant(true))]),
+        moves: BTreeMap::from([("m".parse().expect("valid"), record())]),
+        ..ConfigSnapshot::default()
+    };
+    let mut stored = rows(&[
+        ("config/head", br#"{"revision":8}"#),
+        ("config/move/m", b""),
+    ]);
+    stored.insert(key_key(&digest()), b"?".to_vec());
+    let (snapshot, faults) = read_config(&stored, &last).expect("a head");
+    assert_eq!((snapshot.keys, snapshot.moves), (last.keys, last.moves));
+    assert_eq!(faults.len(), 2);
+}
+
+/// Guards against a new fleet, or a damaged head, that gets a wrong revision.
+#[parameterized(
+    none = { None, Some(0) },
+    plain = { Some(br#"{"revision":5}"#.as_slice()), Some(5) },
+    with_change = { Some(br#"{"revision":6,"change":99}"#.as_slice()), Some(6) },
+    damaged = { Some(b"6".as_slice()), None },
+)]
+fn head_row_gives_the_revision(value: Option<&[u8]>, revision: Option<u64>) {
+    let head = value.map(|value| ("config/head".to_owned(), value.to_vec()));
+    let stored: ConfigRows = head.into_iter().collect();
+    let expected = revision.map(ConfigRevision::new);
+    assert_eq!(head_revision(&stored).ok(), expected);
+}
+
+/// Guards against rights that change when the record is stored.
+#[test]
+fn generation_round_trips() {
+    let id = |text: &str| text.parse().expect("valid");
+    let amounts = [
+        "team:lunwan/pram",
+        "region:lunwan/north",
+        "server:lunwan/fitdesk/fit-1",
+    ];
+    let record = GenerationRecord {
+        number: 3,
+        first_holder: id("edge-1#1"),
+        reclaims: vec![ReclaimRecord {
+            dead: [id("edge-1#1"), id("edge-2#5")].into(),
+            recipient: id("edge-3#1"),
+            amounts: amounts
+                .iter()
+                .map(|limit| (limit.parse().expect("valid"), 720))
+                .collect(),
+            takes_unlisted: true,
+        }],
+    };
+    let bytes = write_generation(&record);
+    assert_eq!(read_generation(&bytes), Ok(record));
+    assert!(read_generation(b"{\"number\":1}").is_err());
+}
