--- /dev/null
+++ b/crates/policy/tests/routing.rs
@@ -0,0 +1,344 @@
+//! Routes, choice of servers, and shares of moves.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tarragonpulley_policy::facts::ServerReport;
+use tarragonpulley_policy::ids::{ServerKey, ServerName};
+use tarragonpulley_policy::routing::{
+    COLD_RAMP, ChoiceInput, PathError, RandomSource, RequestTarget, RouteMatch, ServerState,
+    ShareCounter, ShareTurn, StateTable, SteeringPlan, choose_servers, match_route, steering_plan,
+    usable_slots,
+};
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, DrainTarget, MoveKind, MoveRecord};
+use tarragonpulley_policy::units::TrafficShare;
+use yare::parameterized;
+
+#[derive(Debug)]
+struct SeededRandom(SmallRng);
+
+impl RandomSource for SeededRandom {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0.random_range(0..bound)
+    }
+}
+
+fn random() -> SeededRandom {
+    SeededRandom(SmallRng::seed_from_u64(7))
+}
+
+/// Guards against paths that a backend server reads as another route.
+#[parameterized(
+    plain = { "/lunwan/desk/a/b", Ok("/a/b") },
+    no_rest = { "/lunwan/desk", Ok("/") },
+    trailing = { "/lunwan/desk/a/", Ok("/a/") },
+    short = { "/lunwan", Err(PathError::Form) },
+    name = { "/Lunwan/desk/a", Err(PathError::Form) },
+    dots = { "/lunwan/desk/a/../b", Err(PathError::Ambiguous) },
+    dot = { "/lunwan/desk/./b", Err(PathError::Ambiguous) },
+    encoded_dots = { "/lunwan/desk/%2E%2e/b", Err(PathError::Ambiguous) },
+    encoded_slash = { "/lunwan/desk/a%2fb", Err(PathError::Ambiguous) },
+    backslash = { "/lunwan/desk/a\\b", Err(PathError::Ambiguous) },
+    empty_segment = { "/lunwan/desk//book", Err(PathError::Ambiguous) },
+)]
+fn a_path_is_split(path: &str, expected: Result<&str, PathError>) {
+    let target = RequestTarget::parse(path).map(|target| target.path);
+    assert_eq!(target, expected.map(str::to_owned));
+}
+
+/// Guards against a shorter route that takes over the method of a longer one,
+/// and against prefixes that match parts of a segment.
+#[parameterized(
+    root = { "GET", "/x", Some("/") },
+    longest = { "POST", "/book/1", Some("/book") },
+    exact = { "GET", "/book/list", Some("/book/list") },
+    method = { "GET", "/book", None },
+    segment = { "GET", "/bookings", Some("/") },
+    segment_method = { "POST", "/bookings", None },
+)]
+fn the_longest_route_decides(method: &str, path: &str, expected: Option<&str>) {
+    let contract = common::contract();
+    let service = &contract.services[&"desk".parse().unwrap()];
+    let found = match match_route(service, method, path) {
+        RouteMatch::Found(route) => Some(route.path.as_str()),
+        RouteMatch::WrongMethod => None,
+        RouteMatch::Missing => panic!("the root route matches every path"),
+    };
+    assert_eq!(found, expected);
+}
+
+fn plan_of(snapshot: &ConfigSnapshot, fault: bool) -> SteeringPlan {
+    let service = "lunwan/desk".parse().unwrap();
+    steering_plan(snapshot, &service, &"v1".parse().unwrap(), &|_| fault)
+}
+
+fn choose(
+    snapshot: &ConfigSnapshot,
+    home: &str,
+    states: &BTreeMap<ServerName, ServerState>,
+    tried: &[&str],
+    turn: ShareTurn,
+    fault: bool,
+) -> Vec<String> {
+    let contract = &snapshot.contracts[&"lunwan".parse().unwrap()];
+    let tried: Vec<ServerName> = tried.iter().map(|name| name.parse().unwrap()).collect();
+    let input = ChoiceInput {
+        snapshot,
+        contract,
+        service: &contract.services[&"desk".parse().unwrap()],
+        home: &home.parse().unwrap(),
+        states,
+        tried: &tried,
+        plan: &plan_of(snapshot, fault),
+        turn,
+    };
+    let order = choose_servers(&input, &mut random());
+    order.iter().map(ToString::to_string).collect()
+}
+
+fn centres(order: &[String]) -> String {
+    order.iter().map(|name| &name[..1]).collect()
+}
+
+/// Guards against requests that leave their data centre or region without
+/// need, and against repeated attempts on a server that failed.
+#[test]
+fn near_servers_come_first() {
+    let snapshot = common::snapshot();
+    let states = BTreeMap::new();
+    let order = choose(&snapshot, "b", &states, &[], ShareTurn::Stay, false);
+    assert_eq!(&centres(&order)[..4], "bbaa");
+    assert_eq!(order.len(), 8, "servers of another version take nothing");
+    let order = choose(&snapshot, "b", &states, &["b1"], ShareTurn::Stay, false);
+    assert_eq!((order[0].as_str(), order[7].as_str()), ("b2", "b1"));
+}
+
+/// Guards against work for servers that are leaving, drained, unhealthy, full
+/// or cold, and against a stale load report that blocks a warm server.
+#[parameterized(
+    leaving = { ServerState { leaving: true, ..ServerState::default() }, false },
+    unhealthy = { ServerState { healthy: false, ..ServerState::default() }, false },
+    full = { ServerState { running: 4, ..ServerState::default() }, false },
+    stale_load = { ServerState { load: 9, ..ServerState::default() }, true },
+    cold_free = { ServerState { uptime: Some(Duration::ZERO), ..ServerState::default() }, true },
+    cold_busy = { ServerState { load: 1, uptime: Some(Duration::ZERO), ..ServerState::default() }, false },
+    half_cold = { ServerState { running: 1, uptime: Some(COLD_RAMP / 2), ..ServerState::default() }, true },
+)]
+fn a_server_in_this_state_is_chosen(state: ServerState, expected: bool) {
+    let states = BTreeMap::from([("a1".parse().unwrap(), state)]);
+    let order = choose(
+        &common::snapshot(),
+        "a",
+        &states,
+        &[],
+        ShareTurn::Stay,
+        false,
+    );
+    assert_eq!(order.contains(&"a1".to_owned()), expected);
+}
+
+/// Guards against work for a drained data centre.
+#[test]
+fn a_drained_data_centre_gets_nothing() {
+    let mut snapshot = common::snapshot();
+    let drain = DrainTarget::Centre("lunwan".parse().unwrap(), "a".parse().unwrap());
+    snapshot.drains.insert(drain);
+    let order = choose(
+        &snapshot,
+        "a",
+        &BTreeMap::new(),
+        &[],
+        ShareTurn::Stay,
+        false,
+    );
+    assert!(!centres(&order).contains('a'));
+}
+
+/// Guards against a choice that ignores load or always takes the same server.
+#[test]
+fn the_less_loaded_of_two_comes_first() {
+    let state = |running, load| ServerState {
+        running,
+        load,
+        ..ServerState::default()
+    };
+    let snapshot = common::snapshot();
+    let states = BTreeMap::from([
+        ("a1".parse().unwrap(), state(1, 0)),
+        ("a2".parse().unwrap(), state(0, 3)),
+    ]);
+    let order = choose(&snapshot, "a", &states, &[], ShareTurn::Stay, false);
+    assert_eq!(order[0], "a2", "own running requests count before reports");
+}
+
+/// Guards against a ramp that starts at nothing or passes the slots.
+#[test]
+fn slots_grow_with_uptime() {
+    let part = |tenths: u32| usable_slots(4, Some(COLD_RAMP * tenths / 10));
+    assert_eq!([0, 3, 5, 8, 10].map(part), [1, 1, 2, 3, 4]);
+    assert_eq!(usable_slots(4, None), 4);
+}
+
+fn with_move(kind: &str, percent: u32) -> ConfigSnapshot {
+    let service = "lunwan/desk".parse().unwrap();
+    let kind = if kind == "rollout" {
+        MoveKind::Rollout {
+            service,
+            from: "v1".parse().unwrap(),
+            to: "v2".parse().unwrap(),
+        }
+    } else {
+        MoveKind::CentreShift {
+            service,
+            from: "a".parse().unwrap(),
+            to: "c".parse().unwrap(),
+        }
+    };
+    let record = MoveRecord {
+        kind,
+        state: "shifting".to_owned(),
+        share: TrafficShare::from_percent(percent),
+        cap: TrafficShare::ALL,
+        deadline: SystemTime::UNIX_EPOCH,
+        step_started: SystemTime::UNIX_EPOCH,
+        epoch: 1,
+        reason: String::new(),
+    };
+    let mut snapshot = common::snapshot();
+    snapshot.moves.insert("m".parse().unwrap(), record);
+    snapshot
+}
+
+/// Guards against requests that reach the target of a move out of turn, and
+/// against a version with a fault that still gets requests.
+#[parameterized(
+    rollout_stay = { "rollout", 5, ShareTurn::Stay, false, "ab", "n" },
+    rollout_move = { "rollout", 5, ShareTurn::Move, false, "n", "ab" },
+    rollout_done = { "rollout", 100, ShareTurn::Stay, false, "n", "ab" },
+    rollout_fault = { "rollout", 5, ShareTurn::Move, true, "ab", "n" },
+    rollout_done_fault = { "rollout", 100, ShareTurn::Stay, true, "ab", "n" },
+    shift_stay = { "shift", 5, ShareTurn::Stay, false, "abd", "c" },
+    shift_move = { "shift", 5, ShareTurn::Move, false, "cbd", "a" },
+    shift_done = { "shift", 100, ShareTurn::Stay, false, "cbd", "a" },
+)]
+fn a_move_steers(kind: &str, percent: u32, turn: ShareTurn, fault: bool, yes: &str, no: &str) {
+    let snapshot = with_move(kind, percent);
+    let order = choose(&snapshot, "a", &BTreeMap::new(), &[], turn, fault);
+    let found = centres(&order);
+    assert_eq!(&found[..1], &yes[..1], "{found}");
+    assert!(yes.chars().all(|c| found.contains(c)), "{found}");
+    assert!(!no.chars().any(|c| found.contains(c)), "{found}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Guards against a share above its cap at any moment, with requests that
+    /// overlap, are refused before they are sent, or span a step.
+    #[test]
+    fn the_moved_share_stays_under_its_cap(
+        ops in prop::collection::vec((0_u8..10, any::<prop::sample::Index>()), 1..400),
+        percent in 1_u32..60,
+    ) {
+        let mut plan = plan_of(&with_move("rollout", percent), false);
+        let mut counter = ShareCounter::new();
+        let mut open = Vec::new();
+        for (op, index) in ops {
+            match op {
+                0 if !open.is_empty() => {
+                    let (turn, step) = open.swap_remove(index.index(open.len()));
+                    counter.release(turn, Option::as_ref(&step));
+                }
+                1 => {
+                    let mut next = with_move("rollout", percent + 1);
+                    next.moves.values_mut().for_each(|record| record.epoch = 2);
+                    plan = plan_of(&next, false);
+                }
+                2..=5 if !open.is_empty() => {
+                    let (turn, step) = open.swap_remove(index.index(open.len()));
+                    counter.sent(turn, Option::as_ref(&step));
+                }
+                _ => open.push((counter.reserve(&plan), plan.step().cloned())),
+            }
+            let (total, moved) = counter.counts();
+            prop_assert!(moved <= TrafficShare::from_percent(percent + 1).floor_of(total));
+        }
+    }
+}
+
+/// Guards against a rollout that gets far less than its share.
+#[parameterized(one = { 1 }, five = { 5 }, half = { 50 })]
+fn a_steady_stream_uses_the_whole_share(percent: u32) {
+    let plan = plan_of(&with_move("rollout", percent), false);
+    let mut counter = ShareCounter::new();
+    for _ in 0..1000 {
+        let turn = counter.reserve(&plan);
+        counter.sent(turn, plan.step());
+    }
+    assert_eq!(counter.counts(), (1000, u64::from(percent) * 10));
+}
+
+fn report(sequence: u64, healthy: bool, leaving: bool, uptime: u64) -> ServerReport {
+    ServerReport {
+        sequence,
+        healthy,
+        leaving,
+        load: 0,
+        uptime: Duration::from_secs(uptime),
+    }
+}
+
+/// Guards against health answers that outweigh observed failures, one prober
+/// that is cut off and decides alone, and reports that never age.
+#[test]
+fn observations_come_before_reports() {
+    let server: ServerKey = "lunwan/desk/a1".parse().unwrap();
+    let (one, two) = ("e1#1".parse().unwrap(), "e2#1".parse().unwrap());
+    let start = Instant::now();
+    let mut table = StateTable::new();
+    table.note_report(&server, &one, &report(1, false, false, 90), start);
+    assert!(!table.state(&server, start).healthy);
+    table.note_report(&server, &two, &report(1, true, false, 90), start);
+    assert!(
+        table.state(&server, start).healthy,
+        "the other prober reaches it"
+    );
+    for _ in 0..3 {
+        table.note_failure(&server, start);
+    }
+    assert!(
+        !table.state(&server, start).healthy,
+        "failures outweigh reports"
+    );
+    table.note_success(&server);
+    assert!(table.state(&server, start).healthy);
+    table.note_report(&server, &two, &report(2, false, false, 91), start);
+    assert!(!table.state(&server, start).healthy);
+    let later = start + Duration::from_secs(6);
+    assert!(
+        table.state(&server, later).healthy,
+        "old reports say nothing"
+    );
+}
+
+/// Guards against new work for a server that said it is leaving while its
+/// health answers are stale, and against a new server that stays shut out.
+#[test]
+fn a_leaving_server_is_remembered() {
+    let server: ServerKey = "lunwan/desk/a1".parse().unwrap();
+    let prober = "e1#1".parse().unwrap();
+    let start = Instant::now();
+    let mut table = StateTable::new();
+    table.note_leaving(&server, start);
+    let later = start + Duration::from_secs(4);
+    table.note_report(&server, &prober, &report(1, true, false, 300), later);
+    assert!(table.state(&server, later).leaving);
+    table.note_report(&server, &prober, &report(2, true, false, 1), later);
+    assert!(!table.state(&server, later).leaving, "it has started again");
+}
