Keep hasty callers and repeated bad requests from suspending servers

A connection that ends after the request was sent counts as broken, not as never made; a first byte is judged late by route; one request that fails again and again counts once against a server.

--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -90,9 +90,11 @@
         self.table.borrow_mut().note_success(server);
     }
 
-    pub(crate) fn note_failure(&self, server: &ServerKey) {
+    pub(crate) fn note_failure(&self, server: &ServerKey, fingerprint: u64) {
         let now = self.clock.instant();
-        self.table.borrow_mut().note_failure(server, now);
+        self.table
+            .borrow_mut()
+            .note_failure(server, fingerprint, now);
     }
 
     pub(crate) fn note_leaving(&self, server: &ServerKey) {
--- a/crates/daemon/src/frontend/request.rs
+++ b/crates/daemon/src/frontend/request.rs
@@ -169,6 +169,7 @@
             identity: head.identity,
             backend: BackendRequest {
                 method,
+                route: head.route.path.clone(),
                 target,
                 headers: headers::for_backend(request.headers()),
                 body,
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -182,6 +182,7 @@
             fingerprint: RequestFingerprint::new(&job.service, &job.method, &job.target, &body),
             backend: BackendRequest {
                 method: Method::from_bytes(job.method.as_bytes()).map_err(|_error| gone())?,
+                route: route.path.clone(),
                 target: job.target.clone(),
                 headers: empty.headers,
                 body,
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -8,7 +8,7 @@
 mod place;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -93,6 +93,8 @@
     suspects: RefCell<SuspectList>,
     random: RefCell<ThreadRandom>,
     next_request: Cell<u64>,
+    /// Services for which slots are being asked for.
+    asking: RefCell<BTreeSet<ServiceKey>>,
 }
 
 impl RequestPipeline {
@@ -114,6 +116,7 @@
             suspects: RefCell::default(),
             random: RefCell::new(ThreadRandom(rand::make_rng())),
             next_request: Cell::new(0),
+            asking: RefCell::default(),
         })
     }
 
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -154,21 +154,26 @@
         failure: Option<AttemptFailure>,
         started: Instant,
     ) {
-        let failed = failure.is_some_and(AttemptFailure::blames_server);
-        match failure {
-            None => self.board.note_success(&placement.server),
-            Some(_) if failed => self.board.note_failure(&placement.server),
-            Some(_) => {}
-        }
-        if failure == Some(AttemptFailure::Shed) {
+        let latency = started.elapsed();
+        // A caller may ask for less time than the route gives. That the server
+        // did not make it then says nothing about the server.
+        let hasty =
+            failure == Some(AttemptFailure::TimedOut) && latency < request.route.timeout / 2;
+        if hasty || failure == Some(AttemptFailure::Shed) {
             return;
         }
+        if failure.is_some() {
+            let fingerprint = request.fingerprint.short();
+            self.board.note_failure(&placement.server, fingerprint);
+        } else {
+            self.board.note_success(&placement.server);
+        }
         self.context.evidence.note(&AttemptReport {
             service: request.service.clone(),
             version: placement.plan.version.clone(),
             route: request.route.path.clone(),
-            failed,
-            latency: started.elapsed(),
+            failed: failure.is_some(),
+            latency,
         });
     }
 }
--- a/crates/daemon/src/pipeline/place.rs
+++ b/crates/daemon/src/pipeline/place.rs
@@ -111,12 +111,11 @@
         let now = self.context.clock.instant();
         let left = request.backend.deadline.remaining(now);
         let wait = left.ok_or_else(|| too_late(request))? * WAIT_NUMERATOR / WAIT_DENOMINATOR;
-        let first = !self.queue.has_waiters(&request.service);
         let ticket = self
             .queue
             .enter(&request.service, request.team.as_ref())
             .ok_or_else(|| no_capacity("too many requests of the team are waiting"))?;
-        if first {
+        if self.asking.borrow_mut().insert(request.service.clone()) {
             actix_rt::spawn(Rc::clone(self).ask_for_slots(request.service.clone()));
         }
         let search = async {
@@ -235,6 +234,7 @@
             }
             self.queue.wake(&service);
         }
+        self.asking.borrow_mut().remove(&service);
     }
 
     fn wanted_limits(&self, service: &ServiceKey) -> Vec<LimitKey> {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -15,12 +15,13 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use tarragonpulley_policy::ids::ServerKey;
 use tarragonpulley_policy::retry::{AttemptFailure, RequestDeadline, RunOutcome};
+use tarragonpulley_policy::routing::connection_share;
 
 use crate::border::SlotGuard;
 use crate::errors::{OUTCOME_HEADER, REQUEST_ID_HEADER};
@@ -34,20 +35,13 @@
 const SERVER_STATE_HEADER: HeaderName = HeaderName::from_static("x-server-state");
 const LEAVING: HeaderValue = HeaderValue::from_static("leaving");
 
-/// Instances that share the connection limit of a server. A fleet has at most
-/// 12 today; slots split exactly into up to 16.
-const CONNECTION_SHARERS: u32 = 16;
-
-/// Old and new connections may be open at the same time while the old ones
-/// are being replaced.
-const CLIENT_GENERATIONS: u32 = 2;
-
-/// Bounds of the wait for a first byte before a second attempt starts.
+/// Least wait for a first byte before a second attempt starts.
 const MIN_LATE_AFTER: Duration = Duration::from_millis(100);
-const MAX_LATE_AFTER: Duration = Duration::from_secs(1);
 
-/// A first byte is late after this multiple of its usual time.
+/// A first byte is late after this multiple of its usual time, and at the
+/// latest after this part of the remaining time.
 const LATE_FACTOR: u32 = 4;
+const LATE_PART: u32 = 4;
 
 /// Connections that answered nothing for this long are not trusted with a
 /// request that cannot be repeated; a new one costs about 1 ms.
@@ -57,6 +51,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BackendRequest {
     pub(crate) method: Method,
+    /// The path of the route.
+    pub(crate) route: String,
     /// Path and query below the service.
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
@@ -114,8 +110,8 @@
     address: SocketAddr,
     connections: usize,
     client: RefCell<Rc<Client>>,
-    /// Smoothed time to the first byte.
-    first_byte: Cell<Option<Duration>>,
+    /// Smoothed time to the first byte by route.
+    first_byte: RefCell<BTreeMap<String, Duration>>,
     last_answer: Cell<Option<Instant>>,
 }
 
@@ -129,13 +125,12 @@
 
 impl ServerClient {
     fn new(address: SocketAddr, limit: u32) -> Self {
-        let share = limit / CONNECTION_SHARERS / CLIENT_GENERATIONS;
-        let connections = usize::try_from(share.max(1)).unwrap_or(usize::MAX);
+        let connections = usize::try_from(connection_share(limit)).unwrap_or(usize::MAX);
         Self {
             address,
             connections,
             client: RefCell::new(build_client(address, connections)),
-            first_byte: Cell::new(None),
+            first_byte: RefCell::default(),
             last_answer: Cell::new(None),
         }
     }
@@ -154,18 +149,19 @@
         *self.client.borrow_mut() = client;
     }
 
-    fn late_after(&self) -> Duration {
-        self.first_byte.get().map_or(MAX_LATE_AFTER, |usual| {
-            (usual * LATE_FACTOR).clamp(MIN_LATE_AFTER, MAX_LATE_AFTER)
-        })
+    fn late_after(&self, request: &BackendRequest) -> Duration {
+        let left = request.deadline.remaining(Instant::now());
+        let latest = left.unwrap_or_default() / LATE_PART;
+        let usual = self.first_byte.borrow().get(&request.route).copied();
+        usual
+            .map_or(latest, |usual| (usual * LATE_FACTOR).min(latest))
+            .max(MIN_LATE_AFTER)
     }
 
-    fn note_answer(&self, first_byte: Duration) {
-        let smoothed = self
-            .first_byte
-            .get()
-            .map_or(first_byte, |usual| (usual * 7 + first_byte) / 8);
-        self.first_byte.set(Some(smoothed));
+    fn note_answer(&self, route: &str, first_byte: Duration) {
+        let mut times = self.first_byte.borrow_mut();
+        let usual = times.entry(route.to_owned()).or_insert(first_byte);
+        *usual = (*usual * 7 + first_byte) / 8;
         self.last_answer.set(Some(Instant::now()));
     }
 
@@ -261,7 +257,7 @@
         host: &dyn AttemptHost,
     ) -> Attempt {
         let first = Box::pin(self.send(client, client.current(), request, host));
-        let late = Box::pin(actix_rt::time::sleep(client.late_after()));
+        let late = Box::pin(actix_rt::time::sleep(client.late_after(request)));
         let first = match select(first, late).await {
             Either::Left((answer, _)) => return answer,
             Either::Right(((), first)) => first,
@@ -270,6 +266,7 @@
             return first.await;
         };
         self.metrics.races.inc();
+        self.metrics.attempts.inc();
         let fresh = client.fresh();
         let second = Box::pin(self.send(client, Rc::clone(&fresh), request, host));
         match select(first, second).await {
@@ -331,7 +328,7 @@
             host.note_leaving();
         }
         let answer = read_answer(response, request.max_answer).await?;
-        server.note_answer(first_byte);
+        server.note_answer(&request.route, first_byte);
         if is_shed(&answer) {
             return Err(AttemptFailure::Shed);
         }
@@ -350,10 +347,13 @@
 
 fn failure_of(error: &SendRequestError) -> AttemptFailure {
     match error {
+        // The client says "disconnected" when a connection ends after the
+        // request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected)
+        | SendRequestError::Response(actix_http::error::ParseError::Io(_))
+        | SendRequestError::Send(_) => AttemptFailure::ConnectionBroken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => AttemptFailure::NotConnected,
         SendRequestError::Timeout => AttemptFailure::TimedOut,
-        SendRequestError::Response(actix_http::error::ParseError::Io(_))
-        | SendRequestError::Send(_) => AttemptFailure::ConnectionBroken,
         _ => AttemptFailure::AnswerBroken,
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -72,12 +72,6 @@
             (_, RouteKind::Idempotent | RouteKind::Slow) => true,
         }
     }
-
-    /// Whether the failure speaks against the server. Shedding does not.
-    #[must_use]
-    pub const fn blames_server(self) -> bool {
-        !matches!(self, Self::Shed)
-    }
 }
 
 /// The outcome of a request after all its attempts. One attempt that may have
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -4,7 +4,9 @@
 mod path;
 mod share;
 
-pub use choice::{COLD_RAMP, RandomSource, ServerState, StateTable, usable_slots};
+pub use choice::{
+    COLD_RAMP, RandomSource, ServerState, StateTable, connection_share, usable_slots,
+};
 pub use path::{PathError, RequestTarget, RouteMatch, match_route};
 pub use share::{MoveStep, ShareCounter, ShareTurn, SteeringPlan, steering_plan};
 
@@ -49,7 +51,7 @@
         if !input.plan.allows(input.turn, input.home, plan)
             || plan.leaving
             || is_drained(input.snapshot, &input.contract.customer, &plan.centre)
-            || !state.takes_work(plan.slots.get())
+            || !state.takes_work(plan.slots.get().min(connection_share(plan.connections)))
         {
             continue;
         }
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -74,6 +74,21 @@
     }
 }
 
+/// Instances that share the connection limit of a server. A fleet has at most
+/// 12 today; slots split exactly into up to 16.
+const CONNECTION_SHARERS: u32 = 16;
+
+/// Old and new connections may be open at the same time while the old ones
+/// are being replaced.
+const CONNECTION_GENERATIONS: u32 = 2;
+
+/// The connections that one instance may have to a server in ordinary use.
+/// Requests beyond them would wait for a connection after their last check.
+#[must_use]
+pub fn connection_share(connections: u32) -> u32 {
+    (connections / CONNECTION_SHARERS / CONNECTION_GENERATIONS).max(1)
+}
+
 /// The slots that a server of this uptime may use: a share that grows
 /// linearly over [`COLD_RAMP`], and at least one.
 #[must_use]
@@ -130,6 +145,8 @@
     reports: BTreeMap<IncarnationId, StoredReport>,
     running: u32,
     failures: u32,
+    /// The fingerprint of the request that failed last.
+    failed: Option<u64>,
     suspended_until: Option<Instant>,
     /// When the server itself said that it is leaving.
     left_at: Option<Instant>,
@@ -221,14 +238,21 @@
     pub fn note_success(&mut self, server: &ServerKey) {
         if let Some(view) = self.servers.get_mut(server) {
             view.failures = 0;
+            view.failed = None;
             view.suspended_until = None;
         }
     }
 
-    /// Notes a failure of the server. Failures in a row suspend it, even when
-    /// its health answers say that it is well.
-    pub fn note_failure(&mut self, server: &ServerKey, now: Instant) {
+    /// Notes a failure of the server under the fingerprint of the request.
+    /// Failures in a row suspend it, even when its health answers say that it
+    /// is well. One request that is repeated counts once, because the fault
+    /// may be its own.
+    pub fn note_failure(&mut self, server: &ServerKey, fingerprint: u64, now: Instant) {
         let view = self.servers.entry(server.clone()).or_default();
+        if view.failed == Some(fingerprint) {
+            return;
+        }
+        view.failed = Some(fingerprint);
         view.failures += 1;
         if view.failures >= FAILURES_TO_SUSPEND {
             view.suspended_until = Some(now + SUSPENSION);
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -50,10 +50,12 @@
             ShareTurn::Stay => &self.stay,
             ShareTurn::Move => &self.moved,
         };
-        let centre = match (&self.shift, turn) {
+        // Only requests that start where the traffic leaves are shifted. The
+        // others keep their order until the move is complete.
+        let shift = self.shift.as_ref().filter(|(from, _)| from == home);
+        let centre = match (shift, turn) {
             (Some((from, _)), ShareTurn::Move) => server.centre != *from,
-            // Requests that start at the target belong there anyway.
-            (Some((_, to)), ShareTurn::Stay) => server.centre != *to || home == to,
+            (Some((_, to)), ShareTurn::Stay) => server.centre != *to,
             (None, _) => true,
         };
         server.version == *version && centre
@@ -61,7 +63,7 @@
 
     /// Whether a server comes first whatever its distance.
     pub(super) fn prefers(&self, turn: ShareTurn, home: &CentreName, server: &ServerPlan) -> bool {
-        let shifted = |(_, to): &(CentreName, CentreName)| *to == server.centre;
+        let shifted = |(from, to): &(CentreName, CentreName)| from == home && *to == server.centre;
         (turn == ShareTurn::Move && self.shift.as_ref().is_some_and(shifted))
             || self.closed.get(home) == Some(&server.centre)
     }
