--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -5,6 +5,7 @@
 //! inserted but whose request was not sent is deleted again, so that the caller
 //! may repeat the request.
 
+mod held;
 mod results;
 mod rows;
 
@@ -27,6 +28,8 @@
 use crate::border::{InstanceContext, MemberSource};
 use crate::metrics::RequestMetrics;
 use crate::tasks::LoopGuard;
+pub(crate) use held::HeldClaim;
+use held::LocalEntry;
 use results::ResultQueue;
 use rows::{ReadBack, read_row};
 
@@ -169,12 +172,7 @@
             Ok(Err(_closed)) => ClaimOutcome::TableUnavailable,
             Ok(Ok(InsertResult::Held { modified })) => {
                 self.metrics.claims.inc();
-                ClaimOutcome::Held(HeldClaim {
-                    local,
-                    row,
-                    modified,
-                    end: Some(ClaimEnd::Unknown),
-                })
+                ClaimOutcome::Held(HeldClaim::new(local, row, modified))
             }
             Ok(Ok(InsertResult::Unavailable)) => ClaimOutcome::TableUnavailable,
             Ok(Ok(InsertResult::Judged(verdict))) => outcome_of(verdict),
@@ -342,66 +340,3 @@
         ClaimVerdict::Held | ClaimVerdict::Unknown => ClaimOutcome::Unknown,
     }
 }
-
-/// Marks an identity as being worked on here until dropped.
-#[derive(Debug)]
-struct LocalEntry {
-    writer: Rc<ClaimWriter>,
-    key: RowKey,
-}
-
-impl LocalEntry {
-    fn new(writer: &Rc<ClaimWriter>, key: &RowKey, fingerprint: &str) -> Self {
-        writer
-            .local
-            .borrow_mut()
-            .insert(key.clone(), fingerprint.to_owned());
-        Self {
-            writer: Rc::clone(writer),
-            key: key.clone(),
-        }
-    }
-}
-
-impl Drop for LocalEntry {
-    fn drop(&mut self) {
-        self.writer.local.borrow_mut().remove(&self.key);
-    }
-}
-
-/// A claim that this request holds. When it is dropped without an end, its
-/// outcome is recorded as unknown.
-#[derive(Debug)]
-pub(crate) struct HeldClaim {
-    local: LocalEntry,
-    row: ClaimRow,
-    modified: u64,
-    end: Option<ClaimEnd>,
-}
-
-impl HeldClaim {
-    /// Ends the claim. The result is written in the background, and repeats on
-    /// this instance see it at once.
-    pub(crate) fn settle(mut self, end: ClaimEnd) {
-        self.end = Some(end);
-    }
-}
-
-impl Drop for HeldClaim {
-    fn drop(&mut self) {
-        let results = &self.local.writer.results;
-        let key = self.local.key.clone();
-        let mut row = self.row.clone();
-        match self.end.take() {
-            Some(ClaimEnd::NotRun) => results.release(key, row),
-            Some(ClaimEnd::Answered(answer)) => {
-                row.state = ClaimState::Done(answer);
-                results.record(key, row, self.modified);
-            }
-            Some(ClaimEnd::Unknown) | None => {
-                row.state = ClaimState::Unknown;
-                results.record(key, row, self.modified);
-            }
-        }
-    }
-}
--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -128,8 +128,8 @@
             Rc::clone(&pipeline),
             metrics.clone(),
         ));
-        let (jobs, guard) = JobService::start(&context, Rc::clone(&pipeline), metrics.clone());
-        loops.push(guard);
+        let (jobs, guards) = JobService::start(&context, Rc::clone(&pipeline), metrics.clone());
+        loops.extend(guards);
         FrontendHandler(Rc::new(Self {
             context,
             pipeline,
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -5,11 +5,12 @@
 //! lapses. The result is stored with its digest before the job is done, so a
 //! caller gets it whole or is told to wait.
 
+mod lease;
 mod rows;
 mod run;
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::lease::LeaseObserver;
 use tarragonpulley_policy::retry::RunOutcome;
+use tokio::sync::Semaphore;
 
 use crate::border::{InstanceContext, ProofState};
 use crate::errors::{ErrorKind, RequestError};
@@ -26,6 +28,7 @@
 use crate::pipeline::{RequestPipeline, RunRequest};
 use crate::tasks::LoopGuard;
 use crate::upstream::BackendAnswer;
+use lease::HeldJob;
 use rows::{DoneJob, OPEN_PREFIX, OpenJob, decode, digest, done_key, encode, open_key, read};
 
 /// How often open jobs are looked at: every instance reads them, and the table
@@ -35,6 +38,10 @@
 /// Jobs that one instance runs at the same time.
 const MAX_RUNNING: usize = 8;
 
+/// Jobs that one instance holds. More are refused, so that the leases can be
+/// renewed in time.
+const MAX_HELD: usize = 256;
+
 /// When to ask again for a result.
 pub(crate) const POLL_AFTER: Duration = Duration::from_millis(500);
 
@@ -53,24 +60,27 @@
     context: InstanceContext,
     pipeline: Rc<RequestPipeline>,
     metrics: RequestMetrics,
-    /// Jobs that this instance runs.
-    running: RefCell<BTreeSet<String>>,
+    /// Jobs that this instance holds.
+    running: RefCell<BTreeMap<String, Rc<HeldJob>>>,
+    /// Limits how many of them run.
+    turns: Semaphore,
     observer: RefCell<LeaseObserver>,
 }
 
 impl JobService {
-    /// Starts the loop that takes jobs over. Jobs that run when the guard is
-    /// dropped are taken over by other instances.
+    /// Starts the loops that take jobs over and renew leases. Jobs that are
+    /// held when the guards are dropped are taken over by other instances.
     pub(crate) fn start(
         context: &InstanceContext,
         pipeline: Rc<RequestPipeline>,
         metrics: RequestMetrics,
-    ) -> (Rc<Self>, LoopGuard) {
+    ) -> (Rc<Self>, Vec<LoopGuard>) {
         let service = Rc::new(Self {
             context: context.clone(),
             pipeline,
             metrics,
             running: RefCell::default(),
+            turns: Semaphore::new(MAX_RUNNING),
             observer: RefCell::default(),
         });
         let scan = Rc::clone(&service);
@@ -80,11 +90,13 @@
                 scan.scan().await;
             }
         });
-        (service, guard)
+        let renew = Rc::clone(&service);
+        let renew = LoopGuard::spawn(async move { renew.renew_loop().await });
+        (service, vec![guard, renew])
     }
 
-    /// Jobs that run on this instance.
-    pub(crate) fn running(&self) -> usize {
+    /// Jobs that this instance holds.
+    pub(crate) fn held(&self) -> usize {
         self.running.borrow().len()
     }
 
@@ -101,6 +113,10 @@
             let message = "slow work needs a key";
             return Err(RequestError::new(ErrorKind::UnknownKey, message));
         };
+        if self.held() >= MAX_HELD {
+            let message = "this instance holds too much slow work";
+            return Err(RequestError::new(ErrorKind::NoCapacity, message));
+        }
         let id = format!("{:032x}", rand::random::<u128>());
         let body = request.backend.body.clone();
         let job = OpenJob {
@@ -203,7 +219,7 @@
                 .borrow_mut()
                 .note(key.as_str(), found.modified, now);
             let id = key.as_str().trim_start_matches(OPEN_PREFIX);
-            let busy = self.running.borrow().contains(id) || self.running() >= MAX_RUNNING;
+            let busy = self.running.borrow().contains_key(id) || self.held() >= MAX_RUNNING;
             if lapsed
                 && !busy
                 && self.context.config.proof() != ProofState::Missing
--- /dev/null
+++ b/crates/daemon/src/jobs/lease.rs
@@ -0,0 +1,107 @@
+//! Renewal of the leases of the jobs that this instance holds.
+//!
+//! One transaction renews all of them, because the table takes only several
+//! hundred writes a second from the whole fleet.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_policy::lease::RENEW_INTERVAL;
+use tokio::sync::Notify;
+
+use super::JobService;
+use super::rows::{OPEN_PREFIX, OpenJob, decode, encode, open_key};
+
+/// Leases that one transaction renews; transactions of the table service are
+/// bounded.
+const MAX_BATCH: usize = 64;
+
+/// A job that this instance holds.
+#[derive(Debug)]
+pub(super) struct HeldJob {
+    pub(super) id: String,
+    pub(super) job: OpenJob,
+    /// The table's revision of the last write to the row.
+    pub(super) modified: Cell<u64>,
+    renewals: Cell<u64>,
+    /// Tells that another instance holds the job.
+    pub(super) lost: Notify,
+}
+
+impl HeldJob {
+    pub(super) fn new(id: String, job: OpenJob, modified: u64) -> Self {
+        Self {
+            id,
+            job,
+            modified: Cell::new(modified),
+            renewals: Cell::new(0),
+            lost: Notify::new(),
+        }
+    }
+
+    fn renewed(&self) -> OpenJob {
+        OpenJob {
+            renewals: self.renewals.get(),
+            ..self.job.clone()
+        }
+    }
+}
+
+impl JobService {
+    pub(super) async fn renew_loop(&self) {
+        loop {
+            actix_rt::time::sleep(RENEW_INTERVAL).await;
+            let held: Vec<_> = self.running.borrow().values().cloned().collect();
+            for batch in held.chunks(MAX_BATCH) {
+                self.renew(batch).await;
+            }
+        }
+    }
+
+    async fn renew(&self, batch: &[Rc<HeldJob>]) {
+        for held in batch {
+            held.renewals.set(held.renewals.get() + 1);
+        }
+        let conditions = batch
+            .iter()
+            .map(|held| RowCondition::Unchanged(open_key(&held.id), held.modified.get()));
+        let changes = batch
+            .iter()
+            .map(|held| RowChange::Put(open_key(&held.id), encode(&held.renewed())));
+        let transaction = TableTransaction {
+            conditions: conditions.collect(),
+            changes: changes.collect(),
+        };
+        match self.context.table.commit(transaction).await {
+            CommitOutcome::Committed(revision) => {
+                for held in batch {
+                    held.modified.set(revision);
+                }
+            }
+            CommitOutcome::NotApplied(_) => {}
+            // A row changed or the answer was lost. The others are renewed in
+            // the next round.
+            CommitOutcome::Conflict | CommitOutcome::Unknown(_) => self.look_up(batch).await,
+        }
+    }
+
+    /// Finds out which jobs are still held. When the table cannot be read the
+    /// work goes on, since slow work is idempotent.
+    pub(super) async fn look_up(&self, batch: &[Rc<HeldJob>]) {
+        let Ok(snapshot) = self.context.table.read(RowKey::new(OPEN_PREFIX)).await else {
+            return;
+        };
+        for held in batch {
+            let key = open_key(&held.id);
+            let found = snapshot.rows.get(&key);
+            let row = found.and_then(|found| decode::<OpenJob>(&key, &found.value));
+            let own =
+                row.is_some_and(|row| row.holder == held.job.holder && row.epoch == held.job.epoch);
+            match found {
+                Some(found) if own => held.modified.set(found.modified),
+                _ => held.lost.notify_one(),
+            }
+        }
+    }
+}
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -1,6 +1,5 @@
 //! Runs one job under its lease until it is done.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,11 +8,11 @@
 use tarragonpulley_platform::{
     CommitOutcome, ObjectKey, RowChange, RowCondition, TableTransaction,
 };
-use tarragonpulley_policy::lease::RENEW_INTERVAL;
 use tarragonpulley_policy::quarantine::RequestFingerprint;
 use tarragonpulley_policy::retry::RequestDeadline;
 use tarragonpulley_policy::routing::{RouteMatch, match_route};
 
+use super::lease::HeldJob;
 use super::rows::{DoneJob, OpenJob, digest, done_key, encode, open_key, read};
 use super::{JobService, body_object, text_headers};
 use crate::border::ProofState;
@@ -30,14 +29,6 @@
 /// is repeated without end, because slow work must arrive.
 const MAX_SERVER_ERRORS: u32 = 5;
 
-/// A job that this instance holds.
-struct HeldJob {
-    id: String,
-    job: OpenJob,
-    /// The table's revision of the last write to the row.
-    modified: Cell<u64>,
-}
-
 /// Takes a job off the list of running ones when dropped.
 struct RunningJob {
     service: Rc<JobService>,
@@ -51,70 +42,32 @@
 }
 
 impl JobService {
-    /// Runs a job that this instance holds in the background.
+    /// Runs a job that this instance holds in the background, when its turn
+    /// comes. Its lease is renewed meanwhile.
     pub(super) fn begin(self: &Rc<Self>, id: String, job: OpenJob, modified: u64) {
-        self.running.borrow_mut().insert(id.clone());
+        let held = Rc::new(HeldJob::new(id.clone(), job, modified));
+        self.running
+            .borrow_mut()
+            .insert(id.clone(), Rc::clone(&held));
         let entry = RunningJob {
             service: Rc::clone(self),
-            id: id.clone(),
-        };
-        let held = HeldJob {
             id,
-            job,
-            modified: Cell::new(modified),
         };
         let service = Rc::clone(self);
         actix_rt::spawn(async move {
-            let result = tokio::select! {
-                result = service.attempt(&held) => Some(result),
-                () = service.renew(&held) => None,
+            let work = async {
+                let _turn = service.turns.acquire().await;
+                let answer = service.attempt(&held).await;
+                service.finish(&held, answer).await;
             };
-            if let Some(result) = result {
-                service.finish(&held, result).await;
+            tokio::select! {
+                () = work => {}
+                () = held.lost.notified() => log::info!("job {} is done or held elsewhere", held.id),
             }
             drop(entry);
         });
     }
 
-    /// Renews the lease. Returns when it was lost to another instance.
-    async fn renew(&self, held: &HeldJob) {
-        let mut job = held.job.clone();
-        loop {
-            actix_rt::time::sleep(RENEW_INTERVAL).await;
-            job.renewals += 1;
-            let transaction = TableTransaction {
-                conditions: vec![RowCondition::Unchanged(
-                    open_key(&held.id),
-                    held.modified.get(),
-                )],
-                changes: vec![RowChange::Put(open_key(&held.id), encode(&job))],
-            };
-            match self.context.table.commit(transaction).await {
-                CommitOutcome::Committed(revision) => held.modified.set(revision),
-                CommitOutcome::NotApplied(_) => {}
-                CommitOutcome::Conflict | CommitOutcome::Unknown(_) => {
-                    if !self.still_holds(held).await {
-                        log::info!("job {} was taken over", held.id);
-                        return;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Whether the row still names this holder. When the table cannot be read
-    /// the work goes on, since slow work is idempotent.
-    async fn still_holds(&self, held: &HeldJob) -> bool {
-        match read::<OpenJob>(&*self.context.table, &open_key(&held.id)).await {
-            Ok(Some(found)) => {
-                held.modified.set(found.modified);
-                found.row.holder == held.job.holder && found.row.epoch == held.job.epoch
-            }
-            Ok(None) => false,
-            Err(_) => true,
-        }
-    }
-
     /// Attempts the work until there is a result.
     async fn attempt(&self, held: &HeldJob) -> BackendAnswer {
         let mut pause = FIRST_PAUSE;
@@ -206,26 +159,19 @@
             object: object.clone(),
             digest: digest(&answer.body),
         };
-        let store = async {
-            let mut pause = FIRST_PAUSE;
-            loop {
-                let key = ObjectKey::new(&object);
-                let stored = self.context.objects.put(key, answer.body.clone()).await;
-                if stored.is_ok() && self.mark_done(held, &done).await {
-                    return;
-                }
-                actix_rt::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
-        };
-        tokio::select! {
-            () = store => {
-                self.metrics.jobs_done.inc();
-                // A body that stays behind only costs space.
-                drop(self.context.objects.delete(body_object(&held.id)).await);
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let key = ObjectKey::new(&object);
+            let stored = self.context.objects.put(key, answer.body.clone()).await;
+            if stored.is_ok() && self.mark_done(held, &done).await {
+                break;
             }
-            () = self.renew(held) => {}
+            actix_rt::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
         }
+        self.metrics.jobs_done.inc();
+        // A body that stays behind only costs space.
+        drop(self.context.objects.delete(body_object(&held.id)).await);
     }
 
     async fn mark_done(&self, held: &HeldJob, done: &DoneJob) -> bool {
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -9,10 +9,10 @@
 
 use super::place::Placement;
 use super::{ClaimSlot, RequestPipeline, RunRequest, too_late};
-use crate::border::{AttemptReport, SlotGuard};
+use crate::border::AttemptReport;
 use crate::errors::{ErrorKind, RequestError};
 use crate::probe::has_crashed;
-use crate::upstream::{AttemptHost, BackendAnswer};
+use crate::upstream::{AttemptHost, BackendAnswer, RacePermit};
 
 /// Most attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
@@ -43,9 +43,14 @@
 }
 
 impl AttemptHost for PlacedHost<'_> {
-    fn permit_race(&self) -> Option<Box<dyn SlotGuard>> {
-        let slot = self.placement.take_second_slot()?;
-        self.pipeline.budget.borrow_mut().spend().then_some(slot)
+    fn permit_race(&self) -> RacePermit {
+        if !self.pipeline.budget.borrow_mut().spend() {
+            return RacePermit::Refused;
+        }
+        // An instance seldom holds two slots of one server.
+        self.placement
+            .take_second_slot()
+            .map_or(RacePermit::Instead, RacePermit::Beside)
     }
 
     fn note_leaving(&self) {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,6 +4,7 @@
 //! answer is read to its end before it is passed on. A connection whose answer
 //! was cut, crossed, late or abandoned is closed and never used again.
 
+mod answer;
 pub(crate) mod connect;
 
 use std::cell::{Cell, RefCell};
@@ -12,29 +13,26 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, StatusCode};
+use actix_http::Method;
+use actix_http::header::{HeaderMap, HeaderName};
 use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use tarragonpulley_policy::ids::ServerKey;
 use tarragonpulley_policy::retry::{AttemptFailure, RequestDeadline, RunOutcome};
 use tarragonpulley_policy::routing::connection_share;
 
 use crate::border::SlotGuard;
-use crate::errors::{OUTCOME_HEADER, REQUEST_ID_HEADER};
+use crate::errors::REQUEST_ID_HEADER;
 use crate::metrics::RequestMetrics;
+pub(crate) use answer::BackendAnswer;
+use answer::{is_crossed, is_shed, read_answer, says_leaving};
 use connect::build_client;
 
 /// Tells the backend server how many milliseconds are left.
 pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 
-/// A backend server sets this header to `leaving` when it is about to stop.
-const SERVER_STATE_HEADER: HeaderName = HeaderName::from_static("x-server-state");
-const LEAVING: HeaderValue = HeaderValue::from_static("leaving");
-
 /// Least wait for a first byte before a second attempt starts.
 const MIN_LATE_AFTER: Duration = Duration::from_millis(100);
 
@@ -65,39 +63,21 @@
     pub(crate) idempotent: bool,
 }
 
-/// The whole answer of a backend server.
-#[derive(Debug, Clone)]
-pub(crate) struct BackendAnswer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl BackendAnswer {
-    /// Builds an answer that was kept, or `None` when a part is not valid HTTP.
-    pub(crate) fn from_parts(
-        status: u16,
-        headers: &[(String, String)],
-        body: Bytes,
-    ) -> Option<Self> {
-        let mut map = HeaderMap::new();
-        for (name, value) in headers {
-            let name = HeaderName::try_from(name.as_str()).ok()?;
-            map.append(name, HeaderValue::try_from(value.as_str()).ok()?);
-        }
-        Some(Self {
-            status: StatusCode::from_u16(status).ok()?,
-            headers: map,
-            body,
-        })
-    }
+/// How a second attempt may start when a first byte is late.
+#[derive(Debug)]
+pub(crate) enum RacePermit {
+    /// Beside the first one, with a slot of its own.
+    Beside(Box<dyn SlotGuard>),
+    /// In place of the first one, which gives up its connection and slot.
+    Instead,
+    /// Not at all.
+    Refused,
 }
 
 /// What an attempt asks of the pipeline while it runs.
 pub(crate) trait AttemptHost {
-    /// Allows a second attempt, which costs a slot and a part of the retry
-    /// budget, or refuses it.
-    fn permit_race(&self) -> Option<Box<dyn SlotGuard>>;
+    /// Allows a second attempt, which costs a part of the retry budget.
+    fn permit_race(&self) -> RacePermit;
 
     /// Notes that the server said that it is leaving.
     fn note_leaving(&self);
@@ -242,9 +222,14 @@
                 self.send(&client, client.current(), request, host).await
             }
         };
-        actix_rt::time::timeout(left, run)
-            .await
-            .unwrap_or(Err(AttemptFailure::TimedOut))
+        let Ok(attempt) = actix_rt::time::timeout(left, run).await else {
+            // The other connections may have gone silent at the same time.
+            if left >= MIN_LATE_AFTER {
+                self.adopt(&client, client.fresh());
+            }
+            return Err(AttemptFailure::TimedOut);
+        };
+        attempt
     }
 
     /// Sends the request, and once more on a new connection when the first
@@ -262,13 +247,22 @@
             Either::Left((answer, _)) => return answer,
             Either::Right(((), first)) => first,
         };
-        let Some(_slot) = host.permit_race() else {
+        let permit = host.permit_race();
+        if matches!(permit, RacePermit::Refused) {
             return first.await;
-        };
+        }
         self.metrics.races.inc();
         self.metrics.attempts.inc();
         let fresh = client.fresh();
         let second = Box::pin(self.send(client, Rc::clone(&fresh), request, host));
+        let RacePermit::Beside(_slot) = permit else {
+            drop(first);
+            let answer = second
+                .await
+                .map_err(|other| less_certain(AttemptFailure::TimedOut, other))?;
+            self.adopt(client, fresh);
+            return Ok(answer);
+        };
         match select(first, second).await {
             Either::Left((Ok(answer), _)) => Ok(answer),
             Either::Left((Err(failure), second)) => {
@@ -324,7 +318,7 @@
             self.metrics.replaced_connections.inc();
             return Err(AttemptFailure::AnswerBroken);
         }
-        if response.headers().get(SERVER_STATE_HEADER) == Some(&LEAVING) {
+        if says_leaving(response.headers()) {
             host.note_leaving();
         }
         let answer = read_answer(response, request.max_answer).await?;
@@ -357,37 +351,3 @@
         _ => AttemptFailure::AnswerBroken,
     }
 }
-
-fn is_crossed(headers: &HeaderMap, request_id: &str) -> bool {
-    headers
-        .get(REQUEST_ID_HEADER)
-        .is_some_and(|echo| echo.as_bytes() != request_id.as_bytes())
-}
-
-fn is_shed(answer: &BackendAnswer) -> bool {
-    let outcome = answer.headers.get(OUTCOME_HEADER);
-    answer.status == StatusCode::SERVICE_UNAVAILABLE
-        && outcome.is_some_and(|value| matches!(value.as_bytes(), b"not-run" | b"not_run"))
-}
-
-async fn read_answer<S>(
-    mut response: awc::ClientResponse<S>,
-    most: u64,
-) -> Result<BackendAnswer, AttemptFailure>
-where
-    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
-{
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.next().await {
-        let chunk = chunk.map_err(|_error| AttemptFailure::AnswerBroken)?;
-        if (body.len() + chunk.len()) as u64 > most {
-            return Err(AttemptFailure::AnswerTooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(BackendAnswer {
-        status: response.status(),
-        headers: response.headers().clone(),
-        body: body.freeze(),
-    })
-}
--- /dev/null
+++ b/crates/daemon/src/upstream/answer.rs
@@ -0,0 +1,82 @@
+//! Answers of backend servers, and the checks on them.
+
+use actix_http::StatusCode;
+use actix_http::error::PayloadError;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use tarragonpulley_policy::retry::AttemptFailure;
+
+use crate::errors::{OUTCOME_HEADER, REQUEST_ID_HEADER};
+
+/// A backend server sets this header to `leaving` when it is about to stop.
+const SERVER_STATE_HEADER: HeaderName = HeaderName::from_static("x-server-state");
+const LEAVING: HeaderValue = HeaderValue::from_static("leaving");
+
+/// The whole answer of a backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct BackendAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl BackendAnswer {
+    /// Builds an answer that was kept, or `None` when a part is not valid HTTP.
+    pub(crate) fn from_parts(
+        status: u16,
+        headers: &[(String, String)],
+        body: Bytes,
+    ) -> Option<Self> {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            let name = HeaderName::try_from(name.as_str()).ok()?;
+            map.append(name, HeaderValue::try_from(value.as_str()).ok()?);
+        }
+        Some(Self {
+            status: StatusCode::from_u16(status).ok()?,
+            headers: map,
+            body,
+        })
+    }
+}
+
+/// Whether the server says that it is about to stop.
+pub(super) fn says_leaving(headers: &HeaderMap) -> bool {
+    headers.get(SERVER_STATE_HEADER) == Some(&LEAVING)
+}
+
+/// Whether an answer belongs to another request.
+pub(super) fn is_crossed(headers: &HeaderMap, request_id: &str) -> bool {
+    headers
+        .get(REQUEST_ID_HEADER)
+        .is_some_and(|echo| echo.as_bytes() != request_id.as_bytes())
+}
+
+pub(super) fn is_shed(answer: &BackendAnswer) -> bool {
+    let outcome = answer.headers.get(OUTCOME_HEADER);
+    answer.status == StatusCode::SERVICE_UNAVAILABLE
+        && outcome.is_some_and(|value| matches!(value.as_bytes(), b"not-run" | b"not_run"))
+}
+
+pub(super) async fn read_answer<S>(
+    mut response: awc::ClientResponse<S>,
+    most: u64,
+) -> Result<BackendAnswer, AttemptFailure>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.next().await {
+        let chunk = chunk.map_err(|_error| AttemptFailure::AnswerBroken)?;
+        if (body.len() + chunk.len()) as u64 > most {
+            return Err(AttemptFailure::AnswerTooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(BackendAnswer {
+        status: response.status(),
+        headers: response.headers().clone(),
+        body: body.freeze(),
+    })
+}
--- a/crates/daemon/tests/unit/requests.rs
+++ b/crates/daemon/tests/unit/requests.rs
@@ -202,29 +202,34 @@
     assert!(attempts * 10 <= requests * 11, "{attempts} attempts");
 }
 
-/// Guards against callers that hang on connections which went silent for good.
-#[actix_rt::test]
-async fn a_silent_connection_is_replaced() {
-    let backend = Backend::start().await;
-    let instance = TestInstance::start(&[backend.address]).await;
-    fill_budget(&instance, 1).await;
-    let before = backend.connections.get();
-    backend.script(&[Act::Silent]);
-    let started = Instant::now();
-    let answer = instance.send("GET", "/lunwan/desk/fit", "").await;
-    assert_eq!(answer.status, 200);
-    assert!(started.elapsed() < Duration::from_secs(1));
-    assert_eq!(instance.counter("races"), 1);
-    assert_eq!(instance.counter("replaced_connections"), 1);
-    assert_eq!(
-        instance.send("GET", "/lunwan/desk/fit", "").await.status,
-        200
-    );
-    assert_eq!(
-        backend.connections.get(),
-        before + 1,
-        "the new one is reused"
-    );
+/// Guards against callers that hang on connections which went silent for good,
+/// also when the instance holds a single slot of the server.
+#[parameterized(one_slot = { 1 }, two_slots = { 2 })]
+fn a_silent_connection_is_replaced(slots: u32) {
+    run(async {
+        let backend = Backend::start().await;
+        let instance = TestInstance::start(&[backend.address]).await;
+        instance.rights.free.set(slots);
+        fill_budget(&instance, 1).await;
+        let before = backend.connections.get();
+        backend.script(&[Act::Silent]);
+        let started = Instant::now();
+        let answer = instance.send("GET", "/lunwan/desk/fit", "").await;
+        assert_eq!(answer.status, 200);
+        assert!(started.elapsed() < Duration::from_secs(1));
+        assert_eq!(instance.counter("races"), 1);
+        assert_eq!(instance.counter("replaced_connections"), 1);
+        assert_eq!(instance.rights.free.get(), slots, "a slot was kept");
+        assert_eq!(
+            instance.send("GET", "/lunwan/desk/fit", "").await.status,
+            200
+        );
+        assert_eq!(
+            backend.connections.get(),
+            before + 1,
+            "the new one is reused"
+        );
+    });
 }
 
 /// Guards against a request that crashes a third server.
