--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -162,6 +162,18 @@
         (self.status(), body.into())
     }
 
+    /// The whole answer as bytes, for a connection that is then closed.
+    pub(crate) fn to_wire(&self) -> Bytes {
+        let (status, body) = self.to_parts();
+        let head = format!(
+            "HTTP/1.1 {status}\r\ncontent-type: application/json\r\n{OUTCOME_HEADER}: {}\r\n\
+             connection: close\r\ncontent-length: {}\r\n\r\n",
+            self.outcome.name(),
+            body.len()
+        );
+        [head.as_bytes(), &body].concat().into()
+    }
+
     fn status(&self) -> StatusCode {
         StatusCode::from_u16(self.kind.row().0).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
     }
--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
@@ -29,6 +30,7 @@
 use serde::Serialize;
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::backends::BackendBoard;
 use crate::border::{InstanceContext, RequestHandler};
@@ -46,17 +48,24 @@
 /// Longest time for a caller to send a request body.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
+/// Memory for the bodies of running requests. An instance has little memory,
+/// and a single body may have 8 MiB.
+const BODY_KIBIBYTES: usize = 48 * 1024;
+
 /// Bounds that the settings may change.
 #[derive(Debug, Clone)]
 pub(crate) struct FrontendLimits {
     /// Longest time for a caller to send a request body.
     pub(crate) body_time: Duration,
+    /// Most KiB that the bodies of all running requests may take.
+    pub(crate) body_kibibytes: usize,
 }
 
 impl Default for FrontendLimits {
     fn default() -> Self {
         Self {
             body_time: BODY_TIME,
+            body_kibibytes: BODY_KIBIBYTES,
         }
     }
 }
@@ -71,15 +80,21 @@
     limits: FrontendLimits,
     blocks: RefCell<BlockCache>,
     running: Cell<usize>,
+    body_memory: Arc<Semaphore>,
     _loops: Vec<LoopGuard>,
 }
 
-/// Counts a request as running until dropped.
-struct RunningGuard(Rc<ServiceFrontend>);
+/// Counts a request as running, with the memory of its body, until dropped.
+struct RunningGuard {
+    frontend: Rc<ServiceFrontend>,
+    body: Option<OwnedSemaphorePermit>,
+}
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get().saturating_sub(1));
+        let running = &self.frontend.running;
+        running.set(running.get().saturating_sub(1));
+        self.body = None;
     }
 }
 
@@ -130,6 +145,7 @@
         ));
         let (jobs, guards) = JobService::start(&context, Rc::clone(&pipeline), metrics.clone());
         loops.extend(guards);
+        let body_memory = Arc::new(Semaphore::new(limits.body_kibibytes));
         FrontendHandler(Rc::new(Self {
             context,
             pipeline,
@@ -138,6 +154,7 @@
             limits,
             blocks: RefCell::default(),
             running: Cell::new(0),
+            body_memory,
             _loops: loops,
         }))
     }
@@ -149,7 +166,10 @@
 
     fn begin(self: &Rc<Self>) -> RunningGuard {
         self.running.set(self.running.get() + 1);
-        RunningGuard(Rc::clone(self))
+        RunningGuard {
+            frontend: Rc::clone(self),
+            body: None,
+        }
     }
 
     async fn answer(
--- a/crates/daemon/src/frontend/request.rs
+++ b/crates/daemon/src/frontend/request.rs
@@ -1,10 +1,11 @@
 //! `/{customer}/{service}/{path}`: checks of the head, then the pipeline.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, TRANSFER_ENCODING};
 use actix_http::{HttpMessage, Request, Response};
 use bytes::Bytes;
 use tarragonpulley_policy::claim::ClaimIdentity;
@@ -17,7 +18,8 @@
 use tarragonpulley_policy::snapshot::KeyDigest;
 
 use super::{
-    KnownCaller, RequestEnd, ServiceFrontend, authorization, backend_response, finish, job_response,
+    KnownCaller, RequestEnd, RunningGuard, ServiceFrontend, authorization, backend_response,
+    finish, job_response,
 };
 use crate::errors::{ErrorKind, RequestError};
 use crate::headers;
@@ -45,7 +47,7 @@
         mut request: Request,
         id: &str,
     ) -> (RequestEnd, Option<TeamKey>) {
-        let running = self.begin();
+        let mut running = self.begin();
         let head = match self.check_head(&request) {
             Ok(head) => head,
             Err(error) => return (finish(Err(error), id), None),
@@ -53,7 +55,7 @@
         let team = head.caller.as_ref().map(|caller| caller.team.clone());
         let payload = request.take_payload();
         let most = head.route.max_body.get();
-        let result = match self.read(&request, payload, most).await {
+        let result = match self.read(&request, payload, most, &mut running).await {
             Ok(body) => {
                 let prepared = self.prepare(&request, head, body, id);
                 self.run(prepared, running).await
@@ -135,6 +137,7 @@
         request: &Request,
         payload: actix_http::Payload,
         most: u64,
+        running: &mut RunningGuard,
     ) -> Result<Bytes, RequestError> {
         let declared = request.headers().get("content-length");
         let declared = declared.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
@@ -142,6 +145,14 @@
             let message = format!("the request body is larger than {most} bytes");
             return Err(refusal(ErrorKind::BodyTooLarge, message));
         }
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let expected = declared.unwrap_or(if chunked { most } else { 0 });
+        let kibibytes = u32::try_from(expected.div_ceil(1024)).unwrap_or(u32::MAX);
+        let memory = Arc::clone(&self.body_memory).try_acquire_many_owned(kibibytes);
+        running.body = Some(memory.map_err(|_error| {
+            let message = "the bodies of running requests take all memory";
+            refusal(ErrorKind::NoCapacity, message)
+        })?);
         read_body(payload, most, self.limits.body_time).await
     }
 
@@ -185,7 +196,7 @@
     async fn run(
         &self,
         request: RunRequest,
-        running: super::RunningGuard,
+        running: RunningGuard,
     ) -> Result<Response<BoxBody>, RequestError> {
         self.pipeline.admit(&request).await?;
         match request.route.kind {
--- a/crates/daemon/src/http_server/watch.rs
+++ b/crates/daemon/src/http_server/watch.rs
@@ -4,14 +4,16 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use actix_rt::net::TcpStream;
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
 use super::{DRAIN_IDLE_GRACE, ServerLimits};
+use crate::errors::{ErrorKind, RequestError};
 
 /// The first head of a connection is answered with 408 at the limit; the
 /// connection is closed only after that answer had time to leave.
@@ -112,15 +114,37 @@
 }
 
 /// A TCP stream that tells its watch about reads and writes.
+///
+/// The HTTP library answers malformed, slow and oversized heads itself, with
+/// an empty body. The stream replaces these answers by the documented ones.
 #[derive(Debug)]
 pub(super) struct WatchedStream {
     stream: TcpStream,
     watch: Rc<ConnectionWatch>,
+    /// What is left of a replaced answer.
+    replacement: Bytes,
 }
 
 impl WatchedStream {
     pub(super) const fn new(stream: TcpStream, watch: Rc<ConnectionWatch>) -> Self {
-        Self { stream, watch }
+        Self {
+            stream,
+            watch,
+            replacement: Bytes::new(),
+        }
+    }
+
+    fn poll_replacement(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.replacement.is_empty() {
+            let written = Pin::new(&mut self.stream).poll_write(cx, &self.replacement);
+            self.watch.note_write(written.is_pending());
+            let written = ready!(written)?;
+            if written == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.replacement.advance(written);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -145,16 +169,37 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_replacement(cx))?;
+        if let Some(answer) = replace_answer(buf) {
+            self.replacement = answer;
+            return Poll::Ready(Ok(buf.len()));
+        }
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.watch.note_write(written.is_pending());
         written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_replacement(cx))?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_replacement(cx))?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+/// The documented answer in place of one that the library wrote by itself.
+fn replace_answer(written: &[u8]) -> Option<Bytes> {
+    let head = written.strip_prefix(b"HTTP/1.1 ")?;
+    let error = match head.get(..3)? {
+        b"400" => RequestError::new(ErrorKind::MalformedRequest, "the request is malformed"),
+        b"408" => RequestError::new(ErrorKind::SlowRequest, "the request head came too slowly"),
+        b"431" => RequestError::new(ErrorKind::HeadersTooLarge, "the request head is too large"),
+        _ => return None,
+    };
+    let empty = b"\r\ncontent-length: 0\r\n";
+    let is_empty = head.windows(empty.len()).any(|window| window == empty);
+    (is_empty && head.ends_with(b"\r\n\r\n")).then(|| error.to_wire())
+}
--- a/crates/daemon/src/pipeline/place.rs
+++ b/crates/daemon/src/pipeline/place.rs
@@ -129,7 +129,11 @@
         };
         let found = actix_rt::time::timeout(wait, search).await;
         drop(ticket);
-        found.map_err(|_elapsed| no_capacity("no backend server has a free slot"))
+        found.map_err(|_elapsed| {
+            // Without a proof no slot may be taken, whatever is free.
+            let cause = self.check_still_valid(request).err();
+            cause.unwrap_or_else(|| no_capacity("no backend server has a free slot"))
+        })
     }
 
     fn try_place(self: &Rc<Self>, service: &ServiceKey, tried: &[ServerName]) -> Option<Placement> {
--- a/crates/daemon/tests/unit/mod.rs
+++ b/crates/daemon/tests/unit/mod.rs
@@ -5,5 +5,6 @@
 mod fakes;
 mod jobs;
 mod lookups;
+mod queue;
 mod requests;
 mod server;
--- /dev/null
+++ b/crates/daemon/tests/unit/queue.rs
@@ -0,0 +1,76 @@
+//! The queue for slots, and the headers that pass.
+
+use std::rc::Rc;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use futures_util::FutureExt;
+
+use crate::headers::for_backend;
+use crate::queue::{WaitQueue, WaitTicket};
+
+fn enter(queue: &Rc<WaitQueue>, team: &str) -> Option<WaitTicket> {
+    let team = format!("lunwan/{team}").parse().unwrap();
+    queue.enter(&"lunwan/desk".parse().unwrap(), Some(&team))
+}
+
+fn has_turn(ticket: &WaitTicket) -> bool {
+    ticket.turn().now_or_never().is_some()
+}
+
+/// Guards against a team with many waiting requests that starves another one,
+/// and against a team that fills the whole queue.
+#[test]
+fn teams_take_turns() {
+    let queue: Rc<WaitQueue> = Rc::default();
+    let many: Vec<_> = std::iter::from_fn(|| enter(&queue, "many")).collect();
+    assert!((10..200).contains(&many.len()), "{} wait", many.len());
+    let few = enter(&queue, "few").expect("a full lane must not shut out others");
+    let service = "lunwan/desk".parse().unwrap();
+    queue.wake(&service);
+    queue.wake(&service);
+    assert!(has_turn(&few));
+    assert_eq!(many.iter().filter(|ticket| has_turn(ticket)).count(), 1);
+}
+
+/// Guards against a turn that is lost when the request that got it leaves or
+/// finds no slot.
+#[test]
+fn an_unused_turn_goes_on() {
+    let queue: Rc<WaitQueue> = Rc::default();
+    let service = "lunwan/desk".parse().unwrap();
+    let first = enter(&queue, "one").unwrap();
+    let second = enter(&queue, "one").unwrap();
+    queue.wake(&service);
+    assert!(has_turn(&first) && !has_turn(&second));
+    first.wait_again();
+    queue.wake(&service);
+    assert!(has_turn(&first), "it keeps its place");
+    drop(first);
+    assert!(has_turn(&second));
+    drop(second);
+    assert!(!queue.has_waiters(&service));
+}
+
+/// Guards against headers of the caller's connection, or names that callers
+/// give themselves, that reach a backend server.
+#[test]
+fn private_headers_are_removed() {
+    let mut headers = HeaderMap::new();
+    let names = [
+        "x-hop",
+        "te",
+        "x-team",
+        "x-outcome",
+        "authorization",
+        "x-tarragonpulley-a",
+        "accept",
+    ];
+    for name in names {
+        headers.append(HeaderName::from_static(name), HeaderValue::from_static("1"));
+    }
+    let connection = HeaderValue::from_static("close, X-Hop");
+    headers.append(HeaderName::from_static("connection"), connection);
+    let kept = for_backend(&headers);
+    let kept: Vec<_> = kept.keys().map(HeaderName::as_str).collect();
+    assert_eq!(kept, ["accept"]);
+}
--- a/crates/daemon/tests/unit/server.rs
+++ b/crates/daemon/tests/unit/server.rs
@@ -97,6 +97,10 @@
         send(&mut stream, &input.replace("LARGE", &"x".repeat(2000))).await;
         let answer = read_all(&mut stream).await;
         assert!(answer.contains(status), "{answer}");
+        assert!(
+            input.is_empty() || answer.contains("x-outcome: not_run"),
+            "{answer}"
+        );
         let mut stream = TcpStream::connect(address).await.unwrap();
         send(
             &mut stream,
