--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod contract;
+pub mod evidence;
 pub mod facts;
 pub mod ids;
 pub mod movement;
