--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -80,7 +80,6 @@
             } else {
                 known.iter().map(Into::into).collect()
             },
-            counters_for: to.as_ref().map_or(0, |to| to.number),
             counters: write_counters(&update.counters),
             all_summaries: peer.told_summaries.is_none(),
             summaries: summaries
@@ -300,9 +299,7 @@
         }
         self.merge_facts(&sender.instance, facts);
         self.note_summaries(&sender.instance, summaries, request.all_summaries);
-        let for_this_run = request.counters_for == self.own().number;
-        let counters_applied =
-            counters.is_empty() || (for_this_run && self.receive_rights(&sender, &counters));
+        let counters_applied = self.receive_rights(&sender, &counters);
         if self.is_behind(&sender.instance) {
             self.wake_table_reader();
         }
--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -179,8 +179,7 @@
             PeerAnswer::Rights(answer) => {
                 let giver = IncarnationId::try_from(answer.sender)?;
                 let counters = read_counters(answer.counters)?;
-                // The counters are for the incarnation that asked.
-                if giver.instance == link.instance && own == *self.own() {
+                if giver.instance == link.instance {
                     self.receive_rights(&giver, &counters);
                 }
                 Ok(())
@@ -210,7 +209,9 @@
                 warn!("rights of {peer} not received: counters are late or impossible");
                 false
             }
-            ReceiveOutcome::Fenced | ReceiveOutcome::OtherGeneration => false,
+            ReceiveOutcome::Fenced
+            | ReceiveOutcome::OtherGeneration
+            | ReceiveOutcome::OtherReceiver => false,
         }
     }
 
--- a/crates/daemon/src/fleet/rights_state.rs
+++ b/crates/daemon/src/fleet/rights_state.rs
@@ -30,7 +30,7 @@
 }
 
 impl RightsState {
-    pub(super) const fn new(own: IncarnationId) -> Self {
+    pub(super) fn new(own: IncarnationId) -> Self {
         Self {
             ledger: RightsLedger::new(own),
             record: None,
--- a/crates/wire/src/peer/message.rs
+++ b/crates/wire/src/peer/message.rs
@@ -109,9 +109,6 @@
     pub facts: Vec<FactEntry>,
     /// Incarnations that the sender knows of, when these changed.
     pub known: Vec<IncarnationEntry>,
-    /// The run of the receiver that `counters` are for; another run must not
-    /// take them.
-    pub counters_for: u64,
     /// Transfer counters for the receiver that it has not acknowledged.
     pub counters: Vec<CounterEntry>,
     /// Whether `summaries` replaces all that the receiver knows.
@@ -188,6 +185,8 @@
     pub limit: String,
     /// The generation.
     pub generation: u64,
+    /// Digest of the receiving incarnation.
+    pub receiver: u64,
     /// Shares.
     pub shares: u64,
     /// Parts of a token.
--- a/crates/wire/src/peer/rights.rs
+++ b/crates/wire/src/peer/rights.rs
@@ -17,6 +17,7 @@
     let entry = |(limit, counter): (&LimitKey, &TransferCounter)| CounterEntry {
         limit: limit.to_string(),
         generation: counter.generation,
+        receiver: counter.receiver,
         shares: counter.shares,
         tokens: counter.tokens,
     };
@@ -35,6 +36,7 @@
     let counter = |entry: CounterEntry| {
         let counter = TransferCounter {
             generation: entry.generation,
+            receiver: entry.receiver,
             shares: entry.shares,
             tokens: entry.tokens,
         };
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -78,6 +78,7 @@
     let counter = CounterEntry {
         limit: "team:a/b".to_owned(),
         generation: 1,
+        receiver: 1,
         shares: 1,
         tokens: 1,
     };
