--- /dev/null
+++ b/crates/testkit/src/bin/fleet-load/callers.rs
@@ -0,0 +1,221 @@
+//! Callers of one team.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use tarragonpulley_testkit::{Deployment, Fleet, TeamSpec, TestClient, TestRequest};
+
+/// One request of this many is a booking.
+const BOOKING_EVERY: u64 = 10;
+/// Longer than any route's timeout.
+const ANSWER_DEADLINE: Duration = Duration::from_secs(10);
+/// Instances that a caller tries before it gives up.
+const TRIED_INSTANCES: usize = 2;
+
+pub(crate) fn key_of(team: &str) -> String {
+    format!("load-key-of-{team}-0123456789")
+}
+
+/// What all callers share.
+#[derive(Debug)]
+pub(crate) struct CallerPlan {
+    client: TestClient,
+    customer: String,
+    lookup_path: String,
+    booking_path: String,
+    /// Direct service addresses by instance name.
+    addresses: BTreeMap<String, SocketAddr>,
+    asked: Vec<SocketAddr>,
+    end: Instant,
+    seed: u64,
+}
+
+impl CallerPlan {
+    pub(crate) fn new(fleet: &Fleet, deployment: &Deployment, seconds: u64, seed: u64) -> Self {
+        let customer = &deployment.customer;
+        let (lookup, booking) = if customer == "lunwan" {
+            ("fitdesk/fit/7", "swapledger/swaps")
+        } else {
+            ("grade-desk/lots/7", "sale-ledger/sales")
+        };
+        let addresses = fleet
+            .instances
+            .iter()
+            .map(|i| (i.name.clone(), i.direct.service));
+        Self {
+            client: TestClient::new(),
+            customer: customer.clone(),
+            lookup_path: format!("/{customer}/{lookup}"),
+            booking_path: format!("/{customer}/{booking}"),
+            addresses: addresses.collect(),
+            asked: fleet.instances.iter().map(|i| i.direct.service).collect(),
+            end: Instant::now() + Duration::from_secs(seconds),
+            seed,
+        }
+    }
+}
+
+/// How the requests of one team ended.
+#[derive(Debug, Default)]
+pub(crate) struct TeamResult {
+    pub(crate) team: String,
+    pub(crate) greedy: bool,
+    pub(crate) sent: u64,
+    pub(crate) answered: u64,
+    pub(crate) bookings: u64,
+    /// Answers other than 2xx, by status and error.
+    pub(crate) refusals: BTreeMap<String, u64>,
+    /// Times of 2xx answers.
+    pub(crate) latencies: Vec<Duration>,
+}
+
+#[derive(Debug)]
+struct CachedLookup {
+    until: Instant,
+    instances: Vec<SocketAddr>,
+}
+
+/// The callers of one team.
+#[derive(Debug)]
+pub(crate) struct TeamLoad {
+    plan: Rc<CallerPlan>,
+    index: usize,
+    name: String,
+    per_second: f64,
+    greedy: bool,
+    lookup: RefCell<Option<CachedLookup>>,
+    result: RefCell<TeamResult>,
+    running: Cell<u64>,
+}
+
+impl TeamLoad {
+    pub(crate) fn new(
+        plan: Rc<CallerPlan>,
+        index: usize,
+        team: &TeamSpec,
+        factor: f64,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            plan,
+            index,
+            name: team.name.clone(),
+            per_second: f64::from(team.rate) * factor,
+            greedy: factor > 1.0,
+            lookup: RefCell::default(),
+            result: RefCell::default(),
+            running: Cell::new(0),
+        })
+    }
+
+    /// Sends until the plan ends, then waits for the last answers.
+    pub(crate) async fn run(self: Rc<Self>) -> TeamResult {
+        let mut random = SmallRng::seed_from_u64(self.plan.seed + self.index as u64);
+        let mut next = Instant::now();
+        let mut number = 0;
+        loop {
+            let uniform: f64 = random.random();
+            next += Duration::from_secs_f64(-(1.0 - uniform).ln() / self.per_second);
+            if next > self.plan.end {
+                break;
+            }
+            sleep(next.saturating_duration_since(Instant::now())).await;
+            number += 1;
+            self.running.set(self.running.get() + 1);
+            actix_rt::spawn(Rc::clone(&self).send(number));
+        }
+        while self.running.get() > 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut result = self.result.take();
+        result.team.clone_from(&self.name);
+        result.greedy = self.greedy;
+        result
+    }
+
+    async fn send(self: Rc<Self>, number: u64) {
+        let key = key_of(&self.name);
+        let booking = number.is_multiple_of(BOOKING_EVERY);
+        let request = if booking {
+            let identity = format!("{}-{number}", self.name);
+            TestRequest::post(&*self.plan.booking_path)
+                .identity(&identity)
+                .body(identity.clone())
+        } else {
+            TestRequest::get(&*self.plan.lookup_path)
+        };
+        let request = request.key(&key).deadline(ANSWER_DEADLINE);
+        let started = Instant::now();
+        let mut end = Err("no instance".to_owned());
+        for address in self.instances().await.into_iter().take(TRIED_INSTANCES) {
+            end = match self.plan.client.send(address, &request).await {
+                Ok(answer) if answer.status.is_success() => Ok(()),
+                Ok(answer) => {
+                    let body: Value = answer.json().unwrap_or_default();
+                    let error = body["error"].as_str().unwrap_or("-");
+                    Err(format!("{} {error}", answer.code()))
+                }
+                // The instance is gone: look up again and try the next one.
+                Err(_error) => {
+                    self.lookup.take();
+                    end = Err("no answer".to_owned());
+                    continue;
+                }
+            };
+            break;
+        }
+        let mut result = self.result.borrow_mut();
+        result.sent += 1;
+        match end {
+            Ok(()) => {
+                result.answered += 1;
+                result.bookings += u64::from(booking);
+                result.latencies.push(started.elapsed());
+            }
+            Err(why) => *result.refusals.entry(why).or_default() += 1,
+        }
+        drop(result);
+        self.running.set(self.running.get() - 1);
+    }
+
+    /// The instances of the cached look-up, or of a new one.
+    async fn instances(&self) -> Vec<SocketAddr> {
+        if let Some(cached) = &*self.lookup.borrow()
+            && cached.until > Instant::now()
+        {
+            return cached.instances.clone();
+        }
+        let count = self.plan.asked.len();
+        for step in 0..count {
+            let asked = self.plan.asked[(self.index + step) % count];
+            let answer = self.plan.client.look_up(asked, &self.plan.customer).await;
+            let Some(answer) = answer.ok().filter(|a| a.status.is_success()) else {
+                continue;
+            };
+            let body: Value = answer.json().unwrap_or_default();
+            let names = body["instances"].as_array().cloned().unwrap_or_default();
+            let instances: Vec<SocketAddr> = names
+                .iter()
+                .filter_map(|entry| {
+                    self.plan
+                        .addresses
+                        .get(entry["instance"].as_str()?)
+                        .copied()
+                })
+                .collect();
+            let valid = body["valid_for_ms"].as_u64().unwrap_or(1000);
+            self.lookup.replace(Some(CachedLookup {
+                until: Instant::now() + Duration::from_millis(valid),
+                instances: instances.clone(),
+            }));
+            return instances;
+        }
+        Vec::new()
+    }
+}
