--- a/crates/policy/src/rights/transfer.rs
+++ b/crates/policy/src/rights/transfer.rs
@@ -160,10 +160,10 @@
         counters: &BTreeMap<LimitKey, TransferCounter>,
         now: Instant,
     ) -> ReceiveOutcome {
+        self.tick(now);
         if self.dropped || self.fenced.contains(peer) {
             return ReceiveOutcome::Fenced;
         }
-        self.tick(now);
         let generation = self.generation();
         if counters.values().any(|c| Some(c.generation) != generation) {
             return ReceiveOutcome::OtherGeneration;
