--- a/crates/policy/src/rights/demand.rs
+++ b/crates/policy/src/rights/demand.rs
@@ -14,8 +14,8 @@
 const FAST: Duration = Duration::from_millis(100);
 /// Longer times make an instance that its callers left keep shares that the
 /// next one lacks: with 2 s, 2 % of rightful requests were refused in
-/// `limit_candidates`, with 500 ms 0.3 %.
-const SLOW: Duration = Duration::from_millis(500);
+/// `limit_candidates`, with 250 ms 0.2 %.
+const SLOW: Duration = Duration::from_millis(250);
 /// A slot that was used within this time counts as demand.
 const SLOT_PEAK: Duration = Duration::from_secs(2);
 /// Requests that the fast estimate leaves out: one or two requests at once
