Let silent peers expire in the comparison of limit candidates

Cause: after a death, asks went to the dead instance for the rest of the outage, because its last summary stayed. The daemon has to let summaries expire in the same way; the run uses 1.5 s, three heartbeats.

--- a/crates/policy/benches/limit_candidates/shares.rs
+++ b/crates/policy/benches/limit_candidates/shares.rs
@@ -16,6 +16,8 @@
 };
 
 const HEARTBEAT: Duration = Duration::from_millis(500);
+/// A peer that was not heard from for this time is neither asked nor given to.
+const SILENCE: Duration = Duration::from_millis(1500);
 const ASK_DEADLINE: Duration = Duration::from_millis(150);
 /// Time from a commit until an award is usable: proof lifetime and margin.
 const AWARD_DELAY: Duration = Duration::from_millis(2600);
@@ -56,6 +58,7 @@
     ledger: RightsLedger,
     live: bool,
     peers: PeerSummaries,
+    heard: BTreeMap<IncarnationId, Instant>,
     near: BTreeSet<IncarnationId>,
     waiting: Vec<VecDeque<u64>>,
     asks: Vec<usize>,
@@ -109,6 +112,7 @@
             ledger,
             live: true,
             peers: BTreeMap::new(),
+            heard: BTreeMap::new(),
             near: near.map(incarnation).collect(),
             waiting: vec![VecDeque::new(); TEAMS.len()],
             asks: vec![0; TEAMS.len()],
@@ -146,6 +150,8 @@
     fn tick(&mut self, now: Instant, instance: usize) {
         self.events.add(now + HEARTBEAT, ShareEvent::Tick(instance));
         let node = &mut self.nodes[instance];
+        let heard = &node.heard;
+        node.peers.retain(|peer, _| now - heard[peer] < SILENCE);
         node.ledger.rebalance(&node.peers, now);
         for to in (0..INSTANCES).filter(|to| *to != instance) {
             let message = self.heartbeat(now, instance, to);
@@ -159,6 +165,7 @@
         if let Some(mark) = message.acknowledged {
             node.ledger.acknowledge(&peer, mark);
         }
+        node.heard.insert(peer.clone(), now);
         node.peers.insert(peer, message.summary);
         self.receive(now, message.from, message.to, &message.update);
     }
