Spread the shares of limits with a tiny burst

Cause: asks gather the shares of a burst of 2 at one holder. When it died in the outage, the rest could serve only half of the team's requests.

Conclusion: kept for bursts up to 4.

--- a/crates/policy/src/rights/rebalance.rs
+++ b/crates/policy/src/rights/rebalance.rs
@@ -8,10 +8,16 @@
 use super::ledger::RightsLedger;
 use super::outcome::{PeerSummaries, RightsSummary};
 use super::plan::{LimitPlan, TOTAL_SHARES};
-use super::sparing::{fragment, rate_need, scarce, slot_gift, slot_need, spare_rate, spare_slots};
+use super::sparing::{
+    fragment, rate_need, scarce, slot_gift, slot_need, spare_rate, spare_slots, token_share,
+};
 use crate::ids::{IncarnationId, LimitKey};
 use crate::units::SlotCount;
 
+/// With so few tokens, one holder can gather most of the shares, and they die
+/// with it. Spreading larger bursts too gained nothing in `limit_candidates`.
+const TINY_BURST: u32 = 4;
+
 impl RightsLedger {
     /// What this holder has of each limit; limits without shares and demand
     /// are left out.
@@ -70,6 +76,9 @@
             return Vec::new();
         };
         let shares = match plan {
+            LimitPlan::Rate { burst, .. } if burst.get() <= TINY_BURST => {
+                return tiny_burst_gift(token_share(burst), all, alive);
+            }
             // Each request collects its tokens by asking.
             LimitPlan::Rate { .. } if scarce(plan) => return Vec::new(),
             LimitPlan::Rate { rate, burst } => {
@@ -133,6 +142,24 @@
     }
 }
 
+/// The shares of one token for the peer with the fewest shares, if this holder
+/// has enough for two tokens and the peer for none. Requests collect their
+/// tokens by asking; spreading the shares limits what dies with one holder.
+fn tiny_burst_gift(
+    token: u64,
+    all: &[RightsSummary],
+    alive: &[IncarnationId],
+) -> Vec<(IncarnationId, u64)> {
+    let peers = alive.iter().zip(all.iter().skip(1));
+    let poorest = peers.min_by_key(|(_, summary)| summary.shares);
+    match poorest {
+        Some((peer, summary)) if summary.shares < token && all[0].shares >= 2 * token => {
+            vec![(peer.clone(), token)]
+        }
+        _ => Vec::new(),
+    }
+}
+
 fn positions(all: &[RightsSummary], need: impl Fn(u64) -> u64) -> Vec<Position> {
     let position = |summary: &RightsSummary| Position {
         held: summary.shares.min(TOTAL_SHARES),
