--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -1,14 +1,14 @@
 //! The shared state behind all borders of a [`super::FleetState`].
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use tarragonpulley_platform::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::FactStore;
-use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName, LimitKey};
 use tarragonpulley_policy::membership::{MemberPlace, MemberTable};
 use tarragonpulley_policy::units::ConfigRevision;
 use tokio::net::TcpListener;
@@ -45,6 +45,8 @@
     pub(super) urgent_facts: Cell<u64>,
     /// Whether transfers of rights must reach their receivers at once.
     pub(super) urgent_rights: Cell<bool>,
+    /// Limits that peers are being asked for.
+    pub(super) asking: RefCell<BTreeSet<LimitKey>>,
     /// Counts transfers of rights received.
     pub(super) arrivals: Cell<u64>,
     /// The revision that peers must hear of at once.
@@ -86,6 +88,7 @@
             urgent_facts: Cell::default(),
             urgent_revision: Cell::default(),
             urgent_rights: Cell::default(),
+            asking: RefCell::default(),
             arrivals: Cell::default(),
             spreading: Cell::default(),
             change_turn: Mutex::default(),
--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -30,6 +30,10 @@
 /// Peers that are asked at the same time. Each may give all that is wanted.
 const ASK_FANOUT: usize = 3;
 
+/// Wait after a round of asks that brought nothing. A team that sends several
+/// times its rate would otherwise cause an ask for each of its requests.
+const ASK_PAUSE: Duration = Duration::from_millis(25);
+
 /// What a refused caller is told when this instance cannot say when there may
 /// be a token.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
@@ -113,7 +117,7 @@
                 return AdmitOutcome::Exceeded { retry_after };
             }
             self.ask_if_short(limit);
-            self.rights_arrival(left.min(wait)).await;
+            self.rights_arrival(limit, left.min(wait)).await;
             if !self.may_spend() {
                 return AdmitOutcome::NotReady;
             }
@@ -122,40 +126,55 @@
         }
     }
 
-    /// Resolves when rights arrived from a peer or `limit` has passed.
-    async fn rights_arrival(&self, limit: Duration) {
+    /// Resolves when rights arrived from a peer, when peers may be asked again,
+    /// or when `most` has passed.
+    async fn rights_arrival(&self, limit: &LimitKey, most: Duration) {
         let seen = self.arrivals.get();
-        self.wait_at_most(limit, |core| core.arrivals.get() != seen)
-            .await;
+        let asking = self.asking.borrow().contains(limit);
+        let most = if asking { most } else { most.min(ASK_PAUSE) };
+        self.wait_at_most(most, |core| {
+            core.arrivals.get() != seen || (asking && !core.asking.borrow().contains(limit))
+        })
+        .await;
     }
 
     /// Starts asking peers for a limit that this instance is short of.
     fn ask_if_short(&self, limit: &LimitKey) {
-        let now = self.now();
-        let Some(want) = self.rights.borrow_mut().ledger.want(limit, now) else {
+        if self.asking.borrow().contains(limit) {
             return;
-        };
-        if let Some(core) = self.me.upgrade() {
+        }
+        let now = self.now();
+        let want = self.rights.borrow_mut().ledger.want(limit, now);
+        if let (Some(want), Some(core)) = (want, self.me.upgrade()) {
             let limit = limit.clone();
-            actix_rt::spawn(async move { core.ask_peers(limit, want).await });
+            self.asking.borrow_mut().insert(limit.clone());
+            actix_rt::spawn(async move { core.ask_round(limit, want).await });
         }
     }
 
+    /// Asks peers for a limit. All requests that wait for it share the round.
+    async fn ask_round(&self, limit: LimitKey, want: RightsWant) {
+        let seen = self.arrivals.get();
+        self.ask_peers(&limit, want).await;
+        if self.arrivals.get() == seen {
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+        self.asking.borrow_mut().remove(&limit);
+        self.progressed();
+    }
+
     /// Asks the peers with the greatest surplus, those of this region first.
-    async fn ask_peers(&self, limit: LimitKey, want: RightsWant) {
+    async fn ask_peers(&self, limit: &LimitKey, want: RightsWant) {
         let (summaries, near) = (self.peer_summaries(), self.near_peers());
         let order = self
             .rights
             .borrow()
             .ledger
-            .ask_order(&limit, &summaries, &near);
+            .ask_order(limit, &summaries, &near);
         let links = order.iter().filter_map(|peer| self.link(&peer.instance));
-        let asks = links.take(ASK_FANOUT).map(|link| {
-            let limit = &limit;
-            async move {
-                if let Err(error) = self.ask(&link, limit, want).await {
-                    debug!("{} gave nothing of {limit}: {error}", link.instance);
-                }
+        let asks = links.take(ASK_FANOUT).map(|link| async move {
+            if let Err(error) = self.ask(&link, limit, want).await {
+                debug!("{} gave nothing of {limit}: {error}", link.instance);
             }
         });
         join_all(asks).await;
