--- a/crates/daemon/src/backends.rs
+++ b/crates/daemon/src/backends.rs
@@ -90,11 +90,9 @@
         self.table.borrow_mut().note_success(server);
     }
 
-    pub(crate) fn note_failure(&self, server: &ServerKey, fingerprint: u64) {
+    pub(crate) fn note_failure(&self, server: &ServerKey, suspect: Option<u64>) {
         let now = self.clock.instant();
-        self.table
-            .borrow_mut()
-            .note_failure(server, fingerprint, now);
+        self.table.borrow_mut().note_failure(server, suspect, now);
     }
 
     pub(crate) fn note_leaving(&self, server: &ServerKey) {
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -179,6 +179,24 @@
         }
     }
 
+    /// What became of an earlier request with this identity, without a claim.
+    /// `None` when there was none, or when the table cannot tell.
+    pub(crate) async fn look_up(
+        &self,
+        identity: &ClaimIdentity,
+        fingerprint: &str,
+    ) -> Option<ClaimOutcome> {
+        let key = RowKey::new(identity.row_key());
+        if let Some(outcome) = self.known_here(&key, fingerprint) {
+            return Some(outcome);
+        }
+        let ReadBack::Found { row, .. } = read_row(&*self.table, &key).await else {
+            return None;
+        };
+        let gone = self.is_gone(&row.incarnation, &key);
+        Some(outcome_of(judge_row(&row, "", fingerprint, gone)))
+    }
+
     /// The outcome for an identity that this instance is working on.
     fn known_here(&self, key: &RowKey, fingerprint: &str) -> Option<ClaimOutcome> {
         if let Some(row) = self.results.pending_row(key) {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -183,6 +183,15 @@
     ///
     /// The refusal; the request did not run.
     pub(crate) fn check_still_valid(&self, request: &RunRequest) -> Result<(), RequestError> {
+        self.check_key_again(request)?;
+        let now = self.context.clock.instant();
+        if request.backend.deadline.remaining(now).is_none() {
+            return Err(too_late(request));
+        }
+        Ok(())
+    }
+
+    fn check_key_again(&self, request: &RunRequest) -> Result<(), RequestError> {
         if let Some(key) = &request.key {
             if self.context.config.proof() == ProofState::Missing {
                 return Err(self.not_ready());
@@ -197,10 +206,6 @@
                 ));
             }
         }
-        let now = self.context.clock.instant();
-        if request.backend.deadline.remaining(now).is_none() {
-            return Err(too_late(request));
-        }
         Ok(())
     }
 
@@ -273,27 +278,37 @@
         };
         let fingerprint = request.fingerprint.to_string();
         let deadline = request.backend.deadline.instant();
-        match self.claims.acquire(identity, &fingerprint, deadline).await {
-            ClaimOutcome::Held(held) => Ok(ClaimSlot::Held(held)),
-            ClaimOutcome::Recorded(answer) => replay(identity, &answer).map(ClaimSlot::Recorded),
-            ClaimOutcome::Reused => {
-                let message = format!("identity {identity} belongs to another request");
-                Err(RequestError::new(ErrorKind::IdentityReused, message))
-            }
-            ClaimOutcome::StillRunning => {
-                let message = format!("request {identity} is running");
-                Err(RequestError::new(ErrorKind::StillRunning, message))
-            }
-            ClaimOutcome::Unknown => {
-                let message = format!("outcome unknown: request {identity} may have run");
-                Err(RequestError::new(ErrorKind::BackendFailed, message))
-            }
-            ClaimOutcome::TableUnavailable => Err(RequestError::new(
-                ErrorKind::TableUnavailable,
-                "the request could not be claimed and was not sent",
-            )),
-            ClaimOutcome::TooLate => Err(too_late(request)),
+        let outcome = self.claims.acquire(identity, &fingerprint, deadline).await;
+        claim_slot(request, identity, outcome)
+    }
+}
+
+/// What the outcome of a claim means for its request.
+fn claim_slot(
+    request: &RunRequest,
+    identity: &ClaimIdentity,
+    outcome: ClaimOutcome,
+) -> Result<ClaimSlot, RequestError> {
+    match outcome {
+        ClaimOutcome::Held(held) => Ok(ClaimSlot::Held(held)),
+        ClaimOutcome::Recorded(answer) => replay(identity, &answer).map(ClaimSlot::Recorded),
+        ClaimOutcome::Reused => {
+            let message = format!("identity {identity} belongs to another request");
+            Err(RequestError::new(ErrorKind::IdentityReused, message))
+        }
+        ClaimOutcome::StillRunning => {
+            let message = format!("request {identity} is running");
+            Err(RequestError::new(ErrorKind::StillRunning, message))
+        }
+        ClaimOutcome::Unknown => {
+            let message = format!("outcome unknown: request {identity} may have run");
+            Err(RequestError::new(ErrorKind::BackendFailed, message))
         }
+        ClaimOutcome::TableUnavailable => Err(RequestError::new(
+            ErrorKind::TableUnavailable,
+            "the request could not be claimed and was not sent",
+        )),
+        ClaimOutcome::TooLate => Err(too_late(request)),
     }
 }
 
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -8,7 +8,7 @@
 use tarragonpulley_policy::retry::{AttemptFailure, RunOutcome, combined_outcome};
 
 use super::place::Placement;
-use super::{ClaimSlot, RequestPipeline, RunRequest, too_late};
+use super::{ClaimSlot, RequestPipeline, RunRequest, claim_slot, too_late};
 use crate::border::AttemptReport;
 use crate::errors::{ErrorKind, RequestError};
 use crate::probe::has_crashed;
@@ -69,11 +69,17 @@
         let mut tried: Vec<ServerName> = Vec::new();
         let known_crashes = self.crash_count(request.fingerprint.short());
         loop {
-            let placed = self.place(request, &tried).await;
-            let mut placement = placed.map_err(|error| after(request, &failures, error))?;
+            let mut placement = match self.place(request, &tried).await {
+                Ok(placement) => placement,
+                Err(error) if failures.is_empty() => {
+                    return self.earlier_run(request, error).await;
+                }
+                Err(error) => return Err(after(request, &failures, error)),
+            };
             if matches!(claim, ClaimSlot::Free) {
                 *claim = self.claim(request).await?;
                 if let ClaimSlot::Recorded(answer) = claim {
+                    self.check_key_again(request)?;
                     return Ok(answer.clone());
                 }
             }
@@ -104,6 +110,31 @@
         }
     }
 
+    /// The result of an earlier request with the same identity, for one that
+    /// finds no slot. Without it, a booking that ran would look as if it had
+    /// not.
+    async fn earlier_run(
+        &self,
+        request: &RunRequest,
+        error: RequestError,
+    ) -> Result<BackendAnswer, RequestError> {
+        let busy = matches!(
+            error.kind,
+            ErrorKind::NoCapacity | ErrorKind::DeadlinePassed
+        );
+        let Some(identity) = request.identity.as_ref().filter(|_| busy) else {
+            return Err(error);
+        };
+        let fingerprint = request.fingerprint.to_string();
+        match self.claims.look_up(identity, &fingerprint).await {
+            None => Err(error),
+            Some(outcome) => match claim_slot(request, identity, outcome)? {
+                ClaimSlot::Recorded(answer) => self.check_key_again(request).map(|()| answer),
+                ClaimSlot::Free | ClaimSlot::Held(_) => Err(error),
+            },
+        }
+    }
+
     fn may_repeat(&self, request: &RunRequest, failure: AttemptFailure, attempts: usize) -> bool {
         let now = self.context.clock.instant();
         attempts < MAX_ATTEMPTS
@@ -167,9 +198,13 @@
         if hasty || failure == Some(AttemptFailure::Shed) {
             return;
         }
-        if failure.is_some() {
-            let fingerprint = request.fingerprint.short();
-            self.board.note_failure(&placement.server, fingerprint);
+        if let Some(failure) = failure {
+            let answered = matches!(
+                failure,
+                AttemptFailure::ServerError | AttemptFailure::AnswerTooLarge
+            );
+            let suspect = answered.then(|| request.fingerprint.short());
+            self.board.note_failure(&placement.server, suspect);
         } else {
             self.board.note_success(&placement.server);
         }
--- a/crates/daemon/tests/unit/bookings.rs
+++ b/crates/daemon/tests/unit/bookings.rs
@@ -26,6 +26,9 @@
     assert_eq!(answer.status, 200, "{}", answer.body);
     let here = book(&first, "pram").await;
     assert_eq!(here.body, answer.body);
+    first.rights.free.set(0);
+    let without_slot = book(&first, "pram").await;
+    assert_eq!(without_slot.body, answer.body);
     until("result", || first.table.text(ROW).contains("done")).await;
     let table = Rc::clone(&first.table);
     let second = TestInstance::start_on(&[backend.address], table, Rc::default(), "edge-2").await;
--- a/crates/policy/src/routing/choice.rs
+++ b/crates/policy/src/routing/choice.rs
@@ -145,7 +145,7 @@
     reports: BTreeMap<IncarnationId, StoredReport>,
     running: u32,
     failures: u32,
-    /// The fingerprint of the request that failed last.
+    /// The request that failed last, if the fault may be its own.
     failed: Option<u64>,
     suspended_until: Option<Instant>,
     /// When the server itself said that it is leaving.
@@ -243,16 +243,17 @@
         }
     }
 
-    /// Notes a failure of the server under the fingerprint of the request.
-    /// Failures in a row suspend it, even when its health answers say that it
-    /// is well. One request that is repeated counts once, because the fault
-    /// may be its own.
-    pub fn note_failure(&mut self, server: &ServerKey, fingerprint: u64, now: Instant) {
+    /// Notes a failure of the server. Failures in a row suspend it, even when
+    /// its health answers say that it is well.
+    ///
+    /// `suspect` is the fingerprint of a request whose own fault it may be. Such
+    /// a request that is repeated counts once.
+    pub fn note_failure(&mut self, server: &ServerKey, suspect: Option<u64>, now: Instant) {
         let view = self.servers.entry(server.clone()).or_default();
-        if view.failed == Some(fingerprint) {
+        if suspect.is_some() && view.failed == suspect {
             return;
         }
-        view.failed = Some(fingerprint);
+        view.failed = suspect;
         view.failures += 1;
         if view.failures >= FAILURES_TO_SUSPEND {
             view.suspended_until = Some(now + SUSPENSION);
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -310,14 +310,14 @@
         "the other prober reaches it"
     );
     for _ in 0..3 {
-        table.note_failure(&server, 1, start);
+        table.note_failure(&server, Some(1), start);
     }
     assert!(
         table.state(&server, start).healthy,
         "one request proves nothing"
     );
-    for fingerprint in 2..4 {
-        table.note_failure(&server, fingerprint, start);
+    for suspect in [Some(2), None] {
+        table.note_failure(&server, suspect, start);
     }
     assert!(
         !table.state(&server, start).healthy,
