--- a/crates/daemon/src/claims/results.rs
+++ b/crates/daemon/src/claims/results.rs
@@ -29,7 +29,8 @@
 /// long, which is well above the deadline of a table call.
 const LATE_INSERT_TIME: Duration = Duration::from_secs(30);
 
-/// Time between two looks at a claim that is to be deleted.
+/// Time between two looks at a claim that is to be deleted. It doubles, since
+/// an outage may leave many claims to look at.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Clone)]
@@ -42,6 +43,9 @@
 struct PendingRelease {
     row: ClaimRow,
     since: Instant,
+    /// When to look at the row next, and how long to wait after that.
+    next: Instant,
+    wait: Duration,
 }
 
 /// Writes that wait for the table.
@@ -86,8 +90,13 @@
 
     /// Deletes a claim whose request was certainly not sent.
     pub(super) fn release(&self, key: RowKey, row: ClaimRow) {
-        let since = Instant::now();
-        let release = PendingRelease { row, since };
+        let now = Instant::now();
+        let release = PendingRelease {
+            row,
+            since: now,
+            next: now,
+            wait: RELEASE_INTERVAL,
+        };
         self.releases.borrow_mut().insert(key, release);
     }
 
@@ -191,13 +200,16 @@
 
     /// Deletes released claims. Returns whether the table was reached.
     async fn delete_released(&self) -> bool {
-        let releases: Vec<_> = self
-            .releases
-            .borrow()
-            .iter()
-            .map(|(key, release)| (key.clone(), release.clone()))
-            .collect();
-        for (key, release) in releases {
+        let now = Instant::now();
+        let mut due = Vec::new();
+        for (key, release) in self.releases.borrow_mut().iter_mut() {
+            if release.next <= now {
+                release.next = now + release.wait;
+                release.wait *= 2;
+                due.push((key.clone(), release.clone()));
+            }
+        }
+        for (key, release) in due {
             let done = match read_row(&*self.table, &key).await {
                 ReadBack::Failed => return false,
                 ReadBack::Found { row, modified } if row.nonce == release.row.nonce => {
--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -9,6 +9,8 @@
 //! 2. `HttpServerHandle::drain` of the service port.
 //! 3. Wait for [`ServiceFrontend::is_idle`]: requests that run at most once go
 //!    on without their caller, and results of claims are still being written.
+//!    Bound this wait: while the table is down it does not end. Claims without
+//!    a result are then "outcome unknown".
 //! 4. Drop the guards of `probe`, `jobs` and `claims`. Jobs that run here are
 //!    taken over by other instances.
 //! 5. Give away shares and tokens, then stop the peer port.
@@ -250,9 +252,10 @@
             if let Ok(value) = HeaderValue::try_from(id) {
                 response.headers_mut().insert(REQUEST_ID_HEADER, value);
             }
+            let ran = response.headers().contains_key(OUTCOME_HEADER);
             RequestEnd {
                 response,
-                outcome: "ran",
+                outcome: if ran { "ran" } else { "accepted" },
                 refusal: None,
             }
         }
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -191,6 +191,7 @@
         Ok(())
     }
 
+    /// Checks the proof and the key, also before a recorded answer is given.
     fn check_key_again(&self, request: &RunRequest) -> Result<(), RequestError> {
         if let Some(key) = &request.key {
             if self.context.config.proof() == ProofState::Missing {
