--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -304,7 +304,8 @@
                 // A write without an answer may still be on its way. The
                 // request is not sent, and the row is deleted if it appears.
                 ReadBack::Absent | ReadBack::Failed => {
-                    self.results.release(insert.key.clone(), insert.row.clone());
+                    self.results
+                        .release(insert.key.clone(), insert.row.clone(), false);
                     self.reply(insert, InsertResult::Unavailable);
                 }
             }
@@ -324,7 +325,7 @@
     fn reply(&self, insert: PendingInsert, result: InsertResult) {
         let PendingInsert { key, row, reply } = insert;
         if let Err(InsertResult::Held { .. }) = reply.send(result) {
-            self.results.release(key, row);
+            self.results.release(key, row, true);
         }
     }
 }
--- a/crates/daemon/src/claims/held.rs
+++ b/crates/daemon/src/claims/held.rs
@@ -66,7 +66,7 @@
         let key = self.local.key.clone();
         let mut row = self.row.clone();
         match self.end.take() {
-            Some(ClaimEnd::NotRun) => results.release(key, row),
+            Some(ClaimEnd::NotRun) => results.release(key, row, true),
             Some(ClaimEnd::Answered(answer)) => {
                 row.state = ClaimState::Done(answer);
                 results.record(key, row, self.modified);
--- a/crates/daemon/src/claims/results.rs
+++ b/crates/daemon/src/claims/results.rs
@@ -43,6 +43,9 @@
 struct PendingRelease {
     row: ClaimRow,
     since: Instant,
+    /// Whether the row is known to have been inserted. If so, its absence
+    /// means that it was deleted.
+    inserted: bool,
     /// When to look at the row next, and how long to wait after that.
     next: Instant,
     wait: Duration,
@@ -67,8 +70,11 @@
         }
     }
 
+    /// Whether nothing waits. Inserts that may still appear do not count: a
+    /// row that an ended instance leaves behind is "outcome unknown".
     pub(super) fn is_empty(&self) -> bool {
-        self.results.borrow().is_empty() && self.releases.borrow().is_empty()
+        let releases = self.releases.borrow();
+        self.results.borrow().is_empty() && !releases.values().any(|release| release.inserted)
     }
 
     pub(super) fn pending_row(&self, key: &RowKey) -> Option<ClaimRow> {
@@ -88,12 +94,14 @@
         self.results.borrow_mut().insert(key, result);
     }
 
-    /// Deletes a claim whose request was certainly not sent.
-    pub(super) fn release(&self, key: RowKey, row: ClaimRow) {
+    /// Deletes a claim whose request was certainly not sent. `inserted` tells
+    /// whether its row is known to exist.
+    pub(super) fn release(&self, key: RowKey, row: ClaimRow, inserted: bool) {
         let now = Instant::now();
         let release = PendingRelease {
             row,
             since: now,
+            inserted,
             next: now,
             wait: RELEASE_INTERVAL,
         };
@@ -213,10 +221,13 @@
             let done = match read_row(&*self.table, &key).await {
                 ReadBack::Failed => return false,
                 ReadBack::Found { row, modified } if row.nonce == release.row.nonce => {
+                    if let Some(known) = self.releases.borrow_mut().get_mut(&key) {
+                        known.inserted = true;
+                    }
                     self.delete(&key, modified).await
                 }
                 ReadBack::Found { .. } => true,
-                ReadBack::Absent => release.since.elapsed() > LATE_INSERT_TIME,
+                ReadBack::Absent => release.inserted || release.since.elapsed() > LATE_INSERT_TIME,
             };
             if done {
                 self.releases.borrow_mut().remove(&key);
--- a/crates/daemon/tests/unit/backend.rs
+++ b/crates/daemon/tests/unit/backend.rs
@@ -1,7 +1,7 @@
 //! A backend server that misbehaves on demand.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -45,6 +45,8 @@
     pub(super) usual: Cell<Act>,
     /// Heads of the requests that arrived, without probes.
     pub(super) heads: RefCell<Vec<String>>,
+    /// Positions in `heads` of requests that were shed.
+    pub(super) shed: RefCell<BTreeSet<usize>>,
     /// Requests that ran; a shed one did not.
     pub(super) runs: Cell<u32>,
     pub(super) connections: Cell<u32>,
@@ -61,6 +63,7 @@
             acts: RefCell::default(),
             usual: Cell::new(Act::Answer),
             heads: RefCell::default(),
+            shed: RefCell::default(),
             runs: Cell::new(0),
             connections: Cell::new(0),
             health: RefCell::new(r#"{"healthy":true}"#.to_owned()),
@@ -116,7 +119,9 @@
     }
 
     async fn act(&self, stream: &mut TcpStream, head: &str, act: Act) -> bool {
-        if act != Act::Shed {
+        if act == Act::Shed {
+            self.shed.borrow_mut().insert(self.heads.borrow().len() - 1);
+        } else {
             self.runs.set(self.runs.get() + 1);
         }
         if let Act::AnswerAfter(delay) = act {
--- a/crates/daemon/tests/unit/mod.rs
+++ b/crates/daemon/tests/unit/mod.rs
@@ -5,6 +5,7 @@
 mod fakes;
 mod jobs;
 mod lookups;
+mod mixed;
 mod queue;
 mod requests;
 mod server;
