--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -16,12 +16,12 @@
 //! 5. Give away shares and tokens, then stop the peer port.
 
 mod lookup;
+pub(crate) mod memory;
 mod request;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
@@ -32,7 +32,6 @@
 use serde::Serialize;
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::backends::BackendBoard;
 use crate::border::{InstanceContext, RequestHandler};
@@ -46,28 +45,29 @@
 use crate::tasks::LoopGuard;
 use crate::upstream::BackendAnswer;
 use lookup::BlockCache;
+use memory::{BodyGuard, BodyMemory};
 
 /// Longest time for a caller to send a request body.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
 /// Memory for the bodies of running requests. An instance has little memory,
 /// and a single body may have 8 MiB.
-const BODY_KIBIBYTES: usize = 48 * 1024;
+const BODY_BYTES: u64 = 48 * 1024 * 1024;
 
 /// Bounds that the settings may change.
 #[derive(Debug, Clone)]
 pub(crate) struct FrontendLimits {
     /// Longest time for a caller to send a request body.
     pub(crate) body_time: Duration,
-    /// Most KiB that the bodies of all running requests may take.
-    pub(crate) body_kibibytes: usize,
+    /// Most bytes that the bodies of all running requests may take.
+    pub(crate) body_bytes: u64,
 }
 
 impl Default for FrontendLimits {
     fn default() -> Self {
         Self {
             body_time: BODY_TIME,
-            body_kibibytes: BODY_KIBIBYTES,
+            body_bytes: BODY_BYTES,
         }
     }
 }
@@ -82,14 +82,14 @@
     limits: FrontendLimits,
     blocks: RefCell<BlockCache>,
     running: Cell<usize>,
-    body_memory: Arc<Semaphore>,
+    body_memory: Rc<BodyMemory>,
     loops: RefCell<Vec<LoopGuard>>,
 }
 
 /// Counts a request as running, with the memory of its body, until dropped.
 struct RunningGuard {
     frontend: Rc<ServiceFrontend>,
-    body: Option<OwnedSemaphorePermit>,
+    body: Option<BodyGuard>,
 }
 
 impl Drop for RunningGuard {
@@ -148,7 +148,7 @@
         ));
         let (jobs, guards) = JobService::start(&context, Rc::clone(&pipeline), metrics.clone());
         loops.extend(guards);
-        let body_memory = Arc::new(Semaphore::new(limits.body_kibibytes));
+        let body_memory = BodyMemory::new(limits.body_bytes);
         FrontendHandler(Rc::new(Self {
             context,
             pipeline,
--- /dev/null
+++ b/crates/daemon/src/frontend/memory.rs
@@ -0,0 +1,67 @@
+//! Memory for the bodies of running requests.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tarragonpulley_policy::ids::TeamKey;
+
+/// One team may take this part of the memory, so that its large or slow bodies
+/// do not shut out the others.
+const TEAM_PART: u64 = 4;
+
+/// Callers of open routes share the part of one team.
+type OwnerKey = Option<TeamKey>;
+
+/// Bytes in use by team.
+#[derive(Debug)]
+pub(crate) struct BodyMemory {
+    limit: u64,
+    used: RefCell<BTreeMap<OwnerKey, u64>>,
+}
+
+impl BodyMemory {
+    pub(crate) fn new(limit: u64) -> Rc<Self> {
+        Rc::new(Self {
+            limit,
+            used: RefCell::default(),
+        })
+    }
+
+    /// Reserves memory until the guard is dropped, or returns `None` when the
+    /// team's part or the whole is in use.
+    pub(crate) fn reserve(self: &Rc<Self>, team: OwnerKey, bytes: u64) -> Option<BodyGuard> {
+        let mut used = self.used.borrow_mut();
+        let total: u64 = used.values().sum();
+        let own = used.get(&team).copied().unwrap_or(0);
+        if total + bytes > self.limit || own + bytes > self.limit / TEAM_PART {
+            return None;
+        }
+        used.insert(team.clone(), own + bytes);
+        Some(BodyGuard {
+            memory: Rc::clone(self),
+            team,
+            bytes,
+        })
+    }
+}
+
+/// Gives memory back when dropped.
+#[derive(Debug)]
+pub(crate) struct BodyGuard {
+    memory: Rc<BodyMemory>,
+    team: OwnerKey,
+    bytes: u64,
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        let mut used = self.memory.used.borrow_mut();
+        if let Some(own) = used.get_mut(&self.team) {
+            *own = own.saturating_sub(self.bytes);
+            if *own == 0 {
+                used.remove(&self.team);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/frontend/request.rs
+++ b/crates/daemon/src/frontend/request.rs
@@ -1,7 +1,6 @@
 //! `/{customer}/{service}/{path}`: checks of the head, then the pipeline.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -55,7 +54,10 @@
         let team = head.caller.as_ref().map(|caller| caller.team.clone());
         let payload = request.take_payload();
         let most = head.route.max_body.get();
-        let result = match self.read(&request, payload, most, &mut running).await {
+        let result = match self
+            .read(&request, payload, most, team.clone(), &mut running)
+            .await
+        {
             Ok(body) => {
                 let prepared = self.prepare(&request, head, body, id);
                 self.run(prepared, running).await
@@ -137,6 +139,7 @@
         request: &Request,
         payload: actix_http::Payload,
         most: u64,
+        team: Option<TeamKey>,
         running: &mut RunningGuard,
     ) -> Result<Bytes, RequestError> {
         let declared = request.headers().get("content-length");
@@ -147,9 +150,8 @@
         }
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let expected = declared.unwrap_or(if chunked { most } else { 0 });
-        let kibibytes = u32::try_from(expected.div_ceil(1024)).unwrap_or(u32::MAX);
-        let memory = Arc::clone(&self.body_memory).try_acquire_many_owned(kibibytes);
-        running.body = Some(memory.map_err(|_error| {
+        let memory = self.body_memory.reserve(team, expected);
+        running.body = Some(memory.ok_or_else(|| {
             let message = "the bodies of running requests take all memory";
             refusal(ErrorKind::NoCapacity, message)
         })?);
--- a/crates/daemon/tests/unit/queue.rs
+++ b/crates/daemon/tests/unit/queue.rs
@@ -5,6 +5,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use futures_util::FutureExt;
 
+use crate::frontend::memory::BodyMemory;
 use crate::headers::for_backend;
 use crate::queue::{WaitQueue, WaitTicket};
 
@@ -51,6 +52,23 @@
     assert!(!queue.has_waiters(&service));
 }
 
+/// Guards against a team whose large bodies shut out the other teams, and
+/// against memory that is not given back.
+#[test]
+fn a_team_gets_part_of_the_body_memory() {
+    let memory = BodyMemory::new(100);
+    let team = |name| format!("lunwan/{name}").parse().ok();
+    let held = memory.reserve(team("many"), 25).unwrap();
+    assert!(memory.reserve(team("many"), 1).is_none());
+    let others: Vec<_> = ["a", "b", "c"]
+        .map(|name| memory.reserve(team(name), 25).unwrap())
+        .into();
+    assert!(memory.reserve(team("d"), 1).is_none(), "all is in use");
+    drop(others);
+    drop(held);
+    assert!(memory.reserve(team("many"), 25).is_some());
+}
+
 /// Guards against headers of the caller's connection, or names that callers
 /// give themselves, that reach a backend server.
 #[test]
