--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -9,17 +9,19 @@
 //! 2. `HttpServerHandle::drain` of the service port.
 //! 3. Wait for [`ServiceFrontend::is_idle`]: requests that run at most once go
 //!    on without their caller, and results of claims are still being written.
-//! 4. Drop the guards of `probe`, `jobs` and `claims`. Jobs that run here are
-//!    taken over by other instances.
+//!    Bound this wait: while the table is down it does not end. Claims without
+//!    a result are then "outcome unknown".
+//! 4. [`ServiceFrontend::stop_loops`]: probes, lease renewals and claim writes
+//!    end. Jobs that are held here are taken over by other instances.
 //! 5. Give away shares and tokens, then stop the peer port.
 
 mod lookup;
+pub(crate) mod memory;
 mod request;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
@@ -30,7 +32,6 @@
 use serde::Serialize;
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::backends::BackendBoard;
 use crate::border::{InstanceContext, RequestHandler};
@@ -44,28 +45,29 @@
 use crate::tasks::LoopGuard;
 use crate::upstream::BackendAnswer;
 use lookup::BlockCache;
+use memory::{BodyGuard, BodyMemory};
 
 /// Longest time for a caller to send a request body.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
 /// Memory for the bodies of running requests. An instance has little memory,
 /// and a single body may have 8 MiB.
-const BODY_KIBIBYTES: usize = 48 * 1024;
+const BODY_BYTES: u64 = 48 * 1024 * 1024;
 
 /// Bounds that the settings may change.
 #[derive(Debug, Clone)]
 pub(crate) struct FrontendLimits {
     /// Longest time for a caller to send a request body.
     pub(crate) body_time: Duration,
-    /// Most KiB that the bodies of all running requests may take.
-    pub(crate) body_kibibytes: usize,
+    /// Most bytes that the bodies of all running requests may take.
+    pub(crate) body_bytes: u64,
 }
 
 impl Default for FrontendLimits {
     fn default() -> Self {
         Self {
             body_time: BODY_TIME,
-            body_kibibytes: BODY_KIBIBYTES,
+            body_bytes: BODY_BYTES,
         }
     }
 }
@@ -80,14 +82,14 @@
     limits: FrontendLimits,
     blocks: RefCell<BlockCache>,
     running: Cell<usize>,
-    body_memory: Arc<Semaphore>,
-    _loops: Vec<LoopGuard>,
+    body_memory: Rc<BodyMemory>,
+    loops: RefCell<Vec<LoopGuard>>,
 }
 
 /// Counts a request as running, with the memory of its body, until dropped.
 struct RunningGuard {
     frontend: Rc<ServiceFrontend>,
-    body: Option<OwnedSemaphorePermit>,
+    body: Option<BodyGuard>,
 }
 
 impl Drop for RunningGuard {
@@ -125,7 +127,8 @@
 
 impl ServiceFrontend {
     /// Starts the request path: its metrics are registered in `registry`, and
-    /// its loops run until the handler is dropped.
+    /// its loops run until [`ServiceFrontend::stop_loops`] or until
+    /// the last clone of the handler is dropped.
     pub(crate) fn start(
         context: InstanceContext,
         limits: FrontendLimits,
@@ -145,7 +148,7 @@
         ));
         let (jobs, guards) = JobService::start(&context, Rc::clone(&pipeline), metrics.clone());
         loops.extend(guards);
-        let body_memory = Arc::new(Semaphore::new(limits.body_kibibytes));
+        let body_memory = BodyMemory::new(limits.body_bytes);
         FrontendHandler(Rc::new(Self {
             context,
             pipeline,
@@ -155,7 +158,7 @@
             blocks: RefCell::default(),
             running: Cell::new(0),
             body_memory,
-            _loops: loops,
+            loops: RefCell::new(loops),
         }))
     }
 
@@ -164,6 +167,11 @@
         self.running.get() == 0 && self.pipeline.is_settled()
     }
 
+    /// Ends the background loops. Call it when [`ServiceFrontend::is_idle`].
+    pub(crate) fn stop_loops(&self) {
+        self.loops.borrow_mut().clear();
+    }
+
     fn begin(self: &Rc<Self>) -> RunningGuard {
         self.running.set(self.running.get() + 1);
         RunningGuard {
@@ -250,9 +258,10 @@
             if let Ok(value) = HeaderValue::try_from(id) {
                 response.headers_mut().insert(REQUEST_ID_HEADER, value);
             }
+            let ran = response.headers().contains_key(OUTCOME_HEADER);
             RequestEnd {
                 response,
-                outcome: "ran",
+                outcome: if ran { "ran" } else { "accepted" },
                 refusal: None,
             }
         }
