Drive moves from every instance and stop faulty versions at once

A fault latches in the instance that finds it, is stated to the others, and only then goes to the table. What must be proved grows with the share: 30, 20, 10 and 5 percent worse are rejected before 25, 50 and 100 percent and the completion, so that a service with few requests can move.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,8 @@
 #[allow(dead_code, reason = "the modules behind the borders are being added")]
 mod border;
 mod logging;
+#[allow(dead_code, unused_imports, reason = "`run` does not drive moves yet")]
+mod mover;
 #[allow(dead_code, reason = "`run` does not serve the operator port yet")]
 mod operator;
 mod settings;
--- /dev/null
+++ b/crates/daemon/tests/mover.rs
@@ -0,0 +1,283 @@
+//! The driver of moves and the evidence, over fakes of the fleet.
+#![allow(dead_code, reason = "each test uses a part of the modules and fakes")]
+
+#[path = "../src"]
+mod daemon {
+    pub(crate) mod border;
+    pub(crate) mod mover;
+}
+mod fakes;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use daemon::{border, mover};
+use fakes::{FakeInstance, member};
+use mover::{EvidenceBook, MoveDriver};
+use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::{MoveName, ServiceKey, VersionName};
+use tarragonpulley_policy::movement::{MoveOrder, MovementChart, check_order};
+use tarragonpulley_policy::snapshot::{MoveKind, MoveRecord};
+use tarragonpulley_policy::units::{ConfigRevision, TrafficShare};
+
+use border::{AttemptReport, ChangeOutcome, EvidenceSink};
+
+const LUNWAN: &str = include_str!("../../../contracts/lunwan.toml");
+const LOOK: Duration = Duration::from_millis(200);
+
+struct Fixture {
+    instance: FakeInstance,
+    book: Rc<EvidenceBook>,
+    driver: MoveDriver,
+    service: ServiceKey,
+    old: VersionName,
+    new: VersionName,
+    name: MoveName,
+}
+
+impl Fixture {
+    /// An instance with a rollout that was just ordered.
+    fn new() -> Self {
+        let instance = FakeInstance::new();
+        let text = LUNWAN.replacen("version = \"fitdesk-41\"", "version = \"first\"", 1);
+        let text = text.replacen("version = \"fitdesk-41\"", "version = \"fitdesk-42\"", 6);
+        instance.put_contract(&text.replacen("\"first\"", "\"fitdesk-41\"", 1));
+        let context = instance.context.clone();
+        let book = EvidenceBook::new(
+            Rc::clone(&context.clock),
+            Rc::clone(&context.config),
+            Rc::clone(&context.facts),
+            Rc::clone(&context.events),
+        );
+        let chart = Rc::new(MovementChart::standard().expect("valid"));
+        let driver = MoveDriver::new(context, Rc::clone(&book), chart);
+        let fixture = Self {
+            instance,
+            book,
+            driver,
+            service: "lunwan/fitdesk".parse().expect("valid"),
+            old: "fitdesk-41".parse().expect("valid"),
+            new: "fitdesk-42".parse().expect("valid"),
+            name: "up".parse().expect("valid"),
+        };
+        fixture.order("up");
+        fixture
+    }
+
+    fn order(&self, name: &str) {
+        let order = MoveOrder {
+            name: name.parse().expect("valid"),
+            kind: MoveKind::Rollout {
+                service: self.service.clone(),
+                from: self.old.clone(),
+                to: self.new.clone(),
+            },
+            cap: TrafficShare::from_percent(5),
+            deadline: Duration::from_secs(30),
+        };
+        let now = self.instance.clock.system();
+        let mut snapshot = self.instance.config.snapshot.borrow_mut();
+        let clean = tarragonpulley_policy::snapshot::ConfigSnapshot {
+            moves: std::collections::BTreeMap::new(),
+            ..snapshot.clone()
+        };
+        let record = check_order(&clean, &order, now).expect("valid");
+        snapshot.moves.insert(order.name, record);
+    }
+
+    fn record(&self) -> MoveRecord {
+        self.instance.config.snapshot.borrow().moves[&self.name].clone()
+    }
+
+    fn share(&self) -> TrafficShare {
+        self.book.share_for(&self.service, &self.new)
+    }
+
+    /// Two routes, each with 50 requests a second on the old version, and the
+    /// new one's share of them, at least one in ten.
+    fn requests(&self, failed: bool) {
+        let share = self.share().ppm().max(100_000);
+        for index in 0..20_u32 {
+            let on_new = index * 50_000 % 1_000_000 < share && self.share() > TrafficShare::NONE;
+            let reports = [(&self.old, false), (&self.new, failed)];
+            for (version, failed) in reports.into_iter().take(1 + usize::from(on_new)) {
+                self.book.note(&AttemptReport {
+                    service: self.service.clone(),
+                    version: version.clone(),
+                    route: if index % 2 == 0 { "/fits" } else { "/shops" }.to_owned(),
+                    failed,
+                    latency: Duration::from_millis(8),
+                });
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        self.instance.clock.advance(LOOK);
+        actix_rt::System::new().block_on(self.driver.look());
+    }
+
+    fn run(&mut self, seconds: u64, failed: bool) {
+        for _ in 0..seconds * 5 {
+            self.requests(failed);
+            self.look();
+        }
+    }
+}
+
+// Guards against a good version that never gets above its cap, or a driver
+// that completes it without steps.
+#[test]
+fn a_good_rollout_completes() {
+    let mut fixture = Fixture::new();
+    fixture.run(27, false);
+    assert_eq!(
+        fixture.record().state,
+        "completed",
+        "{:?}",
+        fixture.record()
+    );
+    assert_eq!(fixture.share(), TrafficShare::ALL);
+    let events = fixture.instance.events.0.borrow();
+    let steps = events.iter().filter(|(kind, ..)| kind == "move_step");
+    assert_eq!(
+        steps.count(),
+        6,
+        "five shares and the completion: {events:?}"
+    );
+}
+
+// Guards against traffic to a faulty version between the finding and the
+// write, above all while the table cannot be written.
+#[test]
+fn a_fault_stops_the_traffic_before_the_table_knows() {
+    let mut fixture = Fixture::new();
+    fixture.run(3, false);
+    assert!(fixture.share() > TrafficShare::NONE);
+    let script = &fixture.instance.config.script;
+    let down = ChangeOutcome::Unavailable("down".to_owned());
+    script.borrow_mut().extend(vec![down; 3]);
+    while fixture.share() > TrafficShare::NONE {
+        fixture.requests(true);
+    }
+    assert!(
+        fixture.record().share > TrafficShare::NONE,
+        "the table does not know yet"
+    );
+    let key = FactKey::VersionFault(fixture.service.clone(), fixture.new.clone());
+    assert!(
+        fixture.instance.context.facts.get(&key).is_some(),
+        "peers are told"
+    );
+    fixture.run(10, false);
+    let record = fixture.record();
+    assert_eq!(record.state, "taken_back", "{record:?}");
+    assert_eq!(fixture.share(), TrafficShare::NONE);
+    let events = fixture.instance.events.0.borrow();
+    let reasons = events
+        .iter()
+        .filter(|(_, _, detail)| detail.contains("fail more often"));
+    assert!(
+        reasons.count() >= 2,
+        "the finding and the step give the reason: {events:?}"
+    );
+}
+
+// Guards against traffic to a version whose fault only a peer has found.
+#[test]
+fn a_peers_latch_stops_the_traffic_at_once() {
+    let mut fixture = Fixture::new();
+    fixture.run(3, false);
+    assert!(fixture.share() > TrafficShare::NONE);
+    let key = FactKey::VersionFault(fixture.service.clone(), fixture.new.clone());
+    let value = FactValue::LatchedBecause("peer".to_owned());
+    fixture.instance.context.facts.state(key, value, false);
+    assert_eq!(fixture.share(), TrafficShare::NONE);
+    assert_eq!(
+        fixture.book.share_for(&fixture.service, &fixture.old),
+        TrafficShare::ALL
+    );
+    fixture.look();
+    assert_eq!(fixture.record().reason, "fault: peer");
+}
+
+// Guards against a lost race that stops the driver, or that makes it write
+// again and again.
+#[test]
+fn a_lost_race_is_tried_again_later() {
+    let mut fixture = Fixture::new();
+    let conflict = ChangeOutcome::Conflict(ConfigRevision::new(7));
+    fixture
+        .instance
+        .config
+        .script
+        .borrow_mut()
+        .push_back(conflict);
+    for _ in 0..4 {
+        fixture.look();
+    }
+    assert_eq!(fixture.instance.config.edits.borrow().len(), 1);
+    for _ in 0..3 {
+        fixture.look();
+    }
+    assert_eq!(fixture.record().state, "shifting");
+}
+
+// Guards against two moves of a service that both stay in force.
+#[test]
+fn a_second_move_is_taken_back() {
+    let mut fixture = Fixture::new();
+    fixture.order("zz");
+    fixture.run(3, false);
+    let snapshot = fixture.instance.config.snapshot.borrow();
+    let second = &snapshot.moves[&"zz".parse::<MoveName>().expect("valid")];
+    assert_eq!(second.state, "taken_back");
+    assert!(
+        second
+            .reason
+            .contains("move up of lunwan/fitdesk is under way")
+    );
+    assert_eq!(fixture.record().state, "shifting");
+}
+
+// Guards against a guard that leaves the driver running, and a fault that
+// waits for the next regular look.
+#[test]
+fn the_driver_runs_until_its_guard_is_dropped() {
+    let fixture = Fixture::new();
+    actix_rt::System::new().block_on(async {
+        let chart = Rc::new(MovementChart::standard().expect("valid"));
+        let context = fixture.instance.context.clone();
+        let guard = MoveDriver::start(context, Rc::clone(&fixture.book), chart);
+        let deadline = Instant::now() + Duration::from_secs(5);
+        while fixture.record().state == "planned" && Instant::now() < deadline {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(fixture.record().state, "shifting");
+        drop(guard);
+        fixture.instance.clock.advance(Duration::from_secs(40));
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(fixture.record().state, "shifting");
+    });
+}
+
+// Guards against all instances writing a step at the same moment.
+#[test]
+fn a_later_instance_waits_its_turn() {
+    let mut fixture = Fixture::new();
+    let members = (0..9).map(|n| member(&format!("a-{n}"), "taipei-a"));
+    let members = Rc::new(fakes::FakeRest(members.collect()));
+    let context = border::InstanceContext {
+        members,
+        ..fixture.instance.context.clone()
+    };
+    let chart = Rc::new(MovementChart::standard().expect("valid"));
+    fixture.driver = MoveDriver::new(context, Rc::clone(&fixture.book), chart);
+    fixture.look();
+    assert_eq!(fixture.record().state, "planned");
+    for _ in 0..5 {
+        fixture.look();
+    }
+    assert_eq!(fixture.record().state, "shifting");
+}
--- a/crates/policy/src/evidence/detector.rs
+++ b/crates/policy/src/evidence/detector.rs
@@ -16,6 +16,7 @@
 use super::AttemptSample;
 use super::window::{LatencyBaseline, ratio};
 use crate::ids::VersionName;
+use crate::units::TrafficShare;
 
 /// Twelve instances judge about three routes by two signals; exp(-12) is 6e-6.
 const FAULT_SCORE: f64 = 12.0;
@@ -61,6 +62,18 @@
         (Self::Within10Percent, 0.10),
         (Self::Within5Percent, 0.05),
     ];
+
+    /// What must be proved before a version may get this share. A greater
+    /// share needs more proof, so that a service with few requests can move
+    /// at all while the harm of an error stays about the same.
+    #[must_use]
+    pub fn to_reach(share: TrafficShare) -> Self {
+        match share.ppm() {
+            0..=250_000 => Self::Within30Percent,
+            250_001..=500_000 => Self::Within20Percent,
+            _ => Self::Within10Percent,
+        }
+    }
 }
 
 /// The log likelihood ratio of one observation: `share` against `base`.
--- a/crates/policy/src/movement.rs
+++ b/crates/policy/src/movement.rs
@@ -24,7 +24,7 @@
 pub use shares::{
     CentreShiftShare, active_moves, centre_shifts, leading_move, settled_version, version_shares,
 };
-pub use steps::{MIN_STEP_REQUESTS, MIN_STEP_TIME, SETTLE_TIME, TAKE_BACK_TIME};
+pub use steps::{MIN_STEP_REQUESTS, MIN_STEP_TIME, SETTLE_TIME, TAKE_BACK_TIME, required_proof};
 
 macro_rules! named_values {
     ($(#[$doc:meta])* $type:ident, $kind:literal, $($(#[$variant_doc:meta])* $variant:ident = $name:literal),+ $(,)?) => {
--- a/crates/policy/src/movement/steps.rs
+++ b/crates/policy/src/movement/steps.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
+use crate::evidence::ProofLevel;
 use crate::snapshot::MoveRecord;
 use crate::units::TrafficShare;
 
@@ -27,6 +28,13 @@
     above.min()
 }
 
+/// What must be proved about the target before the next step of a move, or
+/// before its completion.
+#[must_use]
+pub fn required_proof(record: &MoveRecord) -> ProofLevel {
+    next_share(record.share, record.cap).map_or(ProofLevel::Within5Percent, ProofLevel::to_reach)
+}
+
 /// Steps from the one at `share` to the last, both counted.
 fn steps_left(share: TrafficShare, cap: TrafficShare) -> u32 {
     let mut left = 1;
