--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -150,7 +150,7 @@
     let sample = sample();
     let output = run(&["check", &sample, path]);
     assert_eq!(code(&output), 1);
-    let first = format!("{path}: lookup.valid_for: \"61\": must be from 1 to 60");
+    let first = format!("{path}: lookup.valid_for: \"61s\": must be from 1s to 60s");
     let other =
         format!("{path}: service[fitdesk].server[taipei-a-1].slots: \"17\": must be from 1 to 16");
     for line in [&first, &other] {
--- a/crates/policy/src/contract/check.rs
+++ b/crates/policy/src/contract/check.rs
@@ -15,10 +15,10 @@
     RouteKind, RoutePlan, ServerPlan, ServicePlan, TeamLimit,
 };
 use crate::ids::{CentreName, RegionName, ServerName, ServiceName, TeamName};
-use crate::units::ByteSize;
+use crate::units::{ByteSize, TimeSpan};
 
 /// Clients keep an answer this long at most, since a drain waits for it.
-const LOOKUP_VALIDITY_SECONDS: RangeInclusive<u64> = 1..=60;
+const LOOKUP_VALIDITY: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_mins(1);
 const LOOKUP_INSTANCES: RangeInclusive<u64> = 1..=16;
 const REGION_CAPACITY: RangeInclusive<u64> = 1..=1_000_000;
 const LINK_MEGABITS: RangeInclusive<u64> = 1..=1_000_000;
@@ -27,7 +27,7 @@
 /// Shares of a slot limit split exactly into whole slots up to 16.
 const SERVER_SLOTS: RangeInclusive<u64> = 1..=16;
 const SERVER_CONNECTIONS: RangeInclusive<u64> = 1..=100_000;
-const ROUTE_TIMEOUT_MS: RangeInclusive<u64> = 10..=600_000;
+const ROUTE_TIMEOUT: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_mins(10);
 /// Bodies are held in memory while a request runs.
 const BODY_BYTES: RangeInclusive<u64> = 0..=8 * 1024 * 1024;
 /// Answers to slow work pass through the object store in one piece.
@@ -56,6 +56,13 @@
         }
     }
 
+    fn span_within(&mut self, field: &str, value: Duration, bounds: &RangeInclusive<Duration>) {
+        if !bounds.contains(&value) {
+            let [value, least, most] = [value, *bounds.start(), *bounds.end()].map(TimeSpan::new);
+            self.add(field, &value, format!("must be from {least} to {most}"));
+        }
+    }
+
     /// Collects named entries into a map and reports names that occur twice.
     fn unique<K: Ord + Display, V>(
         &mut self,
@@ -81,19 +88,11 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 pub(super) fn check(file: ContractFile) -> Result<CustomerContract, Vec<ContractMistake>> {
     let mut list = MistakeList::default();
 
     let valid_for = file.lookup.valid_for.get();
-    list.within(
-        "lookup.valid_for",
-        valid_for.as_secs(),
-        &LOOKUP_VALIDITY_SECONDS,
-    );
+    list.span_within("lookup.valid_for", valid_for, &LOOKUP_VALIDITY);
     let instances = file.lookup.instances;
     list.within("lookup.instances", instances as u64, &LOOKUP_INSTANCES);
 
@@ -258,10 +257,10 @@
     }
     let max_body = route.max_body.unwrap_or(DEFAULT_MAX_BODY);
     let max_answer = route.max_answer.unwrap_or(DEFAULT_MAX_ANSWER);
-    list.within(
+    list.span_within(
         &format!("{field}.timeout"),
-        millis(route.timeout.get()),
-        &ROUTE_TIMEOUT_MS,
+        route.timeout.get(),
+        &ROUTE_TIMEOUT,
     );
     list.within(&format!("{field}.max_body"), max_body.get(), &BODY_BYTES);
     list.within(
