Keep traffic on versions that have servers

A fault found after a rollout returns traffic only to a version with servers, and a contract without servers of the version that has the traffic is refused.

--- a/crates/policy/src/movement/contract_change.rs
+++ b/crates/policy/src/movement/contract_change.rs
@@ -7,7 +7,7 @@
 use crate::contract::CustomerContract;
 use crate::snapshot::{ConfigSnapshot, MoveKind};
 
-use super::shares::{active_moves, service_of, settled_version};
+use super::shares::{active_moves, has_servers, service_of, settled_version};
 use crate::ids::ServiceKey;
 
 /// Every reason why `contract` cannot replace the customer's current one.
@@ -33,6 +33,9 @@
             let after = after.map_or_else(String::new, |v| v.to_string());
             let rule = format!("{before} has the traffic; use a move to change that");
             mistakes.push(format!("service[{service}].version: {after:?}: {rule}"));
+        } else if !has_servers(&changed, &key, &before) {
+            let rule = format!("{before} has the traffic, and no server that stays runs it");
+            mistakes.push(format!("service[{service}].server: {rule}"));
         }
     }
     for (name, record) in active_moves(snapshot) {
--- a/crates/policy/src/movement/order.rs
+++ b/crates/policy/src/movement/order.rs
@@ -8,7 +8,7 @@
 use crate::units::{TimeSpan, TrafficShare};
 
 use super::MoveState;
-use super::shares::{active_moves, service_of, settled_version};
+use super::shares::{active_moves, has_servers, service_of, settled_version};
 
 /// The least cap: below it a version sees too few requests to be judged.
 pub const MIN_CAP: TrafficShare = TrafficShare::from_ppm(1_000);
@@ -57,7 +57,7 @@
         None => mistakes.push(format!("kind.service: there is no service {service}")),
         Some(plan) => match &order.kind {
             MoveKind::Rollout { from, to, .. } => {
-                check_rollout(snapshot, service, plan, (from, to), &mut mistakes);
+                check_rollout(snapshot, service, (from, to), &mut mistakes);
             }
             MoveKind::CentreShift { from, to, .. } => {
                 check_shift(snapshot, service, plan, (from, to), &mut mistakes);
@@ -100,7 +100,6 @@
 fn check_rollout(
     snapshot: &ConfigSnapshot,
     service: &ServiceKey,
-    plan: &ServicePlan,
     (from, to): (&VersionName, &VersionName),
     mistakes: &mut Vec<String>,
 ) {
@@ -114,11 +113,7 @@
     if from == to {
         mistakes.push(format!("kind.to: {to} is also the value of from"));
     }
-    let runs = |version: &VersionName| {
-        let mut servers = plan.servers.values();
-        servers.any(|s| s.version == *version && !s.leaving)
-    };
-    if !runs(to) {
+    if !has_servers(snapshot, service, to) {
         mistakes.push(format!("kind.to: no server of {service} runs {to}"));
     }
 }
--- a/crates/policy/src/movement/shares.rs
+++ b/crates/policy/src/movement/shares.rs
@@ -76,6 +76,20 @@
     Some(version.clone())
 }
 
+/// Whether a server that stays runs a version of a service.
+pub(super) fn has_servers(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    version: &VersionName,
+) -> bool {
+    let contract = snapshot.contracts.get(&service.customer);
+    let plan = contract.and_then(|c| c.services.get(&service.service));
+    plan.is_some_and(|plan| {
+        let mut servers = plan.servers.values();
+        servers.any(|s| s.version == *version && !s.leaving)
+    })
+}
+
 /// The share of each version of a service at `now`. A version for which
 /// `faulty` holds gets nothing while another one is known.
 #[must_use]
@@ -94,6 +108,7 @@
             && *to == settled
             && faulty(to)
             && !faulty(from)
+            && has_servers(snapshot, service, from)
         {
             settled = from.clone();
         }
--- a/crates/policy/tests/movement.rs
+++ b/crates/policy/tests/movement.rs
@@ -377,6 +377,23 @@
     assert_eq!(shares_at(&snapshot, faulty, 60), expected);
 }
 
+// Guards against traffic that returns to a version whose servers are gone.
+#[test]
+fn traffic_returns_only_to_a_version_with_servers() {
+    let mut snapshot = with_moves(vec![ended(rollout(OLD, NEW), "completed", 1)]);
+    for contract in snapshot.contracts.values_mut() {
+        let plan = contract
+            .services
+            .get_mut(&service().service)
+            .expect("known");
+        plan.version = version(NEW);
+        plan.servers
+            .retain(|_, server| server.version == version(NEW));
+    }
+    let expected = BTreeMap::from([(NEW.to_owned(), 100)]);
+    assert_eq!(shares_at(&snapshot, &[NEW], 60), expected);
+}
+
 // Guards against a shift that stays in force after it was reversed.
 #[test]
 fn a_shift_back_ends_a_shift() {
@@ -446,6 +463,11 @@
     assert!(check_contract_change(&completed, &next).is_empty());
     assert_eq!(settled_version(&completed, &service()), Some(version(NEW)));
     let original = CustomerContract::parse("lunwan.toml", LUNWAN).expect("valid");
+    let mistakes = check_contract_change(&completed, &original);
+    assert!(
+        mistakes[0].contains("no server that stays runs it"),
+        "{mistakes:?}"
+    );
     let mistakes = check_contract_change(&with_moves(vec![planned()]), &original);
     assert!(mistakes[0].contains("move m0 is under way"), "{mistakes:?}");
 }
