--- a/crates/policy/src/evidence/window.rs
+++ b/crates/policy/src/evidence/window.rs
@@ -13,6 +13,9 @@
 /// Requests that make a latency baseline precise enough; with 40, the rank of
 /// the 90th percentile has a standard error of 5 %.
 const ENOUGH_REQUESTS: u64 = 40;
+/// A baseline whose newest request is older than this many slots is kept from
+/// an earlier time: one short sample would otherwise judge many requests.
+const MAX_LAG_SLOTS: u64 = 2;
 /// Fewer requests give no latency baseline.
 const MIN_REQUESTS: u64 = 20;
 /// Latency buckets for each doubling; a bucket is 19 % wide.
@@ -162,7 +165,15 @@
     fn measure(&self, slot: u64) -> Option<LatencyBaseline> {
         let mut latencies: BTreeMap<u16, u64> = BTreeMap::new();
         let mut total = 0;
-        let recent = self.slots.iter().rev().skip_while(|s| s.slot > slot);
+        let mut recent = self
+            .slots
+            .iter()
+            .rev()
+            .skip_while(|s| s.slot > slot)
+            .peekable();
+        if recent.peek().is_none_or(|s| s.slot + MAX_LAG_SLOTS < slot) {
+            return None;
+        }
         for counts in recent.take_while(|s| s.slot + WINDOW_SLOTS > slot) {
             for (bucket, count) in &counts.latencies {
                 *latencies.entry(*bucket).or_default() += count;
--- a/crates/policy/tests/evidence.rs
+++ b/crates/policy/tests/evidence.rs
@@ -8,157 +8,64 @@
 
 use std::time::{Duration, Instant};
 
-use evidence_cases::rivals::{RivalRule, WindowRival};
-use evidence_cases::{CaseRequest, CaseResult, VersionCase, run};
+use evidence_cases::{BAD_CASES, BookJudge, CaseRequest, CaseStream, GOOD_CASES, VersionCase};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tarragonpulley_policy::evidence::{AttemptSample, ComparisonSource, EvidenceBook, ProofLevel};
-use tarragonpulley_policy::ids::{ServiceKey, VersionName};
+use tarragonpulley_policy::evidence::{ComparisonSource, ProofLevel};
 use tarragonpulley_policy::movement::SoundVerdict;
 use yare::parameterized;
 
 /// Seeds of a measurement.
-const MEASURED_SEEDS: u64 = 100;
+const MEASURED_SEEDS: u64 = 300;
 /// Seeds of a check; the checks run without optimisation.
 const CHECKED_SEEDS: u64 = 20;
 /// Requests a second on the simulated instance.
 const RATE: f64 = 150.0;
 
-const GOOD: VersionCase = VersionCase {
-    name: "equal",
-    failures: 0.0,
-    slowdown: 1.0,
-    from: 0.0,
-    load: 0.0,
-    route: None,
-    cold: 0.0,
-    background: 0.002,
-    lost: 0,
-};
+/// Share of the new version by second: five steps of 5.2 s.
+const STEPS: [f64; 5] = [0.01, 0.05, 0.25, 0.50, 1.0];
+const STEP_SECONDS: f64 = 5.2;
 
-const GOOD_CASES: [VersionCase; 5] = [
-    GOOD,
-    VersionCase {
-        name: "cold caches",
-        cold: 1.5,
-        ..GOOD
-    },
-    VersionCase {
-        name: "faster",
-        slowdown: 0.7,
-        ..GOOD
-    },
-    VersionCase {
-        name: "2 % of both fail",
-        background: 0.02,
-        ..GOOD
-    },
-    VersionCase {
-        name: "lost server",
-        lost: 4,
-        ..GOOD
-    },
-];
-
-const BAD_CASES: [VersionCase; 8] = [
-    VersionCase {
-        name: "all fail",
-        failures: 1.0,
-        ..GOOD
-    },
-    VersionCase {
-        name: "30 % fail",
-        failures: 0.3,
-        ..GOOD
-    },
-    VersionCase {
-        name: "8 % fail",
-        failures: 0.08,
-        ..GOOD
-    },
-    VersionCase {
-        name: "later",
-        failures: 0.3,
-        from: 12.0,
-        ..GOOD
-    },
-    VersionCase {
-        name: "under load",
-        failures: 0.3,
-        load: 2.0,
-        ..GOOD
-    },
-    VersionCase {
-        name: "one route",
-        failures: 0.5,
-        route: Some("/lots"),
-        ..GOOD
-    },
-    VersionCase {
-        name: "three times as slow",
-        slowdown: 3.0,
-        ..GOOD
-    },
-    VersionCase {
-        name: "twice as slow",
-        slowdown: 2.0,
-        ..GOOD
-    },
-];
+/// What a run of a case gave.
+#[derive(Debug, Clone, Copy)]
+struct CaseResult {
+    /// Requests on the new version while its fault was active, up to the
+    /// detection; `None` without a detection.
+    detected_after: Option<u32>,
+    /// A detection before any fault was active.
+    early: bool,
+}
 
-struct BookJudge {
-    book: EvidenceBook,
-    service: ServiceKey,
-    versions: [VersionName; 2],
+fn share_at(second: f64) -> f64 {
+    let reached = |index: usize| second >= STEP_SECONDS * index as f64;
+    let steps = STEPS
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| reached(*index));
+    steps.map(|(_, share)| *share).next_back().unwrap_or(0.0)
 }
 
-impl BookJudge {
-    fn new() -> Self {
-        let service: ServiceKey = "lunwan/fitdesk".parse().expect("valid");
-        let versions = ["v1", "v2"].map(|v| v.parse().expect("valid"));
-        let mut book = EvidenceBook::new();
-        book.watch(
-            &service,
-            &versions[1],
-            &ComparisonSource::Version(versions[0].clone()),
-        );
-        Self {
-            book,
-            service,
-            versions,
+/// Runs one rollout of 26 s on one instance.
+fn run(case: &VersionCase, seed: u64) -> CaseResult {
+    let mut stream = CaseStream::new(case, seed, RATE, Instant::now());
+    let mut judge = BookJudge::new();
+    while stream.second < STEP_SECONDS * 5.0 {
+        if judge.note(&stream.next(share_at)) {
+            let (detected_after, early) = (Some(stream.exposed), stream.exposed == 0);
+            return CaseResult {
+                detected_after,
+                early,
+            };
         }
     }
-
-    fn note(&mut self, request: &CaseRequest) -> bool {
-        let sample = AttemptSample {
-            service: &self.service,
-            version: &self.versions[usize::from(request.on_new)],
-            route: request.route,
-            failed: request.failed,
-            latency: request.latency,
-        };
-        self.book.note(&sample, request.at).is_some()
+    CaseResult {
+        detected_after: None,
+        early: false,
     }
 }
 
-fn results(
-    case: &VersionCase,
-    seeds: u64,
-    make: &dyn Fn() -> Box<dyn FnMut(&CaseRequest) -> bool>,
-) -> Vec<CaseResult> {
-    (0..seeds)
-        .map(|seed| run(case, seed, RATE, &mut *make()))
-        .collect()
-}
-
-fn book() -> Box<dyn FnMut(&CaseRequest) -> bool> {
-    let mut judge = BookJudge::new();
-    Box::new(move |request| judge.note(request))
-}
-
-fn rival(rule: RivalRule) -> Box<dyn FnMut(&CaseRequest) -> bool> {
-    let mut rival = WindowRival::new(rule);
-    Box::new(move |request| rival.note(request))
+fn results(case: &VersionCase, seeds: u64) -> Vec<CaseResult> {
+    (0..seeds).map(|seed| run(case, seed)).collect()
 }
 
 /// Mean and 95th percentile of the detection delay, and the missed cases.
@@ -173,37 +80,13 @@
     (mean, high, results.len() - found.len())
 }
 
-fn measure(name: &str, make: &dyn Fn() -> Box<dyn FnMut(&CaseRequest) -> bool>) {
-    for case in &GOOD_CASES {
-        let results = results(case, MEASURED_SEEDS, make);
-        let wrong = results
-            .iter()
-            .filter(|r| r.detected_after.is_some())
-            .count();
-        println!(
-            "{name:9} good {:20} false {wrong}/{MEASURED_SEEDS}",
-            case.name
-        );
-    }
-    for case in &BAD_CASES {
-        let results = results(case, MEASURED_SEEDS, make);
-        let (mean, high, missed) = delays(&results);
-        let early = results.iter().filter(|r| r.early).count();
-        let delay = format!("mean {mean:5.1} p95 {high:4}");
-        println!(
-            "{name:9} bad  {:20} {delay} missed {missed} early {early}",
-            case.name
-        );
-    }
-}
-
 // Guards against a good version that is taken back: because caches are cold,
 // the load surges, both versions fail alike, or one server is lost.
 #[parameterized(
     equal = { 0 }, cold_caches = { 1 }, faster = { 2 }, both_fail = { 3 }, lost_server = { 4 },
 )]
 fn a_good_version_shows_no_fault(case: usize) {
-    let results = results(&GOOD_CASES[case], CHECKED_SEEDS, &book);
+    let results = results(&GOOD_CASES[case], CHECKED_SEEDS);
     assert!(
         results.iter().all(|r| r.detected_after.is_none()),
         "{results:?}"
@@ -223,7 +106,7 @@
     twice_as_slow = { 7, 400.0 },
 )]
 fn a_bad_version_is_found(case: usize, most: f64) {
-    let results = results(&BAD_CASES[case], CHECKED_SEEDS, &book);
+    let results = results(&BAD_CASES[case], CHECKED_SEEDS);
     let (mean, _, missed) = delays(&results);
     assert_eq!(missed, 0);
     assert!(mean <= most, "{mean} requests");
@@ -340,26 +223,24 @@
     assert!(matches!(verdict, SoundVerdict::Faulty(_)));
 }
 
-// Prints the table from which the test in the program was chosen. Run with
+// Prints false take-backs and detection delays. Run with
 // `cargo test --release -p tarragonpulley-policy --test evidence -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement, not a check"]
-fn measure_cusum() {
-    measure("cusum", &book);
-}
-
-#[test]
-#[ignore = "a measurement, not a check"]
-fn measure_threshold() {
-    let rule = RivalRule::Threshold {
-        failures: 0.05,
-        slow: 0.25,
-    };
-    measure("threshold", &|| rival(rule));
-}
-
-#[test]
-#[ignore = "a measurement, not a check"]
-fn measure_score() {
-    measure("score", &|| rival(RivalRule::Score(5.0)));
+fn measure_detection() {
+    for case in &GOOD_CASES {
+        let results = results(case, MEASURED_SEEDS);
+        let wrong = results
+            .iter()
+            .filter(|r| r.detected_after.is_some())
+            .count();
+        println!("good {:20} false {wrong}/{MEASURED_SEEDS}", case.name);
+    }
+    for case in &BAD_CASES {
+        let (mean, high, missed) = delays(&results(case, MEASURED_SEEDS));
+        println!(
+            "bad  {:20} mean {mean:5.1} p95 {high:4} missed {missed}",
+            case.name
+        );
+    }
 }
--- a/crates/policy/tests/evidence_cases/mod.rs
+++ b/crates/policy/tests/evidence_cases/mod.rs
@@ -1,11 +1,12 @@
-//! Seeded requests of one instance during a rollout, and the tests compared.
-
-pub(crate) mod rivals;
+//! Seeded requests of one instance during a rollout.
+#![allow(dead_code, reason = "each test uses a part of the cases")]
 
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use tarragonpulley_policy::evidence::{AttemptSample, ComparisonSource, EvidenceBook};
+use tarragonpulley_policy::ids::{ServiceKey, VersionName};
 
 /// One request of the simulated rollout.
 #[derive(Debug, Clone, Copy)]
@@ -39,114 +40,221 @@
     pub(crate) lost: u32,
 }
 
+pub(crate) const GOOD: VersionCase = VersionCase {
+    name: "equal",
+    failures: 0.0,
+    slowdown: 1.0,
+    from: 0.0,
+    load: 0.0,
+    route: None,
+    cold: 0.0,
+    background: 0.002,
+    lost: 0,
+};
+
+pub(crate) const GOOD_CASES: [VersionCase; 5] = [
+    GOOD,
+    VersionCase {
+        name: "cold caches",
+        cold: 1.5,
+        ..GOOD
+    },
+    VersionCase {
+        name: "faster",
+        slowdown: 0.7,
+        ..GOOD
+    },
+    VersionCase {
+        name: "2 % of both fail",
+        background: 0.02,
+        ..GOOD
+    },
+    VersionCase {
+        name: "lost server",
+        lost: 4,
+        ..GOOD
+    },
+];
+
+pub(crate) const BAD_CASES: [VersionCase; 8] = [
+    VersionCase {
+        name: "all fail",
+        failures: 1.0,
+        ..GOOD
+    },
+    VersionCase {
+        name: "30 % fail",
+        failures: 0.3,
+        ..GOOD
+    },
+    VersionCase {
+        name: "8 % fail",
+        failures: 0.08,
+        ..GOOD
+    },
+    VersionCase {
+        name: "later",
+        failures: 0.3,
+        from: 12.0,
+        ..GOOD
+    },
+    VersionCase {
+        name: "under load",
+        failures: 0.3,
+        load: 2.0,
+        ..GOOD
+    },
+    VersionCase {
+        name: "one route",
+        failures: 0.5,
+        route: Some("/lots"),
+        ..GOOD
+    },
+    VersionCase {
+        name: "three times as slow",
+        slowdown: 3.0,
+        ..GOOD
+    },
+    VersionCase {
+        name: "twice as slow",
+        slowdown: 2.0,
+        ..GOOD
+    },
+];
+
 /// Path, share of the requests, median latency in milliseconds.
 const ROUTES: [(&str, f64, f64); 3] = [
     ("/fits", 0.6, 8.0),
     ("/shops", 0.3, 5.0),
     ("/lots", 0.1, 20.0),
 ];
-/// Share of the new version by second: five steps of 5.2 s.
-const STEPS: [f64; 5] = [0.01, 0.05, 0.25, 0.50, 1.0];
-const STEP_SECONDS: f64 = 5.2;
 /// Seconds of load on the old version before the rollout.
-const BEFORE: f64 = 10.0;
+pub(crate) const BEFORE: f64 = 10.0;
 /// Spread of the latency: sigma of its logarithm.
 const SPREAD: f64 = 0.5;
 const SURGE: std::ops::Range<f64> = 12.0..18.0;
 const SURGE_LOAD: f64 = 4.0;
+const LOST_AT: f64 = 13.0;
 
-fn normal(rng: &mut StdRng) -> f64 {
-    // Sum of twelve uniform values: mean 6, variance 1.
-    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+/// The requests of one instance.
+#[derive(Debug)]
+pub(crate) struct CaseStream {
+    case: VersionCase,
+    rng: StdRng,
+    start: Instant,
+    rate: f64,
+    /// Time of the last request, in seconds since the rollout began.
+    pub(crate) second: f64,
+    /// Requests on the new version while its fault was active.
+    pub(crate) exposed: u32,
+    lost: u32,
 }
 
-fn pick_route(rng: &mut StdRng) -> (&'static str, f64) {
-    let mut rest: f64 = rng.random();
-    for (path, share, median) in ROUTES {
-        if rest < share {
-            return (path, median);
+impl CaseStream {
+    /// Requests from [`BEFORE`] seconds before the rollout, `rate` a second.
+    pub(crate) fn new(case: &VersionCase, seed: u64, rate: f64, start: Instant) -> Self {
+        Self {
+            case: *case,
+            rng: StdRng::seed_from_u64(seed),
+            start,
+            rate,
+            second: -BEFORE,
+            exposed: 0,
+            lost: case.lost,
         }
-        rest -= share;
     }
-    (ROUTES[0].0, ROUTES[0].2)
-}
 
-/// What a run of a case gave.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct CaseResult {
-    /// Requests on the new version while its fault was active, up to the
-    /// detection; `None` without a detection.
-    pub(crate) detected_after: Option<u32>,
-    /// A detection before any fault was active.
-    pub(crate) early: bool,
-}
+    fn normal(&mut self) -> f64 {
+        // Sum of twelve uniform values: mean 6, variance 1.
+        (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0
+    }
 
-/// Runs one rollout of 26 s at `rate` requests a second on this instance.
-pub(crate) fn run(
-    case: &VersionCase,
-    seed: u64,
-    rate: f64,
-    judge: &mut dyn FnMut(&CaseRequest) -> bool,
-) -> CaseResult {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let start = Instant::now();
-    let (mut second, mut exposed, mut lost) = (-BEFORE, 0, case.lost);
-    let mut result = CaseResult {
-        detected_after: None,
-        early: false,
-    };
-    while second < STEP_SECONDS * 5.0 {
-        let load = if SURGE.contains(&second) {
+    fn pick_route(&mut self) -> (&'static str, f64) {
+        let mut rest: f64 = self.rng.random();
+        for (path, share, median) in ROUTES {
+            if rest < share {
+                return (path, median);
+            }
+            rest -= share;
+        }
+        (ROUTES[0].0, ROUTES[0].2)
+    }
+
+    /// The next request, while the new version has the share that `share`
+    /// gives for a second.
+    pub(crate) fn next(&mut self, share: impl Fn(f64) -> f64) -> CaseRequest {
+        let case = self.case;
+        let load = if SURGE.contains(&self.second) {
             SURGE_LOAD
         } else {
             1.0
         };
-        second += -(1.0 - rng.random::<f64>()).ln() / (rate * load);
-        let step = STEPS
-            .iter()
-            .enumerate()
-            .filter(|(i, _)| second >= STEP_SECONDS * *i as f64);
-        let share = if second < 0.0 {
-            0.0
-        } else {
-            step.map(|(_, s)| *s).next_back().unwrap_or(0.0)
-        };
-        let on_new = rng.random::<f64>() < share;
-        let (route, median) = pick_route(&mut rng);
-        let matching = second >= case.from && load >= case.load;
+        self.second += -(1.0 - self.rng.random::<f64>()).ln() / (self.rate * load);
+        let on_new = self.rng.random::<f64>() < share(self.second);
+        let (route, median) = self.pick_route();
+        let matching = self.second >= case.from && load >= case.load;
         let active = on_new && matching && case.route.is_none_or(|r| r == route);
-        let faulty = case.failures > 0.0 || case.slowdown > 1.0;
-        exposed += u32::from(active && faulty);
+        self.exposed += u32::from(active && (case.failures > 0.0 || case.slowdown > 1.0));
         let failures = if active {
             case.failures.max(case.background)
         } else {
             case.background
         };
-        let mut failed = rng.random::<f64>() < failures;
-        if on_new && second >= 13.0 && lost > 0 {
-            lost -= 1;
+        let mut failed = self.rng.random::<f64>() < failures;
+        if on_new && self.second >= LOST_AT && self.lost > 0 {
+            self.lost -= 1;
             failed = true;
         }
         let slowdown = if active { case.slowdown } else { 1.0 };
-        let cold = if on_new && second < case.cold {
+        let cold = if on_new && self.second < case.cold {
             4.0
         } else {
             1.0
         };
         let busy = 1.0 + 0.5 * (load - 1.0);
-        let latency = median * busy * slowdown * cold * (SPREAD * normal(&mut rng)).exp();
-        let request = CaseRequest {
-            at: start + Duration::from_secs_f64(second + BEFORE),
+        let latency = median * busy * slowdown * cold * (SPREAD * self.normal()).exp();
+        CaseRequest {
+            at: self.start + Duration::from_secs_f64(self.second + BEFORE),
             on_new,
             route,
             failed,
             latency: Duration::from_secs_f64(latency / 1000.0),
-        };
-        if judge(&request) {
-            result.early = exposed == 0;
-            result.detected_after = Some(exposed);
-            return result;
         }
     }
-    result
+}
+
+/// The evidence of one instance about the new version.
+#[derive(Debug)]
+pub(crate) struct BookJudge {
+    pub(crate) book: EvidenceBook,
+    pub(crate) service: ServiceKey,
+    /// Old and new.
+    pub(crate) versions: [VersionName; 2],
+}
+
+impl BookJudge {
+    pub(crate) fn new() -> Self {
+        let service: ServiceKey = "lunwan/fitdesk".parse().expect("valid");
+        let versions = ["v1", "v2"].map(|v| v.parse::<VersionName>().expect("valid"));
+        let mut book = EvidenceBook::new();
+        let source = ComparisonSource::Version(versions[0].clone());
+        book.watch(&service, &versions[1], &source);
+        Self {
+            book,
+            service,
+            versions,
+        }
+    }
+
+    /// Whether the request completed the evidence for a fault.
+    pub(crate) fn note(&mut self, request: &CaseRequest) -> bool {
+        let sample = AttemptSample {
+            service: &self.service,
+            version: &self.versions[usize::from(request.on_new)],
+            route: request.route,
+            failed: request.failed,
+            latency: request.latency,
+        };
+        self.book.note(&sample, request.at).is_some()
+    }
 }
