--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod jobs;
 mod logging;
 mod metrics;
+mod mover;
 mod operator;
 mod pipeline;
 mod probe;
