Test keys and configuration with real processes

Four instances behind the fault proxy: withdrawals with each single link cut, keys at other customers, an isolated instance, killed instances, lost table answers, table outages and two operators with the same base.

--- /dev/null
+++ b/crates/daemon/tests/proofs/main.rs
@@ -0,0 +1,9 @@
+//! Real processes behind the fault proxy, for the guarantees of section 2 of
+//! the design.
+//!
+//! Every fleet takes permits before it starts, so that the tests of this
+//! binary together stay within the cores and processes of a small machine.
+
+mod common;
+mod config;
+mod keys;
