--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -179,8 +179,7 @@
             PeerAnswer::Rights(answer) => {
                 let giver = IncarnationId::try_from(answer.sender)?;
                 let counters = read_counters(answer.counters)?;
-                // The counters are for the incarnation that asked.
-                if own == *self.own() {
+                if giver.instance == link.instance {
                     self.receive_rights(&giver, &counters);
                 }
                 Ok(())
@@ -210,7 +209,9 @@
                 warn!("rights of {peer} not received: counters are late or impossible");
                 false
             }
-            ReceiveOutcome::Fenced | ReceiveOutcome::OtherGeneration => false,
+            ReceiveOutcome::Fenced
+            | ReceiveOutcome::OtherGeneration
+            | ReceiveOutcome::OtherReceiver => false,
         }
     }
 
@@ -224,6 +225,9 @@
             return Ok(refused("this instance has no proof"));
         }
         let now = self.now();
+        if self.members.borrow().is_gone(&peer, now) {
+            return Ok(refused("the asker is gone as seen from here"));
+        }
         let mut rights = self.rights.borrow_mut();
         rights.ledger.give(&peer, &limit, &want, now);
         let update = rights.ledger.counters_since_ack(&peer);
--- a/crates/daemon/src/pipeline/attempt.rs
+++ b/crates/daemon/src/pipeline/attempt.rs
@@ -9,10 +9,10 @@
 
 use super::place::Placement;
 use super::{ClaimSlot, RequestPipeline, RunRequest, too_late};
-use crate::border::{AttemptReport, SlotGuard};
+use crate::border::AttemptReport;
 use crate::errors::{ErrorKind, RequestError};
 use crate::probe::has_crashed;
-use crate::upstream::{AttemptHost, BackendAnswer};
+use crate::upstream::{AttemptHost, BackendAnswer, RacePermit};
 
 /// Most attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
@@ -43,9 +43,14 @@
 }
 
 impl AttemptHost for PlacedHost<'_> {
-    fn permit_race(&self) -> Option<Box<dyn SlotGuard>> {
-        let slot = self.placement.take_second_slot()?;
-        self.pipeline.budget.borrow_mut().spend().then_some(slot)
+    fn permit_race(&self) -> RacePermit {
+        if !self.pipeline.budget.borrow_mut().spend() {
+            return RacePermit::Refused;
+        }
+        // An instance seldom holds two slots of one server.
+        self.placement
+            .take_second_slot()
+            .map_or(RacePermit::Instead, RacePermit::Beside)
     }
 
     fn note_leaving(&self) {
@@ -154,21 +159,26 @@
         failure: Option<AttemptFailure>,
         started: Instant,
     ) {
-        let failed = failure.is_some_and(AttemptFailure::blames_server);
-        match failure {
-            None => self.board.note_success(&placement.server),
-            Some(_) if failed => self.board.note_failure(&placement.server),
-            Some(_) => {}
-        }
-        if failure == Some(AttemptFailure::Shed) {
+        let latency = started.elapsed();
+        // A caller may ask for less time than the route gives. That the server
+        // did not make it then says nothing about the server.
+        let hasty =
+            failure == Some(AttemptFailure::TimedOut) && latency < request.route.timeout / 2;
+        if hasty || failure == Some(AttemptFailure::Shed) {
             return;
         }
+        if failure.is_some() {
+            let fingerprint = request.fingerprint.short();
+            self.board.note_failure(&placement.server, fingerprint);
+        } else {
+            self.board.note_success(&placement.server);
+        }
         self.context.evidence.note(&AttemptReport {
             service: request.service.clone(),
             version: placement.plan.version.clone(),
             route: request.route.path.clone(),
-            failed,
-            latency: started.elapsed(),
+            failed: failure.is_some(),
+            latency,
         });
     }
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,6 +4,7 @@
 //! answer is read to its end before it is passed on. A connection whose answer
 //! was cut, crossed, late or abandoned is closed and never used again.
 
+mod answer;
 pub(crate) mod connect;
 
 use std::cell::{Cell, RefCell};
@@ -12,42 +13,33 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, StatusCode};
+use actix_http::Method;
+use actix_http::header::{HeaderMap, HeaderName};
 use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use tarragonpulley_policy::ids::ServerKey;
 use tarragonpulley_policy::retry::{AttemptFailure, RequestDeadline, RunOutcome};
+use tarragonpulley_policy::routing::connection_share;
 
 use crate::border::SlotGuard;
-use crate::errors::{OUTCOME_HEADER, REQUEST_ID_HEADER};
+use crate::errors::REQUEST_ID_HEADER;
 use crate::metrics::RequestMetrics;
+pub(crate) use answer::BackendAnswer;
+use answer::{is_crossed, is_shed, read_answer, says_leaving};
 use connect::build_client;
 
 /// Tells the backend server how many milliseconds are left.
 pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 
-/// A backend server sets this header to `leaving` when it is about to stop.
-const SERVER_STATE_HEADER: HeaderName = HeaderName::from_static("x-server-state");
-const LEAVING: HeaderValue = HeaderValue::from_static("leaving");
-
-/// Instances that share the connection limit of a server. A fleet has at most
-/// 12 today; slots split exactly into up to 16.
-const CONNECTION_SHARERS: u32 = 16;
-
-/// Old and new connections may be open at the same time while the old ones
-/// are being replaced.
-const CLIENT_GENERATIONS: u32 = 2;
-
-/// Bounds of the wait for a first byte before a second attempt starts.
+/// Least wait for a first byte before a second attempt starts.
 const MIN_LATE_AFTER: Duration = Duration::from_millis(100);
-const MAX_LATE_AFTER: Duration = Duration::from_secs(1);
 
-/// A first byte is late after this multiple of its usual time.
+/// A first byte is late after this multiple of its usual time, and at the
+/// latest after this part of the remaining time.
 const LATE_FACTOR: u32 = 4;
+const LATE_PART: u32 = 4;
 
 /// Connections that answered nothing for this long are not trusted with a
 /// request that cannot be repeated; a new one costs about 1 ms.
@@ -57,6 +49,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BackendRequest {
     pub(crate) method: Method,
+    /// The path of the route.
+    pub(crate) route: String,
     /// Path and query below the service.
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
@@ -69,39 +63,21 @@
     pub(crate) idempotent: bool,
 }
 
-/// The whole answer of a backend server.
-#[derive(Debug, Clone)]
-pub(crate) struct BackendAnswer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl BackendAnswer {
-    /// Builds an answer that was kept, or `None` when a part is not valid HTTP.
-    pub(crate) fn from_parts(
-        status: u16,
-        headers: &[(String, String)],
-        body: Bytes,
-    ) -> Option<Self> {
-        let mut map = HeaderMap::new();
-        for (name, value) in headers {
-            let name = HeaderName::try_from(name.as_str()).ok()?;
-            map.append(name, HeaderValue::try_from(value.as_str()).ok()?);
-        }
-        Some(Self {
-            status: StatusCode::from_u16(status).ok()?,
-            headers: map,
-            body,
-        })
-    }
+/// How a second attempt may start when a first byte is late.
+#[derive(Debug)]
+pub(crate) enum RacePermit {
+    /// Beside the first one, with a slot of its own.
+    Beside(Box<dyn SlotGuard>),
+    /// In place of the first one, which gives up its connection and slot.
+    Instead,
+    /// Not at all.
+    Refused,
 }
 
 /// What an attempt asks of the pipeline while it runs.
 pub(crate) trait AttemptHost {
-    /// Allows a second attempt, which costs a slot and a part of the retry
-    /// budget, or refuses it.
-    fn permit_race(&self) -> Option<Box<dyn SlotGuard>>;
+    /// Allows a second attempt, which costs a part of the retry budget.
+    fn permit_race(&self) -> RacePermit;
 
     /// Notes that the server said that it is leaving.
     fn note_leaving(&self);
@@ -114,8 +90,8 @@
     address: SocketAddr,
     connections: usize,
     client: RefCell<Rc<Client>>,
-    /// Smoothed time to the first byte.
-    first_byte: Cell<Option<Duration>>,
+    /// Smoothed time to the first byte by route.
+    first_byte: RefCell<BTreeMap<String, Duration>>,
     last_answer: Cell<Option<Instant>>,
 }
 
@@ -129,13 +105,12 @@
 
 impl ServerClient {
     fn new(address: SocketAddr, limit: u32) -> Self {
-        let share = limit / CONNECTION_SHARERS / CLIENT_GENERATIONS;
-        let connections = usize::try_from(share.max(1)).unwrap_or(usize::MAX);
+        let connections = usize::try_from(connection_share(limit)).unwrap_or(usize::MAX);
         Self {
             address,
             connections,
             client: RefCell::new(build_client(address, connections)),
-            first_byte: Cell::new(None),
+            first_byte: RefCell::default(),
             last_answer: Cell::new(None),
         }
     }
@@ -154,18 +129,19 @@
         *self.client.borrow_mut() = client;
     }
 
-    fn late_after(&self) -> Duration {
-        self.first_byte.get().map_or(MAX_LATE_AFTER, |usual| {
-            (usual * LATE_FACTOR).clamp(MIN_LATE_AFTER, MAX_LATE_AFTER)
-        })
+    fn late_after(&self, request: &BackendRequest) -> Duration {
+        let left = request.deadline.remaining(Instant::now());
+        let latest = left.unwrap_or_default() / LATE_PART;
+        let usual = self.first_byte.borrow().get(&request.route).copied();
+        usual
+            .map_or(latest, |usual| (usual * LATE_FACTOR).min(latest))
+            .max(MIN_LATE_AFTER)
     }
 
-    fn note_answer(&self, first_byte: Duration) {
-        let smoothed = self
-            .first_byte
-            .get()
-            .map_or(first_byte, |usual| (usual * 7 + first_byte) / 8);
-        self.first_byte.set(Some(smoothed));
+    fn note_answer(&self, route: &str, first_byte: Duration) {
+        let mut times = self.first_byte.borrow_mut();
+        let usual = times.entry(route.to_owned()).or_insert(first_byte);
+        *usual = (*usual * 7 + first_byte) / 8;
         self.last_answer.set(Some(Instant::now()));
     }
 
@@ -246,9 +222,14 @@
                 self.send(&client, client.current(), request, host).await
             }
         };
-        actix_rt::time::timeout(left, run)
-            .await
-            .unwrap_or(Err(AttemptFailure::TimedOut))
+        let Ok(attempt) = actix_rt::time::timeout(left, run).await else {
+            // The other connections may have gone silent at the same time.
+            if left >= MIN_LATE_AFTER {
+                self.adopt(&client, client.fresh());
+            }
+            return Err(AttemptFailure::TimedOut);
+        };
+        attempt
     }
 
     /// Sends the request, and once more on a new connection when the first
@@ -261,17 +242,27 @@
         host: &dyn AttemptHost,
     ) -> Attempt {
         let first = Box::pin(self.send(client, client.current(), request, host));
-        let late = Box::pin(actix_rt::time::sleep(client.late_after()));
+        let late = Box::pin(actix_rt::time::sleep(client.late_after(request)));
         let first = match select(first, late).await {
             Either::Left((answer, _)) => return answer,
             Either::Right(((), first)) => first,
         };
-        let Some(_slot) = host.permit_race() else {
+        let permit = host.permit_race();
+        if matches!(permit, RacePermit::Refused) {
             return first.await;
-        };
+        }
         self.metrics.races.inc();
+        self.metrics.attempts.inc();
         let fresh = client.fresh();
         let second = Box::pin(self.send(client, Rc::clone(&fresh), request, host));
+        let RacePermit::Beside(_slot) = permit else {
+            drop(first);
+            let answer = second
+                .await
+                .map_err(|other| less_certain(AttemptFailure::TimedOut, other))?;
+            self.adopt(client, fresh);
+            return Ok(answer);
+        };
         match select(first, second).await {
             Either::Left((Ok(answer), _)) => Ok(answer),
             Either::Left((Err(failure), second)) => {
@@ -327,11 +318,11 @@
             self.metrics.replaced_connections.inc();
             return Err(AttemptFailure::AnswerBroken);
         }
-        if response.headers().get(SERVER_STATE_HEADER) == Some(&LEAVING) {
+        if says_leaving(response.headers()) {
             host.note_leaving();
         }
         let answer = read_answer(response, request.max_answer).await?;
-        server.note_answer(first_byte);
+        server.note_answer(&request.route, first_byte);
         if is_shed(&answer) {
             return Err(AttemptFailure::Shed);
         }
@@ -350,8 +341,8 @@
 
 fn failure_of(error: &SendRequestError) -> AttemptFailure {
     match error {
-        // A connection that ended without an answer, after the request was
-        // sent, is reported as a connect error too.
+        // The client says "disconnected" when a connection ends after the
+        // request was sent.
         SendRequestError::Connect(ConnectError::Disconnected)
         | SendRequestError::Response(actix_http::error::ParseError::Io(_))
         | SendRequestError::Send(_) => AttemptFailure::ConnectionBroken,
@@ -360,37 +351,3 @@
         _ => AttemptFailure::AnswerBroken,
     }
 }
-
-fn is_crossed(headers: &HeaderMap, request_id: &str) -> bool {
-    headers
-        .get(REQUEST_ID_HEADER)
-        .is_some_and(|echo| echo.as_bytes() != request_id.as_bytes())
-}
-
-fn is_shed(answer: &BackendAnswer) -> bool {
-    let outcome = answer.headers.get(OUTCOME_HEADER);
-    answer.status == StatusCode::SERVICE_UNAVAILABLE
-        && outcome.is_some_and(|value| matches!(value.as_bytes(), b"not-run" | b"not_run"))
-}
-
-async fn read_answer<S>(
-    mut response: awc::ClientResponse<S>,
-    most: u64,
-) -> Result<BackendAnswer, AttemptFailure>
-where
-    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
-{
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.next().await {
-        let chunk = chunk.map_err(|_error| AttemptFailure::AnswerBroken)?;
-        if (body.len() + chunk.len()) as u64 > most {
-            return Err(AttemptFailure::AnswerTooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(BackendAnswer {
-        status: response.status(),
-        headers: response.headers().clone(),
-        body: body.freeze(),
-    })
-}
