Drive moves, steer by them in one place, and refuse open routes without a proof

The mover and its evidence replace the placeholder. Routing and the mover each computed the share of a version; routing now follows movement::version_split, so a share past its deadline or of a version with a fault is zero everywhere.

An isolated instance refused open routes with no_capacity after 2.5 s, while the design said that open routes continue. Cause: a slot is a right, and rights may be spent only with a proof. Ruled out: spending slots without a proof, which would overload servers after a reclaim and send work to servers that left. The design is changed: open routes need the proof too, and the refusal says configuration_not_proved.

A panic of a task ends the process, because the runtime would swallow it.

--- a/crates/daemon/src/border.rs
+++ b/crates/daemon/src/border.rs
@@ -167,9 +167,6 @@
     /// Records an event of this instance and logs it.
     fn record(&self, kind: &str, subject: &str, detail: &str);
 
-    /// Events of this instance after `after`, oldest first.
-    fn local_events(&self, after: HybridStamp, most: usize) -> Vec<EventRecord>;
-
     /// Events of all instances that answer, merged.
     fn fleet_events(&self, after: HybridStamp, most: usize)
     -> LocalBoxFuture<'_, Vec<EventRecord>>;
--- a/crates/daemon/src/fleet/events.rs
+++ b/crates/daemon/src/fleet/events.rs
@@ -124,10 +124,6 @@
         self.record_event(kind, subject, detail);
     }
 
-    fn local_events(&self, after: HybridStamp, most: usize) -> Vec<EventRecord> {
-        self.own_events(after, most)
-    }
-
     fn fleet_events(
         &self,
         after: HybridStamp,
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -23,9 +23,9 @@
 use crate::fleet::{FleetOptions, FleetState};
 use crate::frontend::{FrontendHandler, FrontendLimits, ServiceFrontend};
 use crate::http_server::{HttpServer, HttpServerHandle, ServerLimits};
+use crate::mover::{EvidenceBook, MoveDriver, MoveGuard};
 use crate::operator::OperatorApi;
 use crate::settings::InstanceSettings;
-use crate::unlimited::IgnoredEvidence;
 
 /// Validity of look-up answers while no contract is known.
 const DEFAULT_LOOKUP_VALIDITY: Duration = Duration::from_secs(1);
@@ -59,6 +59,7 @@
     frontend: FrontendHandler,
     service: HttpServerHandle,
     operator: HttpServerHandle,
+    mover: MoveGuard,
 }
 
 /// Runs an instance until it is told to stop.
@@ -132,6 +133,7 @@
             list,
         };
         let fleet = FleetState::start(options, &mut registry);
+        let evidence = EvidenceBook::new(Rc::clone(&clock), fleet.facts(), fleet.events());
         let context = InstanceContext {
             own,
             centre: settings.data_centre.clone(),
@@ -141,10 +143,11 @@
             facts: fleet.facts(),
             members: fleet.members(),
             events: fleet.events(),
-            evidence: Rc::new(IgnoredEvidence),
+            evidence: Rc::<EvidenceBook>::clone(&evidence),
             table,
             objects,
         };
+        let mover = MoveDriver::start(context.clone(), evidence, Rc::clone(&chart));
         let frontend =
             ServiceFrontend::start(context.clone(), FrontendLimits::default(), &mut registry);
         let operator_api = OperatorApi::new(context.clone(), Rc::new(registry), chart);
@@ -162,6 +165,7 @@
             context,
             fleet,
             frontend,
+            mover,
         };
         println!("{}", serde_json::to_string(&report)?);
         let events = &instance.context.events;
@@ -180,6 +184,7 @@
         events.record("instance_leaving", own.instance.as_str(), "");
         let leaving = FactKey::InstanceLeaving(own.clone());
         self.context.facts.state(leaving, FactValue::Latched, true);
+        drop(self.mover);
         // Clients go on using this instance until their answers lapse.
         actix_rt::time::sleep(longest_validity(&*self.context.config)).await;
         self.service.drain().await;
@@ -187,7 +192,7 @@
         if settled.is_err() {
             log::warn!("stopping with unsettled requests after {SETTLE_TIMEOUT:?}");
         }
-        drop(self.frontend);
+        self.frontend.frontend().stop_loops();
         if !self.fleet.leave(LEAVE_TIMEOUT).await {
             log::warn!(
                 "peers did not acknowledge the rights given to them within {LEAVE_TIMEOUT:?}"
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,6 @@
 //! `Rc`, and the borders between modules are the traits in `border`.
 
 mod backends;
-#[allow(dead_code, reason = "limits and moves are being added")]
 mod border;
 mod claims;
 mod errors;
@@ -17,7 +16,6 @@
 mod fleet;
 mod frontend;
 mod headers;
-#[allow(dead_code, reason = "limits and moves are being added")]
 mod http_server;
 mod instance;
 mod jobs;
@@ -32,8 +30,6 @@
 mod tasks;
 #[doc(hidden)]
 pub mod test_support;
-mod unlimited;
-#[allow(dead_code, reason = "limits and moves are being added")]
 mod upstream;
 
 pub use instance::run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 
 use std::collections::BTreeMap;
 use std::env;
-use std::process::ExitCode;
+use std::panic;
+use std::process::{self, ExitCode};
 
 use tarragonpulley_daemon::{
     EXIT_FAILURE, EXIT_SETTINGS, InstanceSettings, SettingsOutcome, run, start_logging,
@@ -38,7 +39,18 @@
     }
 }
 
+/// Ends the process on a panic. The runtime catches panics of tasks, but a
+/// broken invariant must stop the whole instance.
+fn abort_on_panic() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        report(info);
+        process::abort();
+    }));
+}
+
 fn start(settings: InstanceSettings) -> ExitCode {
+    abort_on_panic();
     let result = start_logging(settings.log_level)
         .map_err(eyre::Report::from)
         .and_then(|()| actix_rt::System::new().block_on(run(settings)));
--- a/crates/daemon/src/mover.rs
+++ b/crates/daemon/src/mover.rs
@@ -8,26 +8,21 @@
 mod driver;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::evidence::{AttemptSample, EvidenceBook as Evidence};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
-use tarragonpulley_policy::ids::{ServiceKey, VersionName};
-use tarragonpulley_policy::movement::{CentreShiftShare, centre_shifts, version_shares};
-use tarragonpulley_policy::units::TrafficShare;
 use tokio::sync::Notify;
 
-use crate::border::{AttemptReport, ConfigSource, EventSink, EvidenceSink, FactBoard};
+use crate::border::{AttemptReport, EventSink, EvidenceSink, FactBoard};
 
-pub(crate) use driver::MoveDriver;
+pub(crate) use driver::{MoveDriver, MoveGuard};
 
-/// The evidence of this instance, and the shares that follow from it.
+/// The evidence of this instance. Routing follows the faults that it states.
 #[derive(Debug)]
 pub(crate) struct EvidenceBook {
     clock: Rc<dyn TimeSource>,
-    config: Rc<dyn ConfigSource>,
     facts: Rc<dyn FactBoard>,
     events: Rc<dyn EventSink>,
     evidence: RefCell<Evidence>,
@@ -39,13 +34,11 @@
     /// Creates an empty book.
     pub(crate) fn new(
         clock: Rc<dyn TimeSource>,
-        config: Rc<dyn ConfigSource>,
         facts: Rc<dyn FactBoard>,
         events: Rc<dyn EventSink>,
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            config,
             facts,
             events,
             evidence: RefCell::new(Evidence::new()),
@@ -53,34 +46,6 @@
         })
     }
 
-    /// The share of a service's traffic that a version gets now. Zero as soon
-    /// as a fault of the version is known here, whatever the table says.
-    pub(crate) fn share_for(&self, service: &ServiceKey, version: &VersionName) -> TrafficShare {
-        let shares = self.version_shares(service);
-        shares.get(version).copied().unwrap_or(TrafficShare::NONE)
-    }
-
-    /// The shares of all versions of a service that get traffic.
-    pub(crate) fn version_shares(
-        &self,
-        service: &ServiceKey,
-    ) -> BTreeMap<VersionName, TrafficShare> {
-        let snapshot = self.config.snapshot();
-        let faulty = |version: &VersionName| self.is_faulty(service, version);
-        version_shares(&snapshot, service, &faulty, self.clock.system())
-    }
-
-    /// The shares of a service's traffic that go to another data centre.
-    pub(crate) fn centre_shifts(&self, service: &ServiceKey) -> Vec<CentreShiftShare> {
-        let snapshot = self.config.snapshot();
-        centre_shifts(&snapshot, service, self.clock.system())
-    }
-
-    fn is_faulty(&self, service: &ServiceKey, version: &VersionName) -> bool {
-        let key = FactKey::VersionFault(service.clone(), version.clone());
-        self.facts.get(&key).is_some() || self.evidence.borrow().fault(service, version).is_some()
-    }
-
     /// Takes over the faults that other instances stated.
     fn import_faults(&self) {
         let stated = self
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -176,6 +176,15 @@
         }
     }
 
+    /// Refuses while the configuration is not proved current. Open routes need
+    /// the proof too: slots and the state of servers come from the fleet.
+    fn check_proof(&self) -> Result<(), RequestError> {
+        match self.context.config.proof() {
+            ProofState::Proved(_) => Ok(()),
+            ProofState::Missing => Err(self.not_ready()),
+        }
+    }
+
     /// Checks what may have changed while the request waited: the proof, the
     /// key and the deadline.
     ///
@@ -193,10 +202,8 @@
 
     /// Checks the proof and the key, also before a recorded answer is given.
     fn check_key_again(&self, request: &RunRequest) -> Result<(), RequestError> {
+        self.check_proof()?;
         if let Some(key) = &request.key {
-            if self.context.config.proof() == ProofState::Missing {
-                return Err(self.not_ready());
-            }
             let snapshot = self.context.config.snapshot();
             let withdrawn = self.context.config.is_withdrawn(key);
             let known = snapshot.keys.get(key);
--- a/crates/daemon/src/pipeline/place.rs
+++ b/crates/daemon/src/pipeline/place.rs
@@ -103,6 +103,7 @@
         request: &RunRequest,
         tried: &[ServerName],
     ) -> Result<Placement, RequestError> {
+        self.check_proof()?;
         if !self.queue.has_waiters(&request.service)
             && let Some(placement) = self.try_place(&request.service, tried)
         {
@@ -194,7 +195,8 @@
             let key = FactKey::VersionFault(service.clone(), Clone::clone(version));
             self.context.facts.get(&key).is_some()
         };
-        steering_plan(&snapshot, service, &plan.version, &has_fault)
+        let now = self.context.clock.system();
+        steering_plan(&snapshot, service, &plan.version, &has_fault, now)
     }
 
     fn order(
--- a/crates/policy/src/movement.rs
+++ b/crates/policy/src/movement.rs
@@ -22,7 +22,8 @@
 pub use decision::{MoveEvidence, SoundVerdict, StepOutcome};
 pub use order::{MAX_CAP, MAX_DEADLINE, MIN_CAP, MIN_DEADLINE, MoveOrder, check_order};
 pub use shares::{
-    CentreShiftShare, active_moves, centre_shifts, leading_move, settled_version, version_shares,
+    CentreShiftShare, VersionSplit, active_moves, centre_shifts, leading_move, settled_version,
+    version_shares, version_split,
 };
 pub use steps::{MIN_STEP_REQUESTS, MIN_STEP_TIME, SETTLE_TIME, TAKE_BACK_TIME, required_proof};
 
--- a/crates/policy/src/movement/shares.rs
+++ b/crates/policy/src/movement/shares.rs
@@ -90,42 +90,67 @@
     })
 }
 
-/// The share of each version of a service at `now`. A version for which
-/// `faulty` holds gets nothing while another one is known.
+/// The versions that the requests of a service go to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionSplit {
+    /// The version of requests that stay.
+    pub stay: VersionName,
+    /// The version of requests that move, with their share.
+    pub moved: Option<(VersionName, TrafficShare)>,
+}
+
+/// The versions of a service at `now`. A version for which `faulty` holds gets
+/// nothing while another one is known. `None` when the contract does not name
+/// the service.
 #[must_use]
-pub fn version_shares(
+pub fn version_split(
     snapshot: &ConfigSnapshot,
     service: &ServiceKey,
     faulty: &dyn Fn(&VersionName) -> bool,
     now: SystemTime,
-) -> BTreeMap<VersionName, TrafficShare> {
-    let Some(mut settled) = settled_version(snapshot, service) else {
-        return BTreeMap::new();
-    };
+) -> Option<VersionSplit> {
+    let mut stay = settled_version(snapshot, service)?;
     // A fault found after completion returns the traffic to the version before.
     for record in completed_of(snapshot, service).into_iter().rev() {
         if let MoveKind::Rollout { from, to, .. } = &record.kind
-            && *to == settled
+            && *to == stay
             && faulty(to)
             && !faulty(from)
             && has_servers(snapshot, service, from)
         {
-            settled = from.clone();
+            stay = from.clone();
         }
     }
-    let mut shares = BTreeMap::new();
-    let mut moved = TrafficShare::NONE;
+    let mut moved = None;
     if let Some((_, record)) = leading_move(snapshot, service)
         && let MoveKind::Rollout { to, .. } = &record.kind
-        && *to != settled
+        && *to != stay
         && !faulty(to)
     {
-        moved = share_at(record, now);
-        shares.insert(to.clone(), moved);
+        moved = Some((to.clone(), share_at(record, now)));
     }
-    let rest = TrafficShare::ALL.ppm() - moved.ppm();
-    shares.insert(settled, TrafficShare::from_ppm(rest));
-    shares
+    Some(VersionSplit { stay, moved })
+}
+
+/// The share of each version of a service at `now`.
+#[must_use]
+pub fn version_shares(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceKey,
+    faulty: &dyn Fn(&VersionName) -> bool,
+    now: SystemTime,
+) -> BTreeMap<VersionName, TrafficShare> {
+    let Some(split) = version_split(snapshot, service, faulty, now) else {
+        return BTreeMap::new();
+    };
+    let moved = split.moved.as_ref();
+    let moved_ppm = moved.map_or(0, |(_, share)| share.ppm());
+    let rest = TrafficShare::from_ppm(TrafficShare::ALL.ppm() - moved_ppm);
+    split
+        .moved
+        .into_iter()
+        .chain([(split.stay, rest)])
+        .collect()
 }
 
 /// The share of a data centre's traffic that goes to another one.
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -1,10 +1,12 @@
 //! The share of requests that go to the target of a move.
 
 use std::collections::BTreeMap;
+use std::time::SystemTime;
 
 use crate::contract::ServerPlan;
 use crate::ids::{CentreName, MoveName, ServiceKey, VersionName};
-use crate::snapshot::{ConfigSnapshot, MoveKind, MoveRecord};
+use crate::movement::{VersionSplit, centre_shifts, leading_move, version_split};
+use crate::snapshot::ConfigSnapshot;
 use crate::units::TrafficShare;
 
 /// Whether a request goes to the target of the move under way.
@@ -35,6 +37,18 @@
 pub type MoveStep = (MoveName, u64);
 
 impl SteeringPlan {
+    /// Applies a move with a share. A share of the whole traffic needs no turns.
+    fn follow(&mut self, share: TrafficShare, apply: &mut dyn FnMut(&mut Self, bool)) {
+        if share == TrafficShare::NONE {
+            return;
+        }
+        let whole = share == TrafficShare::ALL;
+        apply(self, whole);
+        if !whole {
+            self.share = share;
+        }
+    }
+
     /// The step under way, if part of the traffic moves.
     #[must_use]
     pub const fn step(&self) -> Option<&MoveStep> {
@@ -69,65 +83,53 @@
     }
 }
 
-/// Reads the moves of a service. `base` is the version of the contract.
-/// `has_fault` tells versions with a latched fault, which get no requests.
+/// Reads the moves of a service at `now`. `base` is the version of the
+/// contract. `has_fault` tells versions with a latched fault, which get no
+/// requests.
 ///
-/// Moves of all the traffic hold for good and add up. Of the moves of a part,
-/// the first in name order is followed and the others wait.
+/// Completed moves hold for good and add up. Of the moves under way, the
+/// leading one is followed.
 #[must_use]
 pub fn steering_plan(
     snapshot: &ConfigSnapshot,
     service: &ServiceKey,
     base: &VersionName,
     has_fault: &dyn Fn(&VersionName) -> bool,
+    now: SystemTime,
 ) -> SteeringPlan {
-    let mut plan = SteeringPlan {
+    let split = version_split(snapshot, service, has_fault, now).unwrap_or(VersionSplit {
         stay: base.clone(),
-        moved: base.clone(),
+        moved: None,
+    });
+    let mut plan = SteeringPlan {
+        moved: split.stay.clone(),
+        stay: split.stay,
         shift: None,
         closed: BTreeMap::new(),
         step: None,
         share: TrafficShare::NONE,
     };
-    let of_service = |record: &&MoveRecord| match &record.kind {
-        MoveKind::Rollout { service: of, .. } | MoveKind::CentreShift { service: of, .. } => {
-            of == service
-        }
-    };
-    let moves = || {
-        snapshot
-            .moves
-            .iter()
-            .filter(|(_, record)| of_service(record))
-    };
-    let whole = moves().filter(|(_, record)| record.share == TrafficShare::ALL);
-    for (_, record) in whole {
-        match &record.kind {
-            MoveKind::Rollout { from, to, .. } if *from == plan.stay && !has_fault(to) => {
-                plan.stay = to.clone();
+    if let Some((version, share)) = split.moved {
+        plan.follow(share, &mut |plan, whole| {
+            plan.moved.clone_from(&version);
+            if whole {
+                plan.stay.clone_from(&version);
             }
-            MoveKind::CentreShift { from, to, .. } if from != to => {
-                plan.closed.insert(from.clone(), to.clone());
-            }
-            _ => {}
-        }
+        });
     }
-    plan.moved = plan.stay.clone();
-    let part =
-        |record: &MoveRecord| record.share > TrafficShare::NONE && record.share < TrafficShare::ALL;
-    for (name, record) in moves().filter(|(_, record)| part(record)) {
-        match &record.kind {
-            MoveKind::Rollout { from, to, .. } if *from == plan.stay && !has_fault(to) => {
-                plan.moved = to.clone();
+    for shift in centre_shifts(snapshot, service, now) {
+        let ends = (shift.from, shift.to);
+        plan.follow(shift.share, &mut |plan, whole| {
+            if whole {
+                plan.closed.insert(ends.0.clone(), ends.1.clone());
+            } else {
+                plan.shift = Some(ends.clone());
             }
-            MoveKind::CentreShift { from, to, .. } if from != to => {
-                plan.shift = Some((from.clone(), to.clone()));
-            }
-            _ => continue,
-        }
-        plan.step = Some((name.clone(), record.epoch));
-        plan.share = record.share;
-        break;
+        });
+    }
+    if plan.share > TrafficShare::NONE {
+        let leading = leading_move(snapshot, service);
+        plan.step = leading.map(|(name, record)| (name.clone(), record.epoch));
     }
     plan
 }
