Look for a slot as soon as one arrives from a peer

Cause: FleetCore::request_slots waited until every limit it asked for (three servers and their regions) had a free slot, or for its whole 150 ms. The waiting request was woken only then, so that its 375 ms ended after two or three looks although a slot had arrived within milliseconds.

Ruled out: too few slots (24 slots, under two used on average) and a lost wake-up in the queue (a released slot wakes a waiter of the same instance, but a slot of a peer arrives without one).

One slot is enough for the next request, so the first arrival now ends the wait.

--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -69,19 +69,15 @@
 
     fn request_slots(&self, limits: Vec<LimitKey>, deadline: Instant) -> LocalBoxFuture<'_, ()> {
         async move {
-            let free = |core: &Self| {
-                let rights = core.rights.borrow();
-                limits
-                    .iter()
-                    .all(|limit| rights.ledger.free_slots(limit) > 0)
-            };
-            while !free(self) && self.now() < deadline {
-                for limit in &limits {
-                    self.ask_if_short(limit);
-                }
-                let left = deadline.saturating_duration_since(self.now());
-                self.wait_at_most(left.min(ASK_DEADLINE), free).await;
+            // One slot is enough for the next request, so the first arrival
+            // ends the wait.
+            let seen = self.arrivals.get();
+            for limit in &limits {
+                self.ask_if_short(limit);
             }
+            let left = deadline.saturating_duration_since(self.now());
+            let arrived = |core: &Self| core.arrivals.get() != seen;
+            self.wait_at_most(left.min(ASK_DEADLINE), arrived).await;
         }
         .boxed_local()
     }
