Try a cancel again after a lost race and pass a withdrawal on at once

A driver may write a step of the move at the same time; the cancel then uses the record that won. A withdrawal that is committed or may be committed is stated to the other instances without waiting for its row.

--- a/crates/daemon/src/operator/changes.rs
+++ b/crates/daemon/src/operator/changes.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use actix_http::StatusCode;
+use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
 use tarragonpulley_wire::operator::{
@@ -46,17 +47,38 @@
     pub(super) async fn withdraw(&self, request: WithdrawRequest) -> ApiResult {
         let digest = KeyDigest::try_from(request).map_err(|e| invalid(&e))?;
         let edit = ConfigEdit::WithdrawKey(digest);
-        self.change(edit, "operator_withdraw", digest.to_string())
-            .await
+        let outcome = self
+            .perform(edit, "operator_withdraw", &digest.to_string())
+            .await;
+        if matches!(
+            outcome,
+            ChangeOutcome::Accepted(_) | ChangeOutcome::Unknown(_)
+        ) {
+            // In force at once on all instances; a withdrawal that may be in
+            // the table must not wait until its row is read.
+            let key = FactKey::KeyWithdrawn(digest);
+            self.context.facts.state(key, FactValue::Latched, true);
+        }
+        answer(outcome)
     }
 
-    /// Makes a change and records its outcome on the time line.
+    /// Makes a change, records it and answers.
     pub(super) async fn change(
         &self,
         edit: ConfigEdit,
         kind: &'static str,
         subject: String,
     ) -> ApiResult {
+        answer(self.perform(edit, kind, &subject).await)
+    }
+
+    /// Makes a change and records its outcome on the time line.
+    pub(super) async fn perform(
+        &self,
+        edit: ConfigEdit,
+        kind: &'static str,
+        subject: &str,
+    ) -> ChangeOutcome {
         let config = Rc::clone(&self.context.config);
         // A task of its own: the change goes on when the operator disconnects.
         let task = actix_rt::spawn(async move { config.change(edit).await });
@@ -64,8 +86,8 @@
             ChangeOutcome::Unknown(format!("the change was interrupted: {error}"))
         });
         let detail = describe(&outcome);
-        self.context.events.record(kind, &subject, &detail);
-        answer(outcome)
+        self.context.events.record(kind, subject, &detail);
+        outcome
     }
 }
 
@@ -87,7 +109,7 @@
     }
 }
 
-fn answer(outcome: ChangeOutcome) -> ApiResult {
+pub(super) fn answer(outcome: ChangeOutcome) -> ApiResult {
     Err(match outcome {
         ChangeOutcome::Accepted(revision) => {
             let answer = ChangeAnswer {
--- a/crates/daemon/src/operator/moves.rs
+++ b/crates/daemon/src/operator/moves.rs
@@ -1,18 +1,26 @@
 //! Calls that start and end drains and moves.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::MoveName;
 use tarragonpulley_policy::movement::{
     MoveEvidence, MoveOrder, SoundVerdict, StepOutcome, check_order,
 };
-use tarragonpulley_policy::snapshot::{ConfigSnapshot, DrainTarget, MoveKind};
-use tarragonpulley_wire::operator::{DrainRequest, ErrorKind, MoveRequest};
+use tarragonpulley_policy::snapshot::{ConfigSnapshot, DrainTarget, MoveKind, MoveRecord};
+use tarragonpulley_wire::operator::{DrainRequest, ErrorAnswer, ErrorKind, MoveRequest};
 
-use super::changes::invalid;
+use super::changes::{answer, invalid};
 use super::{ApiResult, OperatorApi, error, refused};
-use crate::border::{ConfigEdit, MemberView};
+use crate::border::{ChangeOutcome, ConfigEdit, MemberView};
+
+/// Writes of a cancel that may lose against a driver's step.
+const CANCEL_TRIES: u32 = 3;
+/// A written record is known everywhere after a heartbeat of 500 ms; these
+/// looks cover two of them.
+const CHANGE_LOOKS: u32 = 20;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(50);
 
 impl OperatorApi {
     pub(super) async fn start_drain(&self, request: DrainRequest) -> ApiResult {
@@ -75,18 +83,37 @@
         ))
     }
 
+    /// Cancels a move. A driver may write a step at the same time, so a lost
+    /// race is tried again with the record that won it.
     pub(super) async fn cancel_move(&self, name: &str) -> ApiResult {
         let absent = || error(ErrorKind::NotFound, format!("there is no move {name:?}"));
         let name: MoveName = name.parse().map_err(|_error| absent())?;
-        let snapshot = self.context.config.snapshot();
-        let record = snapshot.moves.get(&name).ok_or_else(absent)?;
+        let mut tries = 1;
+        loop {
+            let snapshot = self.context.config.snapshot();
+            let record = snapshot.moves.get(&name).ok_or_else(absent)?;
+            let outcome = self.try_cancel(&name, record).await?;
+            if !matches!(outcome, ChangeOutcome::Conflict(_)) || tries == CANCEL_TRIES {
+                return answer(outcome);
+            }
+            tries += 1;
+            self.wait_for_change(&name, record.epoch).await;
+        }
+    }
+
+    async fn try_cancel(
+        &self,
+        name: &MoveName,
+        record: &MoveRecord,
+    ) -> Result<ChangeOutcome, ErrorAnswer> {
         let evidence = MoveEvidence {
             verdict: SoundVerdict::Unproved,
             requests: 0,
             cancelled: Some("by an operator".to_owned()),
         };
         let now = self.context.clock.system();
-        let StepOutcome::Write(next) = self.chart.next_step(record, &evidence, now) else {
+        let step = self.chart.next_step(record, &evidence, now);
+        let StepOutcome::Write(next) = step else {
             let state = &record.state;
             return Err(refused(vec![format!(
                 "name: move {name} is already {state}"
@@ -97,8 +124,19 @@
             epoch: record.epoch,
             record: *next,
         };
-        self.change(edit, "operator_move_cancel", name.to_string())
-            .await
+        let subject = name.to_string();
+        Ok(self.perform(edit, "operator_move_cancel", &subject).await)
+    }
+
+    /// Waits until the record of a move is past `epoch`, or gives up.
+    async fn wait_for_change(&self, name: &MoveName, epoch: u64) {
+        for _ in 0..CHANGE_LOOKS {
+            let snapshot = self.context.config.snapshot();
+            if snapshot.moves.get(name).is_none_or(|m| m.epoch != epoch) {
+                return;
+            }
+            actix_rt::time::sleep(CHANGE_INTERVAL).await;
+        }
     }
 }
 
--- a/crates/daemon/tests/operator.rs
+++ b/crates/daemon/tests/operator.rs
@@ -218,6 +218,38 @@
     );
 }
 
+// Guards against a cancel that gives up because a driver wrote a step at the
+// same time, and against one that never gives up.
+#[parameterized(once = { 1, 200 }, always = { 9, 409 })]
+fn a_cancel_that_loses_a_race_is_tried_again(races: usize, expected: u16) {
+    let instance = with_two_versions();
+    let body = order("up", "5%", "30s");
+    assert_eq!(call(&instance, "POST", "/v1/moves", &body).0, 200);
+    let conflict = ChangeOutcome::Conflict(ConfigRevision::new(9));
+    let script = vec![conflict; races];
+    instance.config.script.borrow_mut().extend(script);
+    assert_eq!(
+        call(&instance, "DELETE", "/v1/moves/up", &Value::Null).0,
+        expected
+    );
+}
+
+// Guards against a withdrawal that waits for the table although it may have
+// been written, and against one that is passed on although nothing changed.
+#[parameterized(
+    accepted = { ChangeOutcome::Accepted(ConfigRevision::new(9)), true },
+    unknown = { ChangeOutcome::Unknown("lost".to_owned()), true },
+    unavailable = { ChangeOutcome::Unavailable("down".to_owned()), false },
+)]
+fn a_withdrawal_is_passed_on_at_once(outcome: ChangeOutcome, passed_on: bool) {
+    let instance = with_contract();
+    instance.config.script.borrow_mut().push_back(outcome);
+    call(&instance, "POST", "/v1/keys/withdraw", &json!({"key": KEY}));
+    let digest = tarragonpulley_policy::snapshot::KeyDigest::of_key(KEY);
+    let fact = instance.context.facts.get(&FactKey::KeyWithdrawn(digest));
+    assert_eq!(fact.is_some(), passed_on);
+}
+
 // Guards against a new rollout of a version whose fault is known: its share
 // would be zero, and the move could only go back.
 #[test]
