--- a/crates/daemon/src/mover.rs
+++ b/crates/daemon/src/mover.rs
@@ -5,22 +5,23 @@
 //! to the other instances; then the driver writes the move's record. Steps are
 //! conditional writes, so any instance may try them and losing a race is normal.
 
+mod cache;
 mod driver;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::evidence::{AttemptSample, EvidenceBook as Evidence};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::{ServiceKey, VersionName};
-use tarragonpulley_policy::movement::{CentreShiftShare, centre_shifts, version_shares};
+use tarragonpulley_policy::movement::{CentreShiftShare, centre_shifts};
 use tarragonpulley_policy::units::TrafficShare;
 use tokio::sync::Notify;
 
 use crate::border::{AttemptReport, ConfigSource, EventSink, EvidenceSink, FactBoard};
 
+use cache::{ShareCache, VersionShares};
 pub(crate) use driver::MoveDriver;
 
 /// The evidence of this instance, and the shares that follow from it.
@@ -31,6 +32,7 @@
     facts: Rc<dyn FactBoard>,
     events: Rc<dyn EventSink>,
     evidence: RefCell<Evidence>,
+    cache: ShareCache,
     /// Wakes the driver when a fault is found.
     found: Notify,
 }
@@ -49,6 +51,7 @@
             facts,
             events,
             evidence: RefCell::new(Evidence::new()),
+            cache: ShareCache::default(),
             found: Notify::new(),
         })
     }
@@ -61,13 +64,11 @@
     }
 
     /// The shares of all versions of a service that get traffic.
-    pub(crate) fn version_shares(
-        &self,
-        service: &ServiceKey,
-    ) -> BTreeMap<VersionName, TrafficShare> {
+    pub(crate) fn version_shares(&self, service: &ServiceKey) -> Rc<VersionShares> {
         let snapshot = self.config.snapshot();
         let faulty = |version: &VersionName| self.is_faulty(service, version);
-        version_shares(&snapshot, service, &faulty, self.clock.system())
+        let now = self.clock.system();
+        self.cache.shares(&snapshot, service, &faulty, now)
     }
 
     /// The shares of a service's traffic that go to another data centre.
--- a/crates/daemon/tests/mover.rs
+++ b/crates/daemon/tests/mover.rs
@@ -202,6 +202,27 @@
     assert_eq!(fixture.record().reason, "fault: peer");
 }
 
+// Guards against a share that stays after the deadline because the table
+// cannot be written or because it was computed before.
+#[test]
+fn the_deadline_ends_a_share_without_the_table() {
+    let mut fixture = Fixture::new();
+    fixture.run(3, false);
+    assert!(fixture.share() > TrafficShare::NONE);
+    let down = ChangeOutcome::Unavailable("down".to_owned());
+    let script = &fixture.instance.config.script;
+    script.borrow_mut().extend(vec![down; 1000]);
+    fixture.run(26, false);
+    assert!(fixture.share() > TrafficShare::NONE, "one second is left");
+    fixture.run(1, false);
+    assert_eq!(fixture.share(), TrafficShare::NONE);
+    assert_eq!(
+        fixture.record().state,
+        "shifting",
+        "the table does not know"
+    );
+}
+
 // Guards against a lost race that stops the driver, or that makes it write
 // again and again.
 #[test]
