--- a/crates/daemon/src/mover.rs
+++ b/crates/daemon/src/mover.rs
@@ -71,10 +71,12 @@
         self.cache.shares(&snapshot, service, &faulty, now)
     }
 
-    /// The shares of a service's traffic that go to another data centre.
+    /// The shares of a service's traffic that go to another data centre. None
+    /// for the shift under way as soon as this instance knows that it does harm.
     pub(crate) fn centre_shifts(&self, service: &ServiceKey) -> Vec<CentreShiftShare> {
         let snapshot = self.config.snapshot();
-        centre_shifts(&snapshot, service, self.clock.system())
+        let faulty = self.evidence.borrow().shift_fault(service).is_some();
+        centre_shifts(&snapshot, service, faulty, self.clock.system())
     }
 
     fn is_faulty(&self, service: &ServiceKey, version: &VersionName) -> bool {
--- a/crates/daemon/tests/mover.rs
+++ b/crates/daemon/tests/mover.rs
@@ -245,6 +245,69 @@
     assert_eq!(fixture.record().state, "shifting");
 }
 
+/// Turns the ordered rollout into a shift between data centres.
+fn with_shift() -> Fixture {
+    let fixture = Fixture::new();
+    let mut snapshot = fixture.instance.config.snapshot.borrow_mut();
+    let record = snapshot.moves.get_mut(&fixture.name).expect("ordered");
+    record.kind = MoveKind::CentreShift {
+        service: fixture.service.clone(),
+        from: "tainan-a".parse().expect("valid"),
+        to: "taipei-a".parse().expect("valid"),
+    };
+    drop(snapshot);
+    fixture
+}
+
+// Guards against a shift that is not driven, or whose share is not given to
+// routing.
+#[test]
+fn a_good_shift_completes() {
+    let mut fixture = with_shift();
+    fixture.run(27, false);
+    assert_eq!(
+        fixture.record().state,
+        "completed",
+        "{:?}",
+        fixture.record()
+    );
+    let shifts = fixture.book.centre_shifts(&fixture.service);
+    assert_eq!(shifts.len(), 1);
+    assert_eq!(shifts[0].share, TrafficShare::ALL);
+    assert_eq!(shifts[0].to.as_str(), "taipei-a");
+}
+
+// Guards against a harmful shift that goes on, or that latches the version,
+// which would stop it in every data centre.
+#[test]
+fn a_harmful_shift_is_taken_back() {
+    let mut fixture = with_shift();
+    fixture.run(4, false);
+    assert!(!fixture.book.centre_shifts(&fixture.service).is_empty());
+    for index in 0..200_u64 {
+        fixture.book.note(&AttemptReport {
+            service: fixture.service.clone(),
+            version: fixture.old.clone(),
+            route: "/fits".to_owned(),
+            failed: index.is_multiple_of(3),
+            latency: Duration::from_millis(8),
+        });
+    }
+    assert!(
+        fixture.book.centre_shifts(&fixture.service).is_empty(),
+        "before the write"
+    );
+    fixture.look();
+    assert_eq!(fixture.record().state, "taking_back");
+    assert!(fixture.book.centre_shifts(&fixture.service).is_empty());
+    assert_eq!(
+        fixture.book.share_for(&fixture.service, &fixture.old),
+        TrafficShare::ALL
+    );
+    let key = FactKey::VersionFault(fixture.service.clone(), fixture.old.clone());
+    assert!(fixture.instance.context.facts.get(&key).is_none());
+}
+
 // Guards against two moves of a service that both stay in force.
 #[test]
 fn a_second_move_is_taken_back() {
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -189,6 +189,14 @@
         self.latches.get(&key).map(String::as_str)
     }
 
+    /// Why a shift between data centres of a service does harm, if it does.
+    #[must_use]
+    pub fn shift_fault(&self, service: &ServiceKey) -> Option<&str> {
+        let watch = self.services.get(service)?.watch.as_ref()?;
+        let is_shift = watch.source == ComparisonSource::Before;
+        watch.judge.fault().filter(|_| is_shift)
+    }
+
     /// What is known about the judged version of a service, for a step that
     /// needs proof of this level.
     #[must_use]
--- a/crates/policy/src/movement/shares.rs
+++ b/crates/policy/src/movement/shares.rs
@@ -140,14 +140,17 @@
 }
 
 /// The shifts of a service at `now`, completed ones included. A shift back
-/// ends the shift that it reverses.
+/// ends the shift that it reverses. With `faulty`, the shift under way showed
+/// a fault and moves nothing.
 #[must_use]
 pub fn centre_shifts(
     snapshot: &ConfigSnapshot,
     service: &ServiceKey,
+    faulty: bool,
     now: SystemTime,
 ) -> Vec<CentreShiftShare> {
-    let active = leading_move(snapshot, service).map(|(_, record)| record);
+    let active = leading_move(snapshot, service).filter(|_| !faulty);
+    let active = active.map(|(_, record)| record);
     let mut shifts: Vec<CentreShiftShare> = Vec::new();
     for record in completed_of(snapshot, service).into_iter().chain(active) {
         let MoveKind::CentreShift { from, to, .. } = &record.kind else {
--- a/crates/policy/tests/movement.rs
+++ b/crates/policy/tests/movement.rs
@@ -400,11 +400,11 @@
     let there = ended(shift("tainan-a", "taipei-a"), "completed", 1);
     let back = ended(shift("taipei-a", "tainan-a"), "completed", 2);
     let now = start() + Duration::from_mins(1);
-    let shifts = centre_shifts(&with_moves(vec![there.clone()]), &service(), now);
+    let shifts = centre_shifts(&with_moves(vec![there.clone()]), &service(), false, now);
     assert_eq!(shifts.len(), 1);
     assert_eq!(shifts[0].share, TrafficShare::ALL);
     let both = with_moves(vec![there, back]);
-    assert!(centre_shifts(&both, &service(), now).is_empty());
+    assert!(centre_shifts(&both, &service(), false, now).is_empty());
 }
 
 // Guards against an order with a reference or bound that only fails once the
