--- a/crates/daemon/src/border.rs
+++ b/crates/daemon/src/border.rs
@@ -176,6 +176,10 @@
 pub(crate) trait EvidenceSink: Debug {
     /// Notes one attempt on a backend server.
     fn note(&self, attempt: &AttemptReport);
+
+    /// Whether this instance found that the shift between data centres that
+    /// is under way for a service does harm.
+    fn is_shift_harmful(&self, service: &ServiceKey) -> bool;
 }
 
 /// How an attempt on a backend server ended.
--- a/crates/daemon/src/mover.rs
+++ b/crates/daemon/src/mover.rs
@@ -13,6 +13,7 @@
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::evidence::{AttemptSample, EvidenceBook as Evidence};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
+use tarragonpulley_policy::ids::ServiceKey;
 use tokio::sync::Notify;
 
 use crate::border::{AttemptReport, EventSink, EvidenceSink, FactBoard};
@@ -65,6 +66,10 @@
 }
 
 impl EvidenceSink for EvidenceBook {
+    fn is_shift_harmful(&self, service: &ServiceKey) -> bool {
+        self.evidence.borrow().shift_fault(service).is_some()
+    }
+
     fn note(&self, attempt: &AttemptReport) {
         let sample = AttemptSample {
             service: &attempt.service,
--- a/crates/daemon/src/pipeline/place.rs
+++ b/crates/daemon/src/pipeline/place.rs
@@ -196,7 +196,15 @@
             self.context.facts.get(&key).is_some()
         };
         let now = self.context.clock.system();
-        steering_plan(&snapshot, service, &plan.version, &has_fault, now)
+        let shift_fault = self.context.evidence.is_shift_harmful(service);
+        steering_plan(
+            &snapshot,
+            service,
+            &plan.version,
+            &has_fault,
+            shift_fault,
+            now,
+        )
     }
 
     fn order(
--- a/crates/daemon/tests/fakes/mod.rs
+++ b/crates/daemon/tests/fakes/mod.rs
@@ -15,7 +15,7 @@
 use tarragonpulley_policy::clock::ManualClock;
 use tarragonpulley_policy::contract::CustomerContract;
 use tarragonpulley_policy::facts::{FactKey, FactStore, FactValue};
-use tarragonpulley_policy::ids::LimitKey;
+use tarragonpulley_policy::ids::{LimitKey, ServiceKey};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
 use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
 use tarragonpulley_policy::units::ConfigRevision;
@@ -158,6 +158,10 @@
 
 impl EvidenceSink for FakeRest {
     fn note(&self, _attempt: &AttemptReport) {}
+
+    fn is_shift_harmful(&self, _service: &ServiceKey) -> bool {
+        false
+    }
 }
 
 impl RightsSource for FakeRest {
--- a/crates/daemon/tests/mover.rs
+++ b/crates/daemon/tests/mover.rs
@@ -18,7 +18,9 @@
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::{MoveName, ServiceKey, VersionName};
-use tarragonpulley_policy::movement::{MoveOrder, MovementChart, check_order, version_shares};
+use tarragonpulley_policy::movement::{
+    CentreShiftShare, MoveOrder, MovementChart, centre_shifts, check_order, version_shares,
+};
 use tarragonpulley_policy::snapshot::{MoveKind, MoveRecord};
 use tarragonpulley_policy::units::{ConfigRevision, TrafficShare};
 
@@ -94,6 +96,18 @@
         self.share_of(&self.new)
     }
 
+    /// The shifts that routing follows.
+    fn shifts(&self) -> Vec<CentreShiftShare> {
+        let snapshot = self.instance.config.snapshot.borrow();
+        let harmful = self.book.is_shift_harmful(&self.service);
+        centre_shifts(
+            &snapshot,
+            &self.service,
+            harmful,
+            self.instance.clock.system(),
+        )
+    }
+
     /// The share that routing gives a version, which follows the facts.
     fn share_of(&self, version: &VersionName) -> TrafficShare {
         let snapshot = self.instance.config.snapshot.borrow();
@@ -211,6 +225,27 @@
     assert_eq!(fixture.record().reason, "fault: peer");
 }
 
+// Guards against a share that stays after the deadline because the table
+// cannot be written or because it was computed before.
+#[test]
+fn the_deadline_ends_a_share_without_the_table() {
+    let mut fixture = Fixture::new();
+    fixture.run(3, false);
+    assert!(fixture.share() > TrafficShare::NONE);
+    let down = ChangeOutcome::Unavailable("down".to_owned());
+    let script = &fixture.instance.config.script;
+    script.borrow_mut().extend(vec![down; 1000]);
+    fixture.run(26, false);
+    assert!(fixture.share() > TrafficShare::NONE, "one second is left");
+    fixture.run(1, false);
+    assert_eq!(fixture.share(), TrafficShare::NONE);
+    assert_eq!(
+        fixture.record().state,
+        "shifting",
+        "the table does not know"
+    );
+}
+
 // Guards against a lost race that stops the driver, or that makes it write
 // again and again.
 #[test]
@@ -233,6 +268,63 @@
     assert_eq!(fixture.record().state, "shifting");
 }
 
+/// Turns the ordered rollout into a shift between data centres.
+fn with_shift() -> Fixture {
+    let fixture = Fixture::new();
+    let mut snapshot = fixture.instance.config.snapshot.borrow_mut();
+    let record = snapshot.moves.get_mut(&fixture.name).expect("ordered");
+    record.kind = MoveKind::CentreShift {
+        service: fixture.service.clone(),
+        from: "tainan-a".parse().expect("valid"),
+        to: "taipei-a".parse().expect("valid"),
+    };
+    drop(snapshot);
+    fixture
+}
+
+// Guards against a shift that is not driven, or whose share is not given to
+// routing.
+#[test]
+fn a_good_shift_completes() {
+    let mut fixture = with_shift();
+    fixture.run(27, false);
+    assert_eq!(
+        fixture.record().state,
+        "completed",
+        "{:?}",
+        fixture.record()
+    );
+    let shifts = fixture.shifts();
+    assert_eq!(shifts.len(), 1);
+    assert_eq!(shifts[0].share, TrafficShare::ALL);
+    assert_eq!(shifts[0].to.as_str(), "taipei-a");
+}
+
+// Guards against a harmful shift that goes on, or that latches the version,
+// which would stop it in every data centre.
+#[test]
+fn a_harmful_shift_is_taken_back() {
+    let mut fixture = with_shift();
+    fixture.run(4, false);
+    assert!(!fixture.shifts().is_empty());
+    for index in 0..200_u64 {
+        fixture.book.note(&AttemptReport {
+            service: fixture.service.clone(),
+            version: fixture.old.clone(),
+            route: "/fits".to_owned(),
+            failed: index.is_multiple_of(3),
+            latency: Duration::from_millis(8),
+        });
+    }
+    assert!(fixture.shifts().is_empty(), "before the write");
+    fixture.look();
+    assert_eq!(fixture.record().state, "taking_back");
+    assert!(fixture.shifts().is_empty());
+    assert_eq!(fixture.share_of(&fixture.old), TrafficShare::ALL);
+    let key = FactKey::VersionFault(fixture.service.clone(), fixture.old.clone());
+    assert!(fixture.instance.context.facts.get(&key).is_none());
+}
+
 // Guards against two moves of a service that both stay in force.
 #[test]
 fn a_second_move_is_taken_back() {
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -85,7 +85,7 @@
 
 /// Reads the moves of a service at `now`. `base` is the version of the
 /// contract. `has_fault` tells versions with a latched fault, which get no
-/// requests.
+/// requests; with `shift_fault`, a shift under way gets none.
 ///
 /// Completed moves hold for good and add up. Of the moves under way, the
 /// leading one is followed.
@@ -95,6 +95,7 @@
     service: &ServiceKey,
     base: &VersionName,
     has_fault: &dyn Fn(&VersionName) -> bool,
+    shift_fault: bool,
     now: SystemTime,
 ) -> SteeringPlan {
     let split = version_split(snapshot, service, has_fault, now).unwrap_or(VersionSplit {
@@ -117,7 +118,7 @@
             }
         });
     }
-    for shift in centre_shifts(snapshot, service, now) {
+    for shift in centre_shifts(snapshot, service, shift_fault, now) {
         let ends = (shift.from, shift.to);
         plan.follow(shift.share, &mut |plan, whole| {
             if whole {
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -81,6 +81,7 @@
         &service,
         &base,
         &|_| fault,
+        fault,
         SystemTime::UNIX_EPOCH,
     )
 }
