Keep no flow beyond the estimated demand

Cause: busy holders kept a quarter more than their demand, so that at 70 to 80 % load the needs of all exceeded the limit and asks found nothing. Room for a few tokens and an equal part of the surplus remain as headroom.

--- a/crates/policy/src/rights/sparing.rs
+++ b/crates/policy/src/rights/sparing.rs
@@ -40,14 +40,15 @@
     }
 }
 
-/// Shares that serve a demand in thousandths of a request a second: the demand
-/// and a quarter more, and room for a few tokens.
+/// Shares that serve a demand in thousandths of a request a second, with room
+/// for a few tokens. A quarter more flow as headroom doubled the wrongful
+/// refusals in `limit_candidates`: holders then keep what others lack.
 pub(crate) fn rate_need(demand: u64, rate: RequestRate, burst: BurstSize) -> u64 {
     if demand < IDLE_DEMAND {
         return 0;
     }
     let whole = u128::from(rate.get().max(1)) * 1000;
-    let flow = u128::from(demand) * u128::from(TOTAL_SHARES) * 5 / 4 / whole;
+    let flow = u128::from(demand) * u128::from(TOTAL_SHARES) / whole;
     let flow = u64::try_from(flow).unwrap_or(TOTAL_SHARES);
     let token = token_share(burst);
     let room = token.max((3 * token).min(TOTAL_SHARES / 48));
