--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -23,6 +23,7 @@
 mod rights_state;
 mod serve;
 mod sync;
+mod watch;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/daemon/src/fleet/reclaim.rs
+++ b/crates/daemon/src/fleet/reclaim.rs
@@ -23,6 +23,7 @@
 use super::core::FleetCore;
 use super::peering::{PeerError, refused};
 use super::sync::SyncError;
+use super::watch::StateWatch;
 
 /// Time between two looks at the record and at the demand of peers.
 const KEEPER_INTERVAL: Duration = Duration::from_millis(500);
@@ -61,7 +62,9 @@
 /// Keeps the rights record for as long as the instance runs.
 pub(super) async fn keep_rights(core: Rc<FleetCore>) {
     let mut due_since: Option<Instant> = None;
+    let mut watch = StateWatch::default();
     loop {
+        watch.look(&core);
         core.rebalance_rights();
         let wait = core
             .now()
--- /dev/null
+++ b/crates/daemon/src/fleet/watch.rs
@@ -0,0 +1,76 @@
+//! Events of proofs and peers for the time line.
+
+use std::collections::BTreeMap;
+
+use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
+use tarragonpulley_policy::membership::MemberState;
+
+use super::core::FleetCore;
+
+/// How a peer was seen last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct SeenPeer {
+    incarnation: Option<IncarnationId>,
+    state: MemberState,
+    answering: bool,
+}
+
+/// What was seen last, so that only changes become events.
+#[derive(Debug, Default)]
+pub(super) struct StateWatch {
+    proved: bool,
+    peers: BTreeMap<InstanceName, SeenPeer>,
+}
+
+impl StateWatch {
+    /// Records an event for each change since the last call.
+    pub(super) fn look(&mut self, core: &FleetCore) {
+        let proved = core.proof_age().is_some();
+        if std::mem::replace(&mut self.proved, proved) != proved {
+            let kind = if proved { "proof_gained" } else { "proof_lost" };
+            core.record_event(kind, &core.revision().to_string(), "");
+        }
+        let peers = core.seen_peers();
+        for (instance, seen) in &peers {
+            if self.peers.get(instance) != Some(seen) {
+                core.record_event("peer_seen", instance.as_str(), &describe(seen));
+            }
+        }
+        for instance in self.peers.keys().filter(|name| !peers.contains_key(*name)) {
+            core.record_event("peer_forgotten", instance.as_str(), "");
+        }
+        self.peers = peers;
+    }
+}
+
+impl FleetCore {
+    fn seen_peers(&self) -> BTreeMap<InstanceName, SeenPeer> {
+        let now = self.now();
+        let members = self.members.borrow();
+        let seen = members.iter().map(|(name, entry)| {
+            let seen = SeenPeer {
+                incarnation: entry.incarnation.clone(),
+                state: entry.state(now),
+                answering: entry.answers(now),
+            };
+            (name.clone(), seen)
+        });
+        seen.collect()
+    }
+}
+
+fn describe(seen: &SeenPeer) -> String {
+    let incarnation = seen.incarnation.as_ref();
+    let incarnation = incarnation.map_or_else(|| "not heard from".to_owned(), ToString::to_string);
+    let state = match seen.state {
+        MemberState::Live => "live",
+        MemberState::Leaving => "leaving",
+        MemberState::Gone => "gone",
+    };
+    let answering = if seen.answering {
+        "answering"
+    } else {
+        "silent"
+    };
+    format!("{incarnation}, {state}, {answering}")
+}
--- a/crates/daemon/tests/fleet/links.rs
+++ b/crates/daemon/tests/fleet/links.rs
@@ -213,7 +213,28 @@
     let fleet = TestFleet::start_configured(3).await;
     fleet.node(2).record("noted", "here");
     let events = fleet.node(0).fleet_events(1000).await;
+    assert!(events.iter().any(|event| event.kind == "change_accepted"));
     let noted = events.iter().find(|event| event.kind == "noted");
     assert_eq!(noted.map(|event| &event.origin), Some(&fleet.node(2).own()));
     assert!(events.is_sorted_by_key(|event| event.stamp));
 }
+
+/// Traffic that control may cost per peer: 3 KB a second for a fan-out of six.
+const PEER_BYTES_PER_SECOND: f64 = 500.0;
+
+/// Guards against heartbeats that repeat what the peer has.
+#[actix_rt::test]
+async fn idle_heartbeats_stay_small() {
+    let fleet = TestFleet::start_configured(3).await;
+    let bytes = || -> f64 {
+        let names = ["peer_bytes_sent_total", "peer_bytes_received_total"];
+        let metrics = names.iter().filter_map(|name| fleet.node(0).metric(name));
+        metrics.sum()
+    };
+    let issued = || fleet.node(0).metric("peer_bytes_sent_total") > Some(4000.0);
+    eventually("the first generation is issued and spread", issued).await;
+    let (before, start) = (bytes(), std::time::Instant::now());
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let rate = (bytes() - before) / start.elapsed().as_secs_f64();
+    assert!(rate <= 2.0 * PEER_BYTES_PER_SECOND, "{rate} bytes a second");
+}
