Expect the refusal of open routes without a proof in the request path's test

The test expected 200 on an open route without a proof, which the design no longer allows; it now expects the refusal there and 200 with the proof.

--- a/crates/daemon/tests/unit/requests.rs
+++ b/crates/daemon/tests/unit/requests.rs
@@ -96,16 +96,19 @@
     let instance = TestInstance::start(&[backend.address]).await;
     let path = "/lunwan/desk/fit";
     instance.config.proved.set(false);
-    let answer = instance.send("GET", path, "").await;
-    assert_eq!(
-        answer.refusal(),
-        (503, "not_run", "configuration_not_proved".to_owned())
-    );
+    for path in [path, "/lunwan/desk/open"] {
+        let answer = instance.send("GET", path, "").await;
+        assert_eq!(
+            answer.refusal(),
+            (503, "not_run", "configuration_not_proved".to_owned()),
+            "{path}"
+        );
+    }
+    instance.config.proved.set(true);
     assert_eq!(
         instance.send("GET", "/lunwan/desk/open", "").await.status,
         200
     );
-    instance.config.proved.set(true);
 
     instance.rights.admitted.set(false);
     let answer = instance.send("GET", path, "").await;
