--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -298,8 +298,8 @@
             self.note_known(incarnation);
         }
         self.merge_facts(&sender.instance, facts);
-        self.note_summaries(&sender.instance, summaries, request.all_summaries);
         let counters_applied = self.receive_rights(&sender, &counters);
+        self.note_summaries(&sender.instance, summaries, request.all_summaries);
         if self.is_behind(&sender.instance) {
             self.wake_table_reader();
         }
@@ -320,6 +320,7 @@
     ) {
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(from.clone()).or_default();
+        peer.heartbeat_at = Some(self.now());
         if all {
             peer.summaries.clear();
         }
--- a/crates/daemon/src/fleet/leave.rs
+++ b/crates/daemon/src/fleet/leave.rs
@@ -1,6 +1,6 @@
 //! Leaving the fleet.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::IncarnationId;
@@ -25,24 +25,42 @@
         self.state_fact(fact, FactValue::Latched, true);
         self.record_event("instance_leaving", &own.to_string(), "");
         let end = self.now() + limit;
+        self.wait_at_most(limit, Self::all_told).await;
+        let told_at = self.now();
         let heir = self.heir();
         loop {
             let emptied = self.hand_over(heir.as_ref());
-            let told = |core: &Self| core.all_told() && core.rights_acknowledged(heir.as_ref());
+            let done = |core: &Self| {
+                core.all_told()
+                    && core.rights_acknowledged(heir.as_ref())
+                    && core.all_heard_since(told_at)
+            };
             let left = end.saturating_duration_since(self.now());
-            let told = self.wait_at_most(left.min(HANDOVER_INTERVAL), told).await;
-            if emptied && told {
+            let done = self.wait_at_most(left.min(HANDOVER_INTERVAL), done).await;
+            if emptied && done {
                 return true;
             }
             if left.is_zero() {
                 return false;
             }
-            if told {
+            if done {
                 tokio::time::sleep(left.min(HANDOVER_INTERVAL)).await;
             }
         }
     }
 
+    /// Whether each answering peer has sent a heartbeat since `told`. It brings
+    /// what the peer gave this instance before it knew that it leaves.
+    fn all_heard_since(&self, told: Instant) -> bool {
+        let now = self.now();
+        let (members, peers) = (self.members.borrow(), self.peers.borrow());
+        let mut answering = members.iter().filter(|(_name, entry)| entry.answers(now));
+        answering.all(|(name, _entry)| {
+            let sent = peers.get(name).and_then(|peer| peer.heartbeat_at);
+            sent.is_some_and(|sent| sent > told)
+        })
+    }
+
     /// The peer that takes the rights: one of this region if possible.
     fn heir(&self) -> Option<IncarnationId> {
         let near = self.near_peers();
--- a/crates/daemon/src/fleet/peer_record.rs
+++ b/crates/daemon/src/fleet/peer_record.rs
@@ -1,6 +1,7 @@
 //! What is known about a peer, and what the peer has of this instance.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
 
 use tarragonpulley_policy::freshness::RightsVersion;
 use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
@@ -12,6 +13,8 @@
 pub(super) struct PeerRecord {
     /// Its incarnation when it answered last.
     pub(super) incarnation: Option<IncarnationId>,
+    /// When its last heartbeat arrived here.
+    pub(super) heartbeat_at: Option<Instant>,
     pub(super) revision: ConfigRevision,
     pub(super) rights: RightsVersion,
     /// The newest change of the fact store that it has.
