Refuse bookings at once while the table does not answer

Cause: a booking takes a slot, then waits for its claim. With a table that hangs, it held the slot until its deadline of 3 s, and the requests behind it found none (no_capacity) although the service was idle. Ruled out: too few slots (at most 4 run at once on any server, 0 shed), and limits (0.03 % refused for their rate). Now a claim that failed slowly marks the table as down; until one claim in 500 ms gets through, bookings are refused with table_unavailable before they take a slot. Fast failures change nothing. Fewer bookings outlast the end of the outage, but lookups no longer pay for it.

--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -5,6 +5,7 @@
 //! inserted but whose request was not sent is deleted again, so that the caller
 //! may repeat the request.
 
+mod health;
 mod held;
 mod results;
 mod rows;
@@ -28,6 +29,7 @@
 use crate::border::{InstanceContext, MemberSource};
 use crate::metrics::RequestMetrics;
 use crate::tasks::LoopGuard;
+use health::TableHealth;
 pub(crate) use held::HeldClaim;
 use held::LocalEntry;
 use results::ResultQueue;
@@ -105,6 +107,7 @@
     /// Fingerprints of the requests that this instance is claiming or running.
     local: RefCell<BTreeMap<RowKey, String>>,
     results: ResultQueue,
+    health: TableHealth,
     next_nonce: Cell<u64>,
 }
 
@@ -124,6 +127,7 @@
             arrived: Notify::new(),
             local: RefCell::default(),
             results: ResultQueue::new(Rc::clone(&context.table), metrics),
+            health: TableHealth::default(),
             next_nonce: Cell::new(0),
         });
         let inserts = LoopGuard::spawn(Rc::clone(&writer).insert_loop());
@@ -139,6 +143,14 @@
             && self.results.is_empty()
     }
 
+    /// Whether a claim of this identity would wait for a table that does not
+    /// answer. Identities that this instance works on need no table.
+    pub(crate) fn would_wait_in_vain(&self, identity: &ClaimIdentity) -> bool {
+        let key = RowKey::new(identity.row_key());
+        let known = self.local.borrow().contains_key(&key);
+        !known && self.results.pending_row(&key).is_none() && self.health.is_down(Instant::now())
+    }
+
     /// Claims an identity. Returns by `deadline`.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
@@ -263,7 +275,9 @@
     /// transaction met another row.
     async fn insert_round(&self, batch: Batch) -> Batch {
         self.metrics.claim_writes.inc();
+        let attempt = self.health.attempt(Instant::now());
         let outcome = self.table.commit(insert_transaction(&batch)).await;
+        attempt.end(&outcome, Instant::now());
         match after_insert(answer_of(&outcome)) {
             InsertStep::Hold => {
                 let modified = if let CommitOutcome::Committed(revision) = outcome {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -226,6 +226,11 @@
         self: &Rc<Self>,
         request: &RunRequest,
     ) -> Result<BackendAnswer, RequestError> {
+        if let Some(identity) = &request.identity
+            && self.claims.would_wait_in_vain(identity)
+        {
+            return Err(table_unavailable());
+        }
         self.budget.borrow_mut().deposit();
         let _suspect = self.begin_suspect(request)?;
         let mut claim = ClaimSlot::Free;
@@ -346,6 +351,11 @@
     RequestError::new(ErrorKind::Quarantined, message)
 }
 
+fn table_unavailable() -> RequestError {
+    let message = "the request could not be claimed and was not sent";
+    RequestError::new(ErrorKind::TableUnavailable, message)
+}
+
 /// The refusal of a request that was not sent before its deadline.
 fn too_late(request: &RunRequest) -> RequestError {
     RequestError::new(
--- a/crates/daemon/tests/unit/bookings.rs
+++ b/crates/daemon/tests/unit/bookings.rs
@@ -77,6 +77,27 @@
     assert_eq!(book(&instance, "pram").await.status, 200);
 }
 
+/// Guards against bookings that hold slots while they wait for a table that
+/// does not answer, and against refusals that go on when it is back.
+#[actix_rt::test]
+async fn bookings_do_not_wait_for_a_silent_table() {
+    let backend = Backend::start().await;
+    let instance = TestInstance::start(&[backend.address]).await;
+    instance.table.delay.set(Duration::from_millis(300));
+    let faults = &instance.table.faults;
+    faults.borrow_mut().push_back(TableFault::Down);
+    let refusal = (503, "not_run", "table_unavailable".to_owned());
+    assert_eq!(book(&instance, "pram").await.refusal(), refusal);
+    let commits = instance.table.commits.get();
+    assert_eq!(book(&instance, "pram").await.refusal(), refusal);
+    assert_eq!(instance.table.commits.get(), commits, "no claim was tried");
+    instance.table.delay.set(Duration::ZERO);
+    while book(&instance, "pram").await.status != 200 {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(backend.runs.get(), 1);
+}
+
 /// Guards against a booking that is repeated after its first byte, and against
 /// a repeat that is told anything but "unknown".
 #[parameterized(
