Test more faults of the limit engine at random

The random schedules gain gifts that arrive after their giver is fenced, new generations while the others are stopped, and several slots taken at once, with the slots checked against the shares after each take.

Two more single rules cover awards.

The slots of an incarnation that was stopped until a new generation was usable count as ended, like those of a fenced one: the margin before shares become usable has to cover the deadline of requests.

--- a/crates/policy/tests/rights_random.rs
+++ b/crates/policy/tests/rights_random.rs
@@ -16,7 +16,7 @@
 enum Step {
     Wait(u16),
     Admit(u8, u8, u8),
-    Take(u8, u8),
+    Take(u8, u8, u8),
     Release(u8),
     Ask(u8, u8, u8),
     Send(u8, u8, bool),
@@ -34,6 +34,10 @@
     /// Everybody reads the table and exchanges heartbeats.
     Round,
     Reclaim(u8),
+    /// A process dies after it gave; the gift arrives after the fence.
+    DieGiving(u8, u8),
+    /// All processes but a new one are stopped for a while.
+    StopAll(u8),
     ChangePlan(u8, bool),
 }
 
@@ -42,7 +46,7 @@
     prop_oneof![
         20 => (0..600_u16).prop_map(Step::Wait),
         30 => (n(), n(), 1..100_u8).prop_map(|(a, b, c)| Step::Admit(a, b, c)),
-        10 => (n(), n()).prop_map(|(a, b)| Step::Take(a, b)),
+        10 => (n(), n(), 1..12_u8).prop_map(|(a, b, c)| Step::Take(a, b, c)),
         6 => n().prop_map(Step::Release),
         14 => (n(), n(), n()).prop_map(|(a, b, c)| Step::Ask(a, b, c)),
         10 => (n(), n(), any::<bool>()).prop_map(|(a, b, c)| Step::Send(a, b, c)),
@@ -51,14 +55,16 @@
         10 => n().prop_map(Step::Rebalance),
         1 => (n(), n()).prop_map(|(a, b)| Step::HandOver(a, b)),
         2 => n().prop_map(Step::Pause),
-        8 => n().prop_map(Step::Resume),
+        12 => n().prop_map(Step::Resume),
         1 => n().prop_map(Step::Kill),
         5 => n().prop_map(Step::Restart),
         10 => n().prop_map(Step::Prove),
         3 => n().prop_map(Step::Fence),
         4 => Just(Step::FenceAll),
-        12 => Just(Step::Round),
+        24 => Just(Step::Round),
         6 => n().prop_map(Step::Reclaim),
+        1 => (n(), n()).prop_map(|(a, b)| Step::DieGiving(a, b)),
+        1 => n().prop_map(Step::StopAll),
         5 => (n(), any::<bool>()).prop_map(|(a, b)| Step::ChangePlan(a, b)),
     ]
 }
@@ -73,9 +79,10 @@
     match step {
         Step::Wait(millis) => world.advance(Duration::from_millis(u64::from(*millis))),
         Step::Admit(n, l, times) => (0..*times).for_each(|_| world.admit(node(n), &team(l))),
-        Step::Take(n, both) => {
+        Step::Take(n, both, times) => {
             let limits = [limit("region:c/north"), limit("server:c/s/one")];
-            world.take(node(n), &limits[..=usize::from(both % 2)]);
+            let limits = &limits[..=usize::from(both % 2)];
+            (0..*times).for_each(|_| world.take(node(n), limits));
         }
         Step::Release(n) => world.release(node(n)),
         Step::Ask(a, b, l) => world.ask(node(a), node(b), &key(l)),
@@ -93,6 +100,8 @@
         Step::Round => world.round(),
         Step::FenceAll => (0..count).for_each(|n| world.fence(n)),
         Step::Reclaim(n) => world.reclaim(node(n)),
+        Step::DieGiving(a, b) => world.die_giving(node(a), node(b)),
+        Step::StopAll(n) => world.stop_all(node(n)),
         Step::ChangePlan(n, begin) => world.change_plan(node(n), *begin),
     }
 }
@@ -109,7 +118,7 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let schedule = (2..=12_usize, prop::collection::vec(step(), 50..300));
-    let totals = std::cell::Cell::new((0, 0, 0));
+    let totals = std::cell::Cell::new((0, 0, 0, 0));
     let result = runner.run(&schedule, |(count, steps)| {
         let mut world = World::new(count);
         world.reclaim(0);
@@ -122,11 +131,12 @@
                 world.check();
             }
         }
-        let (admitted, refused, reclaims) = totals.get();
+        let (admitted, refused, reclaims, generations) = totals.get();
         totals.set((
             admitted + world.admitted,
             refused + world.refused,
             reclaims + world.reclaims,
+            generations + world.generations,
         ));
         world.settle();
         for limit in plans(0).into_keys().chain(plans(2).into_keys()) {
@@ -138,9 +148,9 @@
         panic!("{error}");
     }
     // A schedule in which nothing happens would check nothing.
-    let (admitted, refused, reclaims) = totals.get();
+    let (admitted, refused, reclaims, generations) = totals.get();
     assert!(
-        admitted > 10_000 && refused > 10_000 && reclaims > 100,
-        "{admitted} requests admitted, {refused} refused, {reclaims} reclaims"
+        admitted > 10_000 && refused > 10_000 && reclaims > 100 && generations > 300,
+        "{admitted} requests admitted, {refused} refused, {reclaims} reclaims, {generations} generations"
     );
 }
--- a/crates/policy/tests/rights_rules.rs
+++ b/crates/policy/tests/rights_rules.rs
@@ -200,10 +200,15 @@
     let burst = 50;
     let mut giver = joined("a#1", &[(team(), rate(100, burst))], now);
     let later = now + 9 * SECOND;
+    let before = u64::from(burst) * TOTAL_SHARES;
     assert!(giver.give(&id("b#1"), &team(), &want, later));
     let given = giver.counters_for(&id("b#1"))[&team()];
     let burst = u64::from(burst);
     assert!(given.tokens <= u128::from(given.shares * burst));
+    assert_eq!(
+        given.tokens + u128::from(giver.tokens(&team())),
+        before.into()
+    );
     assert!(giver.tokens(&team()) <= giver.shares(&team()) * burst);
     assert_eq!(given.shares + giver.shares(&team()), TOTAL_SHARES);
 }
@@ -399,6 +404,26 @@
     assert_eq!(survivor.tokens(&team()), 0, "tokens are never issued");
 }
 
+/// Guards against an award that is usable too early or brings tokens.
+#[test]
+fn an_award_starts_late_and_empty() {
+    let now = Instant::now();
+    let mut survivor = joined("b#1", &[(team(), rate(10, 5))], now);
+    let reclaim = ReclaimRecord {
+        dead: [id("a#1")].into(),
+        recipient: id("b#1"),
+        amounts: [(team(), 5000)].into(),
+        takes_unlisted: false,
+    };
+    let usable = now + 3 * SECOND;
+    survivor.adopt(&record(vec![reclaim]), usable, now);
+    survivor.tick(now + 2 * SECOND);
+    assert_eq!(survivor.shares(&team()), 0);
+    survivor.tick(usable);
+    assert_eq!(survivor.shares(&team()), 5000);
+    assert_eq!(survivor.tokens(&team()), 0);
+}
+
 fn report(fenced: &[&str], peer: &str, given: u64, received: u64) -> FenceReport {
     let amounts = PairAmounts { given, received };
     FenceReport {
--- a/crates/policy/tests/rights_world/mod.rs
+++ b/crates/policy/tests/rights_world/mod.rs
@@ -107,6 +107,7 @@
     pub(crate) admitted: u64,
     pub(crate) refused: u64,
     pub(crate) reclaims: usize,
+    pub(crate) generations: usize,
     messages: Vec<Message>,
     record: Option<(GenerationRecord, Instant)>,
     reports: BTreeMap<IncarnationId, FenceReport>,
@@ -127,6 +128,7 @@
             admitted: 0,
             refused: 0,
             reclaims: 0,
+            generations: 0,
             messages: Vec::new(),
             record: None,
             reports: BTreeMap::new(),
@@ -227,8 +229,22 @@
     }
 
     pub(crate) fn take(&mut self, index: usize, limits: &[LimitKey]) {
-        if self.may_spend(index) && self.nodes[index].ledger.take_slots(limits) {
-            self.nodes[index].taken.push(limits.to_vec());
+        if !self.may_spend(index) || !self.nodes[index].ledger.take_slots(limits) {
+            return;
+        }
+        let node = &mut self.nodes[index];
+        node.taken.push(limits.to_vec());
+        for limit in limits {
+            let Some(LimitPlan::Slots(slots)) = plans(node.plan).get(limit).copied() else {
+                panic!("{limit}: took a slot of no limit");
+            };
+            let shares = u128::from(node.ledger.shares(limit));
+            let allowed = shares * u128::from(slots.get()) / u128::from(TOTAL_SHARES);
+            let running = node.ledger.running(limit);
+            assert!(
+                u128::from(running) <= allowed,
+                "{limit}: {running} slots run, the shares allow {allowed}"
+            );
         }
     }
 
@@ -342,6 +358,33 @@
         }
     }
 
+    /// The giver dies, everybody fences it, and only then its gift arrives.
+    pub(crate) fn die_giving(&mut self, from: usize, to: usize) {
+        if from == to || !self.awake(from) || !self.awake(to) {
+            return;
+        }
+        self.hand_over(from, to);
+        self.send(from, to, false);
+        self.kill(from);
+        (0..self.nodes.len()).for_each(|index| self.fence(index));
+        let newest = self.messages.len().saturating_sub(1);
+        self.deliver(newest, true, true);
+        self.reclaim(to);
+    }
+
+    /// A new process finds nobody and begins a generation while the others
+    /// are stopped; then they go on.
+    pub(crate) fn stop_all(&mut self, index: usize) {
+        let others = (0..self.nodes.len()).filter(|other| *other != index);
+        others.clone().for_each(|other| self.pause(other));
+        self.kill(index);
+        self.restart(index);
+        self.reclaim(index);
+        self.prove(index);
+        self.advance(PROOF_LIFETIME + MARGIN);
+        others.for_each(|other| self.resume(other));
+    }
+
     pub(crate) fn pause(&mut self, index: usize) {
         self.nodes[index].paused = true;
     }
@@ -381,6 +424,13 @@
         }
         let node = &mut self.nodes[index];
         node.proof = Some(self.now);
+        let before = node.ledger.generation();
+        if before.is_some_and(|number| number < record.number) {
+            // Stopped for so long that the deadlines of its requests passed.
+            for limits in std::mem::take(&mut node.taken) {
+                node.ledger.release_slots(&limits);
+            }
+        }
         if node.ledger.adopt(&record, usable, self.now) == AdoptOutcome::Fenced {
             self.retire(index);
             let ledger = &mut self.nodes[index].ledger;
@@ -470,8 +520,11 @@
             reclaims: Vec::new(),
         };
         self.record = Some((record, usable));
+        self.generations += 1;
         self.dead.clear();
-        self.gone.clear();
+        // A process that is not restarted yet may still be given something.
+        let killed = self.nodes.iter().filter(|n| n.killed);
+        self.gone = killed.map(|n| n.ledger.own().clone()).collect();
         self.reports.clear();
         self.received.clear();
     }
@@ -524,10 +577,12 @@
             return;
         };
         let usable = self.record.as_ref().map(|(_, usable)| *usable);
-        // The margin of an award covers the deadline of a request that a
-        // paused incarnation started before.
+        // The margin of an award or a generation covers the deadline of a
+        // request that a paused incarnation started before.
+        let number = self.record.as_ref().map(|(record, _)| record.number);
         let ended = |n: &Node| {
-            self.dead.contains(n.ledger.own()) && usable.is_some_and(|at| self.now >= at)
+            let lost = self.dead.contains(n.ledger.own()) || n.ledger.generation() != number;
+            lost && usable.is_some_and(|at| self.now >= at)
         };
         let nodes = self.nodes.iter().filter(|n| !n.killed && !ended(n));
         let running: u32 = nodes.map(|n| n.ledger.running(limit)).sum();
