--- a/crates/policy/benches/limit_candidates.rs
+++ b/crates/policy/benches/limit_candidates.rs
@@ -6,6 +6,9 @@
 //! favour their region. One team sends five times its rate. In the runs with
 //! an outage, the table is down from second 60 to 180 and an instance dies at
 //! second 90.
+//!
+//! With `TEAMS` in the environment, each row is followed by the success and
+//! the wrongful refusals of each team.
 
 #[path = "limit_candidates/lease.rs"]
 mod lease;
--- a/crates/policy/tests/rights_rules.rs
+++ b/crates/policy/tests/rights_rules.rs
@@ -3,12 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use tarragonpulley_policy::contract::{
+    CustomerContract, LookupPolicy, RegionPlan, ServerPlan, ServicePlan, TeamLimit,
+};
 use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
 use tarragonpulley_policy::rights::{
     AdoptOutcome, FenceReport, GenerationRecord, LimitPlan, PairAmounts, ReceiveOutcome,
     ReclaimError, ReclaimRecord, RightsLedger, RightsOutcome, RightsWant, TOTAL_SHARES,
-    TransferCounter, plan_reclaim,
+    TransferCounter, limits_of, plan_reclaim,
 };
+use tarragonpulley_policy::snapshot::ConfigSnapshot;
 use tarragonpulley_policy::units::{BurstSize, RequestRate, SlotCount};
 use yare::parameterized;
 
@@ -72,6 +76,66 @@
     to.receive(from.own(), &counters, now)
 }
 
+/// Guards against limits of a configuration that nobody enforces.
+#[test]
+fn every_limit_of_a_contract_is_planned() {
+    let contract = CustomerContract {
+        customer: "c".parse().unwrap(),
+        lookup: LookupPolicy {
+            valid_for: SECOND,
+            instances: 2,
+        },
+        regions: [(
+            "r".parse().unwrap(),
+            RegionPlan {
+                capacity: SlotCount::new(40),
+            },
+        )]
+        .into(),
+        centres: [("z".parse().unwrap(), "r".parse().unwrap())].into(),
+        links: Vec::new(),
+        teams: [(
+            "t".parse().unwrap(),
+            TeamLimit {
+                rate: RequestRate::per_second(20),
+                burst: BurstSize::new(2),
+            },
+        )]
+        .into(),
+        services: [(
+            "s".parse().unwrap(),
+            ServicePlan {
+                version: "v1".parse().unwrap(),
+                routes: Vec::new(),
+                servers: [(
+                    "b".parse().unwrap(),
+                    ServerPlan {
+                        address: "10.0.0.1:80".parse().unwrap(),
+                        centre: "z".parse().unwrap(),
+                        slots: SlotCount::new(3),
+                        connections: 330,
+                        version: "v1".parse().unwrap(),
+                        leaving: false,
+                    },
+                )]
+                .into(),
+            },
+        )]
+        .into(),
+        blocks: Vec::new(),
+    };
+    let snapshot = ConfigSnapshot {
+        contracts: [("c".parse().unwrap(), contract)].into(),
+        ..ConfigSnapshot::default()
+    };
+    let expected = [
+        (team(), rate(20, 2)),
+        (server(), slots(3)),
+        ("region:c/r".parse().unwrap(), slots(40)),
+    ];
+    assert_eq!(limits_of(&snapshot), plans(&expected));
+}
+
 /// Guards against tokens that are issued with the shares, refill above the
 /// burst, and rounding in favour of the holder.
 #[parameterized(
