--- a/crates/policy/tests/rights_random.rs
+++ b/crates/policy/tests/rights_random.rs
@@ -16,6 +16,8 @@
 enum Step {
     Wait(u16),
     Admit(u8, u8, u8),
+    /// Buckets fill for a while, then everybody spends one limit.
+    Flood(u8, u16),
     Take(u8, u8, u8),
     Release(u8),
     Ask(u8, u8, u8),
@@ -46,6 +48,7 @@
     prop_oneof![
         20 => (0..600_u16).prop_map(Step::Wait),
         30 => (n(), n(), 1..100_u8).prop_map(|(a, b, c)| Step::Admit(a, b, c)),
+        4 => (n(), 0..2000_u16).prop_map(|(a, b)| Step::Flood(a, b)),
         10 => (n(), n(), 1..12_u8).prop_map(|(a, b, c)| Step::Take(a, b, c)),
         6 => n().prop_map(Step::Release),
         14 => (n(), n(), n()).prop_map(|(a, b, c)| Step::Ask(a, b, c)),
@@ -79,6 +82,10 @@
     match step {
         Step::Wait(millis) => world.advance(Duration::from_millis(u64::from(*millis))),
         Step::Admit(n, l, times) => (0..*times).for_each(|_| world.admit(node(n), &team(l))),
+        Step::Flood(l, millis) => {
+            world.advance(Duration::from_millis(u64::from(*millis)));
+            (0..count).for_each(|n| world.flood(n, &team(l)));
+        }
         Step::Take(n, both, times) => {
             let limits = [limit("region:c/north"), limit("server:c/s/one")];
             let limits = &limits[..=usize::from(both % 2)];
--- a/crates/policy/tests/rights_rules.rs
+++ b/crates/policy/tests/rights_rules.rs
@@ -263,8 +263,9 @@
     let now = Instant::now();
     let burst = 50;
     let mut giver = joined("a#1", &[(team(), rate(100, burst))], now);
-    let later = now + 9 * SECOND;
-    let before = u64::from(burst) * TOTAL_SHARES;
+    // Half full, so that tokens that are given and kept show up.
+    let later = now + SECOND / 4;
+    let before = u64::from(burst / 2) * TOTAL_SHARES;
     assert!(giver.give(&id("b#1"), &team(), &want, later));
     let given = giver.counters_for(&id("b#1"))[&team()];
     let burst = u64::from(burst);
--- a/crates/policy/tests/rights_world/mod.rs
+++ b/crates/policy/tests/rights_world/mod.rs
@@ -231,6 +231,19 @@
         }
     }
 
+    /// Reads the table and spends all tokens of a limit.
+    pub(crate) fn flood(&mut self, index: usize, limit: &LimitKey) {
+        self.prove(index);
+        let refused = self.refused;
+        while self.refused == refused && self.may_spend(index) {
+            let admitted = self.admitted;
+            self.admit(index, limit);
+            if self.admitted == admitted {
+                break;
+            }
+        }
+    }
+
     pub(crate) fn take(&mut self, index: usize, limits: &[LimitKey]) {
         if !self.may_spend(index) || !self.nodes[index].ledger.take_slots(limits) {
             return;
