Check again whether a server crashed when it shows nothing

Cause: has_crashed looked once. A process that is ending closes its connections one by one, so a new connection could be taken by the listening socket and then reset. read_health gave NoAnswer, and the crash was not counted. Logged in a failing run: "connected, then NoAnswer after 1.648785ms".

Ruled out: the classification of the broken connection (ConnectionBroken each time) and the spreading of the count (the instance of the missing count never recorded its own crash).

The check is now repeated within 500 ms, the sum of the two 250 ms limits that it had before.

--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -38,7 +38,10 @@
 const MAX_HEALTH_BYTES: usize = 4096;
 
 /// Time for the check whether a server that broke a connection has crashed.
-const CRASH_CHECK_TIME: Duration = Duration::from_millis(250);
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(500);
+
+/// Pause before the check is made again without a result.
+const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(10);
 
 /// The uptime of a server counts from a moment shortly after its start.
 const UPTIME_MARGIN: Duration = Duration::from_millis(50);
@@ -200,18 +203,34 @@
 /// Whether a server that broke a connection refuses connections, or has
 /// started again since `since`.
 pub(crate) async fn has_crashed(address: SocketAddr, since: Instant) -> bool {
-    let connect = actix_rt::time::timeout(CRASH_CHECK_TIME, TcpStream::connect(address)).await;
-    match connect {
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => return true,
-        Ok(Ok(stream)) => drop(stream),
-        Ok(Err(_)) | Err(_) => return false,
+    let check = async {
+        loop {
+            if let Some(crashed) = look_for_crash(address, since).await {
+                return crashed;
+            }
+            actix_rt::time::sleep(CRASH_CHECK_PAUSE).await;
+        }
+    };
+    let checked = actix_rt::time::timeout(CRASH_CHECK_TIME, check).await;
+    checked.unwrap_or(false)
+}
+
+/// One look at a server, or `None` when it shows nothing: a process that is
+/// ending closes its connections one by one, and its listening socket may
+/// still take new ones for a moment.
+async fn look_for_crash(address: SocketAddr, since: Instant) -> Option<bool> {
+    match TcpStream::connect(address).await {
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => return Some(true),
+        Err(_) => return None,
+        Ok(stream) => drop(stream),
     }
     match read_health(address, CRASH_CHECK_TIME).await {
-        ProbeOutcome::Refused => true,
+        ProbeOutcome::Refused => Some(true),
         ProbeOutcome::Answered {
             uptime: Some(uptime),
             ..
-        } => uptime + UPTIME_MARGIN < since.elapsed(),
-        ProbeOutcome::Answered { .. } | ProbeOutcome::NoAnswer => false,
+        } => Some(uptime + UPTIME_MARGIN < since.elapsed()),
+        ProbeOutcome::Answered { .. } => Some(false),
+        ProbeOutcome::NoAnswer => None,
     }
 }
