--- a/crates/daemon/src/border.rs
+++ b/crates/daemon/src/border.rs
@@ -167,9 +167,6 @@
     /// Records an event of this instance and logs it.
     fn record(&self, kind: &str, subject: &str, detail: &str);
 
-    /// Events of this instance after `after`, oldest first.
-    fn local_events(&self, after: HybridStamp, most: usize) -> Vec<EventRecord>;
-
     /// Events of all instances that answer, merged.
     fn fleet_events(&self, after: HybridStamp, most: usize)
     -> LocalBoxFuture<'_, Vec<EventRecord>>;
@@ -179,6 +176,10 @@
 pub(crate) trait EvidenceSink: Debug {
     /// Notes one attempt on a backend server.
     fn note(&self, attempt: &AttemptReport);
+
+    /// Whether this instance found that the shift between data centres that
+    /// is under way for a service does harm.
+    fn is_shift_harmful(&self, service: &ServiceKey) -> bool;
 }
 
 /// How an attempt on a backend server ended.
--- a/crates/daemon/tests/fakes/mod.rs
+++ b/crates/daemon/tests/fakes/mod.rs
@@ -15,7 +15,7 @@
 use tarragonpulley_policy::clock::ManualClock;
 use tarragonpulley_policy::contract::CustomerContract;
 use tarragonpulley_policy::facts::{FactKey, FactStore, FactValue};
-use tarragonpulley_policy::ids::LimitKey;
+use tarragonpulley_policy::ids::{LimitKey, ServiceKey};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
 use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
 use tarragonpulley_policy::units::ConfigRevision;
@@ -130,10 +130,6 @@
         self.0.borrow_mut().push(event);
     }
 
-    fn local_events(&self, _after: HybridStamp, _most: usize) -> Vec<EventRecord> {
-        Vec::new()
-    }
-
     fn fleet_events(
         &self,
         after: HybridStamp,
@@ -162,6 +158,10 @@
 
 impl EvidenceSink for FakeRest {
     fn note(&self, _attempt: &AttemptReport) {}
+
+    fn is_shift_harmful(&self, _service: &ServiceKey) -> bool {
+        false
+    }
 }
 
 impl RightsSource for FakeRest {
--- a/crates/daemon/tests/unit/fakes.rs
+++ b/crates/daemon/tests/unit/fakes.rs
@@ -18,7 +18,7 @@
 use tarragonpulley_policy::clock::SystemClock;
 use tarragonpulley_policy::contract::CustomerContract;
 use tarragonpulley_policy::facts::{FactKey, FactStore, FactValue};
-use tarragonpulley_policy::ids::LimitKey;
+use tarragonpulley_policy::ids::{LimitKey, ServiceKey};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
 use tarragonpulley_policy::timeline::{EventRecord, HybridStamp};
 use tarragonpulley_policy::units::ConfigRevision;
@@ -151,10 +151,6 @@
 impl EventSink for Ignored {
     fn record(&self, _kind: &str, _subject: &str, _detail: &str) {}
 
-    fn local_events(&self, _after: HybridStamp, _most: usize) -> Vec<EventRecord> {
-        Vec::new()
-    }
-
     fn fleet_events(
         &self,
         _after: HybridStamp,
@@ -166,6 +162,10 @@
 
 impl EvidenceSink for Ignored {
     fn note(&self, _attempt: &AttemptReport) {}
+
+    fn is_shift_harmful(&self, _service: &ServiceKey) -> bool {
+        false
+    }
 }
 
 /// What the table does with its next commit.
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -75,7 +75,15 @@
 
 fn plan_of(snapshot: &ConfigSnapshot, fault: bool) -> SteeringPlan {
     let service = "lunwan/desk".parse().unwrap();
-    steering_plan(snapshot, &service, &"v1".parse().unwrap(), &|_| fault)
+    let base = "v1".parse().unwrap();
+    steering_plan(
+        snapshot,
+        &service,
+        &base,
+        &|_| fault,
+        fault,
+        SystemTime::UNIX_EPOCH,
+    )
 }
 
 fn choose(
@@ -205,7 +213,7 @@
         state: "shifting".to_owned(),
         share: TrafficShare::from_percent(percent),
         cap: TrafficShare::ALL,
-        deadline: SystemTime::UNIX_EPOCH,
+        deadline: SystemTime::UNIX_EPOCH + Duration::from_secs(1),
         step_started: SystemTime::UNIX_EPOCH,
         epoch: 1,
         reason: String::new(),
@@ -310,14 +318,14 @@
         "the other prober reaches it"
     );
     for _ in 0..3 {
-        table.note_failure(&server, 1, start);
+        table.note_failure(&server, Some(1), start);
     }
     assert!(
         table.state(&server, start).healthy,
         "one request proves nothing"
     );
-    for fingerprint in 2..4 {
-        table.note_failure(&server, fingerprint, start);
+    for suspect in [Some(2), None] {
+        table.note_failure(&server, suspect, start);
     }
     assert!(
         !table.state(&server, start).healthy,
