Keep awarded slots back until requests left behind have ended

Cause: shares of a dead set became usable PROOF_LIFETIME plus a margin after the reclaim. That covers spending, since a paused holder has no proof by then, but its requests may go on running on backend servers for as long as their timeout, so the recipient could start more than a server has slots for. Ruled out: cancelling on resume; a paused process cannot cancel. Shares of a server's slots now wait for the longest timeout of its service's routes, those of a region for the longest timeout apart from slow work. The first generation of a fleet has nothing to wait for. Two rule tests fail without the delay: slots were usable at once. Not covered: slow work that a paused holder left may exceed the capacity of a region, since waiting for it would stop the region after every reclaim.

--- a/crates/daemon/src/fleet/rights_state.rs
+++ b/crates/daemon/src/fleet/rights_state.rs
@@ -6,7 +6,8 @@
 use tarragonpulley_policy::freshness::{PROOF_LIFETIME, RightsVersion};
 use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
 use tarragonpulley_policy::rights::{
-    AdoptOutcome, GenerationRecord, PeerSummaries, RightsLedger, limits_of,
+    AdoptOutcome, AwardTimes, GenerationRecord, PeerSummaries, RightsLedger, limits_of,
+    run_times_of,
 };
 use tarragonpulley_wire::rows::{self, RowError};
 
@@ -80,7 +81,13 @@
 
     fn adopt_record(&self, record: &GenerationRecord) {
         let now = self.now();
-        let usable_from = now + PROOF_LIFETIME + AWARD_MARGIN;
+        let from = now + PROOF_LIFETIME + AWARD_MARGIN;
+        let usable = if record.number == 1 && record.reclaims.is_empty() {
+            // Nobody left requests behind before the first generation.
+            AwardTimes::from(from)
+        } else {
+            AwardTimes::new(from, run_times_of(&self.snapshot_now()))
+        };
         let version = version_of(record);
         let mut rights = self.rights.borrow_mut();
         let known = rights.record.as_ref().map(|known| known.number);
@@ -88,7 +95,7 @@
         let dead = dead.unwrap_or_default();
         // A new generation drops everything that was exchanged before.
         let tainted = known == Some(record.number) && rights.missed_report(&dead);
-        let outcome = rights.ledger.adopt(record, usable_from, now);
+        let outcome = rights.ledger.adopt(record, usable, now);
         rights.fenced.extend(dead);
         rights.record = Some(record.clone());
         drop(rights);
--- a/crates/policy/src/rights.rs
+++ b/crates/policy/src/rights.rs
@@ -20,10 +20,10 @@
 mod transfer;
 
 pub use counter::{CounterUpdate, TransferCounter};
-pub use ledger::RightsLedger;
+pub use ledger::{AwardTimes, RightsLedger};
 pub use outcome::{
     AdoptOutcome, PeerSummaries, ReceiveOutcome, RightsOutcome, RightsSummary, RightsWant,
 };
-pub use plan::{LimitPlan, TOTAL_SHARES, limits_of};
+pub use plan::{LimitPlan, TOTAL_SHARES, limits_of, run_times_of};
 pub use reclaim::plan_reclaim;
 pub use record::{FenceReport, GenerationRecord, PairAmounts, ReclaimError, ReclaimRecord};
--- a/crates/policy/src/rights/ledger.rs
+++ b/crates/policy/src/rights/ledger.rs
@@ -1,7 +1,7 @@
 //! The rights of one incarnation.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::counter::{PairCounters, digest_of};
 use super::holding::Holding;
@@ -25,10 +25,42 @@
     amounts: BTreeMap<LimitKey, u64>,
 }
 
+/// When issued shares become usable.
+///
+/// A holder that is gone may have left requests on backend servers. Shares of
+/// the slots that they use wait until these requests have ended.
+#[derive(Debug, Clone)]
+pub struct AwardTimes {
+    from: Instant,
+    run_times: BTreeMap<LimitKey, Duration>,
+}
+
+impl AwardTimes {
+    /// Shares become usable at `from`, those of a limit in `run_times` that
+    /// much later.
+    #[must_use]
+    pub const fn new(from: Instant, run_times: BTreeMap<LimitKey, Duration>) -> Self {
+        Self { from, run_times }
+    }
+
+    fn of(&self, limit: &LimitKey) -> Instant {
+        let run_time = self.run_times.get(limit).copied();
+        self.from + run_time.unwrap_or_default()
+    }
+}
+
+impl From<Instant> for AwardTimes {
+    fn from(from: Instant) -> Self {
+        Self::new(from, BTreeMap::new())
+    }
+}
+
 /// The right to all shares of every limit that was not issued before.
 #[derive(Debug, Clone)]
 struct UnlistedIssue {
-    usable_from: Instant,
+    times: AwardTimes,
+    /// Whether a limit of the configuration waits for its time.
+    waiting: bool,
     /// Limits that were issued, here or to others.
     issued: BTreeSet<LimitKey>,
 }
@@ -137,7 +169,7 @@
     }
 
     /// Adopts a generation record. Shares that it issues to this incarnation
-    /// become usable at `usable_from`, at level zero.
+    /// become usable at `usable`, at level zero.
     ///
     /// # Panics
     ///
@@ -145,9 +177,10 @@
     pub fn adopt(
         &mut self,
         record: &GenerationRecord,
-        usable_from: Instant,
+        usable: impl Into<AwardTimes>,
         now: Instant,
     ) -> AdoptOutcome {
+        let times = usable.into();
         if self.dropped {
             return AdoptOutcome::Fenced;
         }
@@ -164,7 +197,7 @@
         }
         self.tick(now);
         if newer {
-            self.begin_generation(record, usable_from);
+            self.begin_generation(record, &times);
         }
         if let Some(adopted) = &mut self.adopted {
             assert!(
@@ -177,18 +210,19 @@
             let known = adopted.reclaims;
             adopted.reclaims = record.reclaims.len();
             for reclaim in &record.reclaims[known..] {
-                self.apply_reclaim(reclaim, usable_from);
+                self.apply_reclaim(reclaim, &times);
             }
         }
         self.tick(now);
         AdoptOutcome::Adopted
     }
 
-    fn begin_generation(&mut self, record: &GenerationRecord, usable_from: Instant) {
+    fn begin_generation(&mut self, record: &GenerationRecord, times: &AwardTimes) {
         self.drop_everything();
         if record.first_holder == self.own {
             self.unlisted = Some(UnlistedIssue {
-                usable_from,
+                times: times.clone(),
+                waiting: true,
                 issued: BTreeSet::new(),
             });
         }
@@ -199,15 +233,22 @@
         });
     }
 
-    fn apply_reclaim(&mut self, reclaim: &ReclaimRecord, usable_from: Instant) {
+    fn apply_reclaim(&mut self, reclaim: &ReclaimRecord, times: &AwardTimes) {
         self.fenced.extend(reclaim.dead.iter().cloned());
         if reclaim.recipient != self.own {
             return;
         }
-        self.pending.push(PendingAward {
-            usable_from,
-            amounts: reclaim.amounts.clone(),
-        });
+        let mut amounts: BTreeMap<Instant, BTreeMap<LimitKey, u64>> = BTreeMap::new();
+        for (limit, shares) in &reclaim.amounts {
+            let of_time = amounts.entry(times.of(limit)).or_default();
+            of_time.insert(limit.clone(), *shares);
+        }
+        let awards = amounts.into_iter();
+        self.pending
+            .extend(awards.map(|(usable_from, amounts)| PendingAward {
+                usable_from,
+                amounts,
+            }));
         if reclaim.takes_unlisted {
             assert!(
                 self.unlisted.is_none(),
@@ -215,7 +256,8 @@
                 self.own
             );
             self.unlisted = Some(UnlistedIssue {
-                usable_from,
+                times: times.clone(),
+                waiting: true,
                 issued: reclaim.amounts.keys().cloned().collect(),
             });
         }
@@ -249,7 +291,7 @@
             }
             self.issue_unlisted(now);
         }
-        if self.unlisted.as_ref().is_some_and(|u| u.issued.is_empty()) {
+        if self.unlisted.as_ref().is_some_and(|u| u.waiting) {
             self.issue_unlisted(now);
         }
     }
@@ -259,13 +301,20 @@
         let Some(unlisted) = &mut self.unlisted else {
             return;
         };
-        if unlisted.usable_from > now {
+        unlisted.waiting = unlisted.times.from > now;
+        if unlisted.waiting {
             return;
         }
         for (limit, holding) in &mut self.holdings {
-            if holding.plan().is_some() && unlisted.issued.insert(limit.clone()) {
-                holding.add(TOTAL_SHARES, 0, now);
+            if holding.plan().is_none() || unlisted.issued.contains(limit) {
+                continue;
+            }
+            if unlisted.times.of(limit) > now {
+                unlisted.waiting = true;
+                continue;
             }
+            unlisted.issued.insert(limit.clone());
+            holding.add(TOTAL_SHARES, 0, now);
         }
     }
 
--- a/crates/policy/src/rights/plan.rs
+++ b/crates/policy/src/rights/plan.rs
@@ -1,7 +1,9 @@
 //! The limits that a configuration sets.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use crate::contract::{RouteKind, ServicePlan};
 use crate::ids::{LimitKey, ServerKey, ServiceKey, TeamKey};
 use crate::snapshot::ConfigSnapshot;
 use crate::units::{BurstSize, RequestRate, SlotCount};
@@ -61,3 +63,34 @@
     }
     plans
 }
+
+/// The longest time that a request uses a slot of each limit: the longest
+/// timeout of the server's routes. For a region, slow work is left out, as its
+/// timeout would keep the whole region from serving after every reclaim; so a
+/// region may run over its capacity by the slow work that a paused holder left.
+#[must_use]
+pub fn run_times_of(snapshot: &ConfigSnapshot) -> BTreeMap<LimitKey, Duration> {
+    let longest = |plan: &ServicePlan, slow: bool| {
+        let routes = plan.routes.iter();
+        let routes = routes.filter(|route| slow || route.kind != RouteKind::Slow);
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    };
+    let mut times = BTreeMap::new();
+    for limit in limits_of(snapshot).into_keys() {
+        let time = match &limit {
+            LimitKey::Team(_) => continue,
+            LimitKey::Server(server) => {
+                let contract = snapshot.contracts.get(&server.service.customer);
+                let plan = contract.and_then(|c| c.services.get(&server.service.service));
+                plan.map(|plan| longest(plan, true))
+            }
+            LimitKey::Region(customer, _) => {
+                let contract = snapshot.contracts.get(customer);
+                let plans = contract.into_iter().flat_map(|c| c.services.values());
+                plans.map(|plan| longest(plan, false)).max()
+            }
+        };
+        times.insert(limit, time.unwrap_or_default());
+    }
+    times
+}
--- a/crates/policy/tests/rights_rules.rs
+++ b/crates/policy/tests/rights_rules.rs
@@ -8,9 +8,9 @@
 };
 use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
 use tarragonpulley_policy::rights::{
-    AdoptOutcome, FenceReport, GenerationRecord, LimitPlan, PairAmounts, ReceiveOutcome,
-    ReclaimError, ReclaimRecord, RightsLedger, RightsOutcome, RightsWant, TOTAL_SHARES,
-    TransferCounter, limits_of, plan_reclaim,
+    AdoptOutcome, AwardTimes, FenceReport, GenerationRecord, LimitPlan, PairAmounts,
+    ReceiveOutcome, ReclaimError, ReclaimRecord, RightsLedger, RightsOutcome, RightsWant,
+    TOTAL_SHARES, TransferCounter, limits_of, plan_reclaim,
 };
 use tarragonpulley_policy::snapshot::ConfigSnapshot;
 use tarragonpulley_policy::units::{BurstSize, RequestRate, SlotCount};
@@ -489,6 +489,54 @@
     assert_eq!(survivor.tokens(&team()), 0);
 }
 
+/// Guards against slots that are used again while requests of a holder that is
+/// gone may still run on the backend server.
+#[test]
+fn awarded_slots_wait_for_requests_left_behind() {
+    let now = Instant::now();
+    let plans = [
+        (team(), rate(10, 5)),
+        (server(), LimitPlan::Slots(SlotCount::new(4))),
+    ];
+    let mut survivor = joined("b#1", &plans, now);
+    let reclaim = ReclaimRecord {
+        dead: [id("a#1")].into(),
+        recipient: id("b#1"),
+        amounts: [(team(), 5000), (server(), TOTAL_SHARES)].into(),
+        takes_unlisted: false,
+    };
+    let (usable, run_time) = (now + SECOND, 3 * SECOND);
+    let times = AwardTimes::new(usable, [(server(), run_time)].into());
+    survivor.adopt(&record(vec![reclaim]), times, now);
+    survivor.tick(usable);
+    assert_eq!(survivor.shares(&team()), 5000);
+    assert!(!survivor.take_slots(&[server()]));
+    survivor.tick(usable + Duration::from_millis(2999));
+    assert!(!survivor.take_slots(&[server()]));
+    survivor.tick(usable + run_time);
+    assert!(survivor.take_slots(&[server()]));
+}
+
+/// Guards against the same when a new generation begins.
+#[test]
+fn slots_of_a_new_generation_wait_for_requests_left_behind() {
+    let now = Instant::now();
+    let mut first = RightsLedger::new(id("a#1"));
+    let plans = [
+        (team(), rate(10, 5)),
+        (server(), LimitPlan::Slots(SlotCount::new(4))),
+    ];
+    first.configure(&plans.into(), now);
+    let (usable, run_time) = (now + SECOND, 3 * SECOND);
+    let times = AwardTimes::new(usable, [(server(), run_time)].into());
+    first.adopt(&record(Vec::new()), times, now);
+    first.tick(usable);
+    assert_eq!(first.shares(&team()), TOTAL_SHARES);
+    assert!(!first.take_slots(&[server()]));
+    first.tick(usable + run_time);
+    assert!(first.take_slots(&[server()]));
+}
+
 fn report(fenced: &[&str], peer: &str, given: u64, received: u64) -> FenceReport {
     let amounts = PairAmounts { given, received };
     FenceReport {
