--- a/crates/daemon/tests/proofs/main.rs
+++ b/crates/daemon/tests/proofs/main.rs
@@ -4,6 +4,11 @@
 //! Every fleet takes permits before it starts, so that the tests of this
 //! binary together stay within the cores and processes of a small machine.
 
+mod answers;
+mod claims;
 mod common;
 mod config;
 mod keys;
+mod limits;
+mod overload;
+mod stops;
