Ask leaving instances for rights

Cause: asks went only to the peers that rebalancing may give to, which leaves out instances that are leaving. A leaving instance keeps its rights until its look-ups have lapsed (5 s in the test) and does not rebalance, so the slots it held were out of reach of the others for that time. In failing runs the asking instance logged that no peer had any share of the server, while the servers ran nothing.

Ruled out: cold or suspended backend servers (state healthy, running 0, uptime one hour), the region's capacity (free), and a lost wake-up (no ask was sent).

--- a/crates/daemon/src/fleet/rights_service.rs
+++ b/crates/daemon/src/fleet/rights_service.rs
@@ -161,7 +161,7 @@
 
     /// Asks the peers with the greatest surplus, those of this region first.
     async fn ask_peers(&self, limit: &LimitKey, want: RightsWant) {
-        let (summaries, near) = (self.peer_summaries(), self.near_peers());
+        let (summaries, near) = (self.holder_summaries(), self.near_peers());
         let order = self
             .rights
             .borrow()
--- a/crates/daemon/src/fleet/rights_state.rs
+++ b/crates/daemon/src/fleet/rights_state.rs
@@ -152,6 +152,14 @@
 
     /// The latest summaries of the peers that answer and stay.
     pub(super) fn peer_summaries(&self) -> PeerSummaries {
+        let mut summaries = self.holder_summaries();
+        summaries.retain(|incarnation, _limits| !self.states_leaving(incarnation));
+        summaries
+    }
+
+    /// What the answering instances hold, leaving ones included: they may be
+    /// asked for rights until they stop, but are given none.
+    pub(super) fn holder_summaries(&self) -> PeerSummaries {
         let now = self.now();
         let members = self.members.borrow();
         let peers = self.peers.borrow();
@@ -161,7 +169,7 @@
             let Some(incarnation) = peer.incarnation.as_ref().filter(|_| answers) else {
                 continue;
             };
-            if !self.states_leaving(incarnation) && !self.is_fenced(incarnation) {
+            if !self.is_fenced(incarnation) {
                 summaries.insert(incarnation.clone(), peer.summaries.clone());
             }
         }
