Spread the turns of a rollout by chance, and test rollouts with real processes

Cause: the turn counter moved every hundredth request at 1 %. Callers that alternate between two routes then always sent the same route to the new version; a version that failed on the other route was proved sound and got 955 of 8334 requests before it was taken back (cap 5 %). Ruled out: the judgement of single routes, which finds the fault after about 15 requests of the route; it saw none. A due turn is now taken at once or a little later by a coin flip; the cap still holds at every moment, and at most one turn is outstanding.

--- a/crates/daemon/tests/proofs/main.rs
+++ b/crates/daemon/tests/proofs/main.rs
@@ -11,4 +11,5 @@
 mod keys;
 mod limits;
 mod overload;
+mod rollouts;
 mod stops;
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -146,6 +146,16 @@
     total: u64,
     moved: u64,
     reserved: u64,
+    /// Requests that asked for a turn, over all steps.
+    asked: u64,
+}
+
+/// A coin flip that follows from a number (the mixing step of `SplitMix64`).
+const fn is_heads(number: u64) -> bool {
+    let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (mixed ^ (mixed >> 31)) & 1 == 1
 }
 
 impl ShareCounter {
@@ -161,6 +171,7 @@
             // Requests of an earlier step must not pay for a burst in this one.
             *self = Self {
                 step: plan.step.clone(),
+                asked: self.asked,
                 ..Self::default()
             };
         }
@@ -168,7 +179,12 @@
             return ShareTurn::Stay;
         }
         let allowed = plan.share.floor_of(self.total + 1);
-        if self.moved + self.reserved < allowed {
+        let due = allowed.saturating_sub(self.moved + self.reserved);
+        self.asked += 1;
+        // A turn that is due is taken now or a little later, by chance. Taken
+        // at once, every hundredth request would move at 1 %, and with callers
+        // that repeat a pattern always one of the same route.
+        if due > 1 || (due == 1 && is_heads(self.asked)) {
             self.reserved += 1;
             ShareTurn::Move
         } else {
--- a/crates/testkit/src/bin/fleet-load/report.rs
+++ b/crates/testkit/src/bin/fleet-load/report.rs
@@ -58,10 +58,10 @@
                 list(&team.refusals),
             );
         }
-        self.print_totals(backends);
+        self.print_totals(backends, elapsed);
     }
 
-    fn print_totals(&self, backends: &[BackendCounts]) {
+    fn print_totals(&self, backends: &[BackendCounts], elapsed: Duration) {
         let within: Vec<_> = self.teams.iter().filter(|t| !t.greedy).collect();
         let sent: u64 = within.iter().map(|t| t.sent).sum();
         let limited = within.iter().flat_map(|t| &t.refusals);
@@ -77,6 +77,16 @@
             share(limited, sent),
             share(sent - answered, sent),
         );
+        let probes: u32 = backends
+            .iter()
+            .map(|b| u32::try_from(b.probes).unwrap_or(u32::MAX))
+            .sum();
+        println!(
+            "probes: {:.2} a second on each backend server since its start",
+            f64::from(probes)
+                / elapsed.as_secs_f64()
+                / f64::from(u32::try_from(backends.len().max(1)).unwrap_or(u32::MAX))
+        );
         let runs: u64 = backends.iter().map(|b| b.all.started).sum();
         let shed: u64 = backends.iter().map(|b| b.shed).sum();
         let most = backends.iter().map(|b| b.all.most_running).max();
