--- a/crates/policy/tests/rights_random.rs
+++ b/crates/policy/tests/rights_random.rs
@@ -77,7 +77,12 @@
     let node = |n: &u8| usize::from(*n) % count;
     let keys: Vec<_> = plans(2).into_keys().collect();
     let key = |n: &u8| keys[usize::from(*n) % keys.len()].clone();
-    let teams = ["team:c/large", "team:c/small", "team:c/later"];
+    let teams = [
+        "team:c/large",
+        "team:c/small",
+        "team:c/later",
+        "team:c/slow",
+    ];
     let team = |n: &u8| limit(teams[usize::from(*n) % teams.len()]);
     match step {
         Step::Wait(millis) => world.advance(Duration::from_millis(u64::from(*millis))),
--- a/crates/policy/tests/rights_world/mod.rs
+++ b/crates/policy/tests/rights_world/mod.rs
@@ -44,6 +44,8 @@
         &[
             ("team:c/large", rate(300, 60)),
             ("team:c/small", rate(20, 2)),
+            // Refills for longer than an award waits.
+            ("team:c/slow", rate(10, 100)),
             ("server:c/s/one", slots(3)),
             ("region:c/north", slots(30)),
         ],
@@ -55,6 +57,7 @@
         &[
             ("team:c/large", rate(200, 30)),
             ("team:c/small", rate(40, 5)),
+            ("team:c/slow", rate(10, 100)),
             ("team:c/later", rate(50, 25)),
             ("server:c/s/one", slots(2)),
             ("region:c/north", slots(30)),
