--- a/crates/policy/tests/rights_random.rs
+++ b/crates/policy/tests/rights_random.rs
@@ -38,6 +38,8 @@
     Reclaim(u8),
     /// A process dies after it gave; the gift arrives after the fence.
     DieGiving(u8, u8),
+    /// A process dies with its tokens spent.
+    DieSpent(u8, u8, u8),
     /// All processes but a new one are stopped for a while.
     StopAll(u8),
     ChangePlan(u8, bool),
@@ -67,6 +69,7 @@
         24 => Just(Step::Round),
         6 => n().prop_map(Step::Reclaim),
         1 => (n(), n()).prop_map(|(a, b)| Step::DieGiving(a, b)),
+        1 => (n(), n(), n()).prop_map(|(a, b, c)| Step::DieSpent(a, b, c)),
         1 => n().prop_map(Step::StopAll),
         5 => (n(), any::<bool>()).prop_map(|(a, b)| Step::ChangePlan(a, b)),
     ]
@@ -113,6 +116,7 @@
         Step::FenceAll => (0..count).for_each(|n| world.fence(n)),
         Step::Reclaim(n) => world.reclaim(node(n)),
         Step::DieGiving(a, b) => world.die_giving(node(a), node(b)),
+        Step::DieSpent(a, b, l) => world.die_spent(node(a), node(b), &team(l)),
         Step::StopAll(n) => world.stop_all(node(n)),
         Step::ChangePlan(n, begin) => world.change_plan(node(n), *begin),
     }
--- a/crates/policy/tests/rights_world/faults.rs
+++ b/crates/policy/tests/rights_world/faults.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use tarragonpulley_policy::ids::IncarnationId;
+use tarragonpulley_policy::ids::{IncarnationId, LimitKey};
 use tarragonpulley_policy::rights::{AdoptOutcome, GenerationRecord, RightsLedger, plan_reclaim};
 
 use super::{MARGIN, PROOF_LIFETIME, World, incarnation};
@@ -23,6 +23,21 @@
         self.reclaim(to);
     }
 
+    /// A process dies with everybody's tokens spent; its shares are reclaimed
+    /// and spent as soon as they are usable.
+    pub(crate) fn die_spent(&mut self, from: usize, to: usize, limit: &LimitKey) {
+        if from == to || !self.awake(from) || !self.awake(to) {
+            return;
+        }
+        let count = self.nodes.len();
+        (0..count).for_each(|index| self.flood(index, limit));
+        self.kill(from);
+        (0..count).for_each(|index| self.fence(index));
+        self.reclaim(to);
+        self.advance(PROOF_LIFETIME + MARGIN);
+        (0..count).for_each(|index| self.flood(index, limit));
+    }
+
     /// A new process finds nobody and begins a generation while the others
     /// are stopped; then they go on.
     pub(crate) fn stop_all(&mut self, index: usize) {
