Spread idle slots, so that a paused holder does not keep all of a new server

Cause: the slots of servers that a new contract adds all start with the first holder of the rights and move only when somebody is short. A reclaim does not help, as a paused instance is still listed. While nobody has demand, a holder of two or more slots gives one to the first peer without any. Idle slots come to rest and do not move again.

--- a/crates/policy/src/rights/rebalance.rs
+++ b/crates/policy/src/rights/rebalance.rs
@@ -133,6 +133,11 @@
         if let (Some(taker), true) = (taker, free > 0) {
             return vec![(names[**taker].clone(), slot_gift(holding, slots, 1))];
         }
+        if let Some(peer) = idle_slot_taker(slots, all, alive)
+            && free > 0
+        {
+            return vec![(peer, slot_gift(holding, slots, 1))];
+        }
         let rest = fragment(holding, slots);
         let first = order.iter().find(|index| all[**index].shares > 0);
         match first {
@@ -142,6 +147,24 @@
     }
 }
 
+/// The peer that gets a slot although nobody needs one: the first without any,
+/// while this holder has two. Slots of new servers all start with one holder,
+/// and nobody could use them while it is paused.
+fn idle_slot_taker(
+    slots: SlotCount,
+    all: &[RightsSummary],
+    alive: &[IncarnationId],
+) -> Option<IncarnationId> {
+    let held = |summary: &RightsSummary| slots_of(summary.shares.min(TOTAL_SHARES), slots);
+    let idle = all.iter().all(|summary| summary.demand == 0);
+    if !idle || held(&all[0]) < 2 {
+        return None;
+    }
+    let peers = alive.iter().zip(all.iter().skip(1));
+    let without = peers.filter(|(_, summary)| held(summary) == 0);
+    without.map(|(peer, _)| peer.clone()).min()
+}
+
 /// The shares of one token for the peer with the fewest shares, if this holder
 /// has enough for two tokens and the peer for none. Requests collect their
 /// tokens by asking; spreading the shares limits what dies with one holder.
--- a/crates/policy/tests/rights_heartbeat.rs
+++ b/crates/policy/tests/rights_heartbeat.rs
@@ -108,6 +108,25 @@
     assert_eq!(held.iter().sum::<u64>(), TOTAL_SHARES);
 }
 
+/// Guards against slots of a new server that stay with the first holder, so
+/// that nobody can use them while it is paused, and against idle slots that go
+/// on moving.
+#[parameterized(four = { 4, 4, [1, 1, 1, 1] }, three = { 4, 3, [1, 1, 1, 0] })]
+fn idle_slots_spread_and_stay(count: usize, of: u32, expected: [u32; 4]) {
+    let mut now = Instant::now();
+    let key = limit("server:c/s/b");
+    let mut fleet = fleet(count, &[(key.clone(), slots(of))].into(), now);
+    let mut last = 0;
+    for _ in 0..12 {
+        now += BEAT;
+        last = heartbeat(&mut fleet, now);
+    }
+    assert_eq!(last, 0, "idle slots still move");
+    let mut held: Vec<_> = fleet.iter().map(|ledger| ledger.free_slots(&key)).collect();
+    held.sort_unstable_by(|a, b| b.cmp(a));
+    assert_eq!(held, expected);
+}
+
 /// Guards against a server whose free slots stay at instances that have no
 /// requests for it.
 #[parameterized(
