--- a/crates/daemon/tests/proofs/rollouts.rs
+++ b/crates/daemon/tests/proofs/rollouts.rs
@@ -274,7 +274,6 @@
 /// Guards against a paused driver that passes the cap or turns a step back when
 /// it resumes.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn good_version_completes_though_a_driver_is_paused() {
     good_version("good_paused", 12005, Disturbance::PauseFirst);
 }
