--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -118,12 +118,6 @@
         self.core.rights.borrow().ledger.shares(limit)
     }
 
-    /// Rows of the configuration that do not parse and keep an earlier value.
-    pub(crate) fn row_faults(&self) -> Vec<String> {
-        let config = self.core.config.borrow();
-        config.faults.iter().map(ToString::to_string).collect()
-    }
-
     /// Tells the peers that this instance leaves, gives them its rights and
     /// waits until they have acknowledged both, `limit` at most. Returns
     /// whether they have. Slots of running requests keep their shares until
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,10 +9,6 @@
 mod border;
 mod claims;
 mod errors;
-#[allow(
-    dead_code,
-    reason = "the status of rows is being added to the operator API"
-)]
 mod fleet;
 mod frontend;
 mod headers;
