--- a/crates/platform/tests/clients/common.rs
+++ b/crates/backing/tests/clients/common.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tarragonpulley_platform::PlatformError;
+use tarragonpulley_backing::PlatformError;
 use tarragonpulley_testkit::{LinkControl, PlatformControl, Process, ProcessCommand, TestClient};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/platform/tests/clients/list.rs
+++ b/crates/backing/tests/clients/list.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use tarragonpulley_platform::{HttpList, InstanceList, ListedState};
+use tarragonpulley_backing::{HttpList, InstanceList, ListedState};
 use tarragonpulley_testkit::{
     CatalogRecord, PlatformControl, ServiceFault, ServiceMode, wait_until,
 };
--- a/crates/platform/tests/clients/objects.rs
+++ b/crates/backing/tests/clients/objects.rs
@@ -1,7 +1,7 @@
 //! The object store client.
 
 use bytes::Bytes;
-use tarragonpulley_platform::{HttpObjects, ObjectKey, ObjectStore};
+use tarragonpulley_backing::{HttpObjects, ObjectKey, ObjectStore};
 use tarragonpulley_testkit::{LoseMode, PlatformControl, ServiceFault, ServiceMode};
 use yare::parameterized;
 
--- a/crates/platform/tests/clients/table.rs
+++ b/crates/backing/tests/clients/table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, HttpTable, RowChange, RowCondition, RowKey, TRANSACTION_LIMIT, TableService,
     TableTransaction,
 };
--- a/crates/daemon/src/border.rs
+++ b/crates/daemon/src/border.rs
@@ -12,7 +12,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use futures_util::future::LocalBoxFuture;
-use tarragonpulley_platform::{ObjectStore, TableService};
+use tarragonpulley_backing::{ObjectStore, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::{
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, RowChange, RowCondition, RowKey, TableService, TableTransaction,
 };
 use tarragonpulley_policy::claim::{
--- a/crates/daemon/src/claims/health.rs
+++ b/crates/daemon/src/claims/health.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use tarragonpulley_platform::CommitOutcome;
+use tarragonpulley_backing::CommitOutcome;
 
 /// Time after a failure before the next claim tries the table.
 const TRY_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/claims/held.rs
+++ b/crates/daemon/src/claims/held.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use tarragonpulley_platform::RowKey;
+use tarragonpulley_backing::RowKey;
 use tarragonpulley_policy::claim::{ClaimRow, ClaimState};
 
 use super::{ClaimEnd, ClaimWriter};
--- a/crates/daemon/src/claims/results.rs
+++ b/crates/daemon/src/claims/results.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, RowChange, RowCondition, RowKey, TableService, TableTransaction,
 };
 use tarragonpulley_policy::claim::{ClaimRow, ClaimState};
--- a/crates/daemon/src/claims/rows.rs
+++ b/crates/daemon/src/claims/rows.rs
@@ -1,6 +1,6 @@
 //! Claim rows in the table.
 
-use tarragonpulley_platform::{RowKey, TableService};
+use tarragonpulley_backing::{RowKey, TableService};
 use tarragonpulley_policy::claim::ClaimRow;
 
 /// What reading a row found.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -31,7 +31,7 @@
 
 use actix_rt::task::JoinHandle;
 use prometheus_client::registry::Registry;
-use tarragonpulley_platform::{InstanceList, TableService};
+use tarragonpulley_backing::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::ids::{CentreName, IncarnationId, LimitKey};
 use tokio::net::TcpListener;
--- a/crates/daemon/src/fleet/change.rs
+++ b/crates/daemon/src/fleet/change.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use log::{debug, warn};
-use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_backing::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::snapshot::{ConfigSnapshot, KeyDigest, KeyGrant};
 use tarragonpulley_policy::units::ConfigRevision;
--- a/crates/daemon/src/fleet/core.rs
+++ b/crates/daemon/src/fleet/core.rs
@@ -5,7 +5,7 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use tarragonpulley_platform::{InstanceList, TableService};
+use tarragonpulley_backing::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::FactStore;
 use tarragonpulley_policy::ids::{IncarnationId, InstanceName, LimitKey};
--- a/crates/daemon/src/fleet/reclaim.rs
+++ b/crates/daemon/src/fleet/reclaim.rs
@@ -12,7 +12,7 @@
 
 use futures_util::future::join_all;
 use log::{debug, info};
-use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_backing::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
 use tarragonpulley_policy::ids::{IncarnationId, InstanceName};
 use tarragonpulley_policy::rights::{
     FenceReport, GenerationRecord, ReclaimError, ReclaimRecord, plan_reclaim,
--- a/crates/daemon/src/fleet/sync.rs
+++ b/crates/daemon/src/fleet/sync.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::try_join;
 use log::{info, warn};
-use tarragonpulley_platform::{ListedInstance, ListedState, PlatformError, RowKey, TableSnapshot};
+use tarragonpulley_backing::{ListedInstance, ListedState, PlatformError, RowKey, TableSnapshot};
 use tarragonpulley_policy::ids::InstanceName;
 use tarragonpulley_policy::membership::{ListedMember, MemberPlace, MemberState};
 use tarragonpulley_policy::units::ConfigRevision;
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -11,7 +11,7 @@
 use eyre::WrapErr;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
-use tarragonpulley_platform::{HttpList, HttpObjects, HttpTable};
+use tarragonpulley_backing::{HttpList, HttpObjects, HttpTable};
 use tarragonpulley_policy::clock::{SystemClock, TimeSource};
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::IncarnationId;
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, ObjectKey, PlatformError, RowChange, RowCondition, RowKey, TableTransaction,
 };
 use tarragonpulley_policy::ids::TeamKey;
--- a/crates/daemon/src/jobs/lease.rs
+++ b/crates/daemon/src/jobs/lease.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use tarragonpulley_platform::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
+use tarragonpulley_backing::{CommitOutcome, RowChange, RowCondition, RowKey, TableTransaction};
 use tarragonpulley_policy::lease::RENEW_INTERVAL;
 use tokio::sync::Notify;
 
--- a/crates/daemon/src/jobs/rows.rs
+++ b/crates/daemon/src/jobs/rows.rs
@@ -3,7 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use tarragonpulley_platform::{PlatformError, RowKey, TableService};
+use tarragonpulley_backing::{PlatformError, RowKey, TableService};
 use tarragonpulley_policy::ids::{IncarnationId, ServiceKey, TeamKey};
 use tarragonpulley_policy::snapshot::KeyDigest;
 
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -5,7 +5,7 @@
 
 use actix_http::Method;
 use bytes::Bytes;
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, ObjectKey, RowChange, RowCondition, TableTransaction,
 };
 use tarragonpulley_policy::quarantine::RequestFingerprint;
--- a/crates/daemon/src/test_support.rs
+++ b/crates/daemon/src/test_support.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use prometheus_client::registry::Registry;
-use tarragonpulley_platform::{InstanceList, TableService};
+use tarragonpulley_backing::{InstanceList, TableService};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::facts::{FactKey, FactValue};
 use tarragonpulley_policy::ids::{CentreName, IncarnationId, LimitKey, MoveName, TeamKey};
--- a/crates/daemon/tests/fakes/mod.rs
+++ b/crates/daemon/tests/fakes/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, ready};
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, ObjectKey, ObjectStore, PlatformError, RowKey, TableService, TableSnapshot,
     TableTransaction,
 };
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tarragonpulley_daemon::test_support::{FleetNode, NodeOptions};
-use tarragonpulley_platform::{ListedInstance, ListedState};
+use tarragonpulley_backing::{ListedInstance, ListedState};
 use tarragonpulley_policy::clock::{SystemClock, TimeSource};
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
--- a/crates/daemon/tests/fleet/platform.rs
+++ b/crates/daemon/tests/fleet/platform.rs
@@ -7,7 +7,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, ready};
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, InstanceList, ListedInstance, PlatformError, RowChange, RowCondition, RowKey,
     TableRow, TableService, TableSnapshot, TableTransaction,
 };
--- a/crates/daemon/tests/unit/fakes.rs
+++ b/crates/daemon/tests/unit/fakes.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::future::{LocalBoxFuture, ready};
 use prometheus_client::registry::Registry;
-use tarragonpulley_platform::{
+use tarragonpulley_backing::{
     CommitOutcome, ObjectKey, ObjectStore, PlatformError, RowChange, RowCondition, RowKey,
     TableRow, TableService, TableSnapshot, TableTransaction,
 };
--- a/crates/daemon/tests/unit/jobs.rs
+++ b/crates/daemon/tests/unit/jobs.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tarragonpulley_platform::RowKey;
+use tarragonpulley_backing::RowKey;
 
 use super::backend::{Act, Backend};
 use super::fakes::{Answer, TestInstance, until};
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,171 @@
+//! Keeps the copies of the shared tables current.
+//!
+//! Each table is read at its own pace. When the table service does not answer,
+//! an instance reads the copy of another one, with its age, so that a key that
+//! was withdrawn is noticed also where only some instances reach the service.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tarragonpulley_policy::entry::digest::InstanceRecord;
+
+use crate::instance::Instance;
+use crate::peers::read_from_peer;
+use crate::table::{TableBatch, TableError, TableKind};
+
+/// How long a read of the operator's rows waits for a change. Its start dates
+/// the proof of the configuration, so it must be well below the key limit.
+const ORDERS_WAIT: Duration = Duration::from_millis(1500);
+
+/// Pause between two reads of the servers' rows. Together with one round trip it
+/// stays below half of the shortest drain bound.
+const SERVERS_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause between two reads of the rollout records while a rollout is active.
+const RECORDS_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause between two reads of the registered instances. Live instances are
+/// known from their digests; this finds those that cannot be heard yet.
+const INSTANCES_PAUSE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks whether a table is to be read again.
+const IDLE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause after a failed read.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time between two attempts at the table service while it does not answer.
+const SERVICE_RETRY: Duration = Duration::from_millis(1500);
+
+/// How long a read from another instance waits for a change.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+
+fn wait_of(table: TableKind) -> Duration {
+    if table == TableKind::Orders { ORDERS_WAIT } else { Duration::ZERO }
+}
+
+impl Instance {
+    /// Follows one table until the process ends.
+    pub(crate) async fn follow(self: Rc<Self>, table: TableKind) {
+        let mut reads = TableReads::default();
+        loop {
+            if table == TableKind::Records && reads.has_read && !self.rollouts.borrow().is_active() {
+                actix_rt::time::sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            let pause = if reads.once(&self, table).await {
+                match table {
+                    TableKind::Orders => Duration::ZERO,
+                    TableKind::Servers => SERVERS_PAUSE,
+                    TableKind::Records => RECORDS_PAUSE,
+                    TableKind::Instances => INSTANCES_PAUSE,
+                }
+            } else {
+                FAILURE_PAUSE
+            };
+            if !pause.is_zero() {
+                actix_rt::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct TableReads {
+    has_read: bool,
+    /// Whether the changes since the known version cannot be had.
+    reread: bool,
+    failed_at: Option<Instant>,
+}
+
+impl TableReads {
+    /// Reads once, from the table service or another instance. Returns whether
+    /// it succeeded.
+    async fn once(&mut self, instance: &Instance, table: TableKind) -> bool {
+        let now = instance.now();
+        let service_due =
+            self.failed_at.is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
+        if service_due && self.from_service(instance, table).await {
+            return true;
+        }
+        self.from_peers(instance, table).await
+    }
+
+    async fn from_service(&mut self, instance: &Instance, table: TableKind) -> bool {
+        let started = instance.proof_now();
+        let after = instance.mirrors.borrow().get(&table).and_then(crate::table::TableMirror::upto);
+        let wait = if self.failed_at.is_some() { Duration::ZERO } else { wait_of(table) };
+        let result = match after.filter(|_| !self.reread) {
+            Some(after) => instance.table.changes(table, after, wait).await,
+            None => instance.table.read(table).await,
+        };
+        match result {
+            Ok(batch) => {
+                instance.note_table(Ok(()));
+                self.failed_at = None;
+                self.reread = false;
+                self.has_read = true;
+                instance.apply(table, batch, started);
+                true
+            }
+            Err(TableError::HistoryGone) => {
+                instance.note_table(Ok(()));
+                instance.log.event("table_reread", json!({"table": format!("{table:?}"), "after": after}));
+                self.reread = true;
+                false
+            }
+            Err(error) => {
+                instance.note_table(Err(&error.to_string()));
+                self.failed_at = Some(instance.now());
+                false
+            }
+        }
+    }
+
+    async fn from_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
+        for peer in nearest_peers(instance) {
+            let after = instance.mirrors.borrow().get(&table).and_then(crate::table::TableMirror::upto);
+            let started = instance.proof_now();
+            match read_from_peer(peer.peer, table, after, PEER_WAIT).await {
+                Ok(Some(batch)) if is_newer_proof(instance, table, &batch, started) => {
+                    instance.apply(table, batch, started);
+                    return true;
+                }
+                // The other instance knows nothing newer, or does not answer.
+                Ok(_) => {}
+                Err(error) => instance.log.event(
+                    "peer_read_failed",
+                    json!({"peer": peer.name.as_str(), "reason": error.to_string()}),
+                ),
+            }
+        }
+        false
+    }
+}
+
+fn is_newer_proof(instance: &Instance, table: TableKind, batch: &TableBatch, started: Instant) -> bool {
+    let mirrors = instance.mirrors.borrow();
+    let known = mirrors.get(&table).and_then(crate::table::TableMirror::proved);
+    let proof = started.checked_sub(batch.age);
+    known.is_none() || proof > known
+}
+
+/// Up to two ready instances, the nearest first; those at one distance in an
+/// order that differs by instance, so that not all ask the same one.
+fn nearest_peers(instance: &Instance) -> Vec<InstanceRecord> {
+    const MOST: usize = 2;
+    let now = instance.now();
+    let peers = instance.peers.borrow();
+    let own = peers.own();
+    let own_hash = tarragonpulley_policy::entry::placement::text_hash(own.name.as_str());
+    let mut found: Vec<&InstanceRecord> = peers.ready(now).collect();
+    found.sort_by_key(|record| {
+        let distance = u8::from(record.centre != own.centre) + u8::from(record.region != own.region);
+        let order = tarragonpulley_policy::entry::placement::mix(
+            own_hash ^ tarragonpulley_policy::entry::placement::text_hash(record.name.as_str()),
+        );
+        (distance, order)
+    });
+    found.into_iter().take(MOST).cloned().collect()
+}
--- /dev/null
+++ b/crates/edge/src/http/client.rs
@@ -0,0 +1,197 @@
+//! Connections to servers: one request at a time, answers read whole.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::framing::{AnswerHead, BodyReader, FramingError, answer_length, take_answer_head};
+use super::message::HeaderLookup;
+
+/// The largest answer head in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// The largest answer body in bytes. Answers are held whole until they are
+/// known to be complete; an eighth of the smallest instance's memory.
+const MAX_BODY: usize = 20 * 1024 * 1024;
+
+/// How long an idle connection is used when the server does not say.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+
+/// Part of the server's idle time-out after which a connection is not used
+/// again, so that a request does not cross its close.
+const KEEP_PART: f64 = 0.6;
+
+/// Why an exchange gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ExchangeError {
+    #[error("the connection broke: {0}")]
+    Broken(#[from] io::Error),
+    #[error("the connection was closed before the answer was complete")]
+    Closed,
+    #[error("the answer cannot be read: {0}")]
+    Framing(#[from] FramingError),
+}
+
+/// A complete answer.
+#[derive(Debug)]
+pub(crate) struct ServerAnswer {
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Bytes,
+}
+
+/// What of an exchange can be observed from outside while it runs, and after
+/// it was given up.
+#[derive(Debug, Default)]
+pub(crate) struct ExchangeProgress {
+    /// A byte of the request has left the process.
+    pub(crate) sent: Cell<bool>,
+    /// A byte of an answer has arrived.
+    pub(crate) heard: Cell<bool>,
+}
+
+/// An open connection to a server.
+#[derive(Debug)]
+pub(crate) struct ServerConnection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    idle_since: Instant,
+    keep: Duration,
+    reusable: bool,
+}
+
+impl ServerConnection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let connect = tokio::time::timeout(limit, TcpStream::connect(address));
+        let stream = connect.await.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+            idle_since: Instant::now(),
+            keep: DEFAULT_KEEP,
+            reusable: true,
+        })
+    }
+
+    /// Whether the connection may carry another request: it is in order, has
+    /// not been idle for too long, and nothing arrived on it meanwhile.
+    pub(crate) fn is_usable(&self, max_idle: Duration) -> bool {
+        let idle = self.idle_since.elapsed();
+        if !self.reusable || idle > self.keep.mul_f64(KEEP_PART) || idle > max_idle {
+            return false;
+        }
+        let mut probe = [0_u8; 1];
+        matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the answer with the same request id. Answers
+    /// with another id are late ones to earlier requests and are skipped.
+    pub(crate) async fn exchange(
+        &mut self,
+        method: &str,
+        request: &[u8],
+        id: Option<(&str, &str)>,
+        progress: &ExchangeProgress,
+    ) -> Result<ServerAnswer, ExchangeError> {
+        // Until the exchange has ended in order the connection is not reusable,
+        // also when the future is dropped.
+        self.reusable = false;
+        let mut written = 0;
+        let mut state = AnswerState::default();
+        loop {
+            if let Some(answer) = state.advance(&mut self.buffer, method, id)? {
+                return Ok(self.finish(answer, written == request.len()));
+            }
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                biased;
+                count = writer.write(&request[written..]), if written < request.len() => {
+                    written += count?;
+                    progress.sent.set(true);
+                }
+                count = reader.read_buf(&mut self.buffer) => {
+                    if count? == 0 {
+                        let answer = state.end_of_stream().ok_or(ExchangeError::Closed)?;
+                        return Ok(answer);
+                    }
+                    progress.heard.set(true);
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, answer: ServerAnswer, request_written: bool) -> ServerAnswer {
+        let head = &answer.head;
+        // A request that is not fully written, or bytes after the answer, would
+        // put the next exchange out of step.
+        self.reusable = request_written
+            && self.buffer.is_empty()
+            && !head.is_http10
+            && !head.has_token("connection", "close");
+        self.keep = keep_alive_timeout(head).unwrap_or(DEFAULT_KEEP);
+        self.idle_since = Instant::now();
+        answer
+    }
+}
+
+/// The `timeout` parameter of `Keep-Alive`.
+fn keep_alive_timeout(head: &AnswerHead) -> Option<Duration> {
+    let text = head.text("keep-alive")?;
+    text.split(',').find_map(|part| {
+        let (name, value) = part.split_once('=')?;
+        if !name.trim().eq_ignore_ascii_case("timeout") {
+            return None;
+        }
+        value.trim().parse().ok().map(Duration::from_secs)
+    })
+}
+
+#[derive(Debug, Default)]
+struct AnswerState {
+    current: Option<(AnswerHead, BodyReader)>,
+    skipping: bool,
+}
+
+impl AnswerState {
+    fn advance(
+        &mut self,
+        buffer: &mut BytesMut,
+        method: &str,
+        id: Option<(&str, &str)>,
+    ) -> Result<Option<ServerAnswer>, ExchangeError> {
+        loop {
+            if self.current.is_none() {
+                let Some(head) = take_answer_head(buffer, MAX_HEAD)? else { return Ok(None) };
+                if (100..200).contains(&head.status) {
+                    continue;
+                }
+                let reader = BodyReader::new(answer_length(&head, method)?, MAX_BODY)?;
+                self.skipping = id.is_some_and(|(name, value)| {
+                    head.text(name).is_some_and(|found| found != value)
+                });
+                self.current = Some((head, reader));
+            }
+            let Some((_, reader)) = &mut self.current else { return Ok(None) };
+            let Some(body) = reader.take(buffer)? else { return Ok(None) };
+            let Some((head, _)) = self.current.take() else { return Ok(None) };
+            if !self.skipping {
+                return Ok(Some(ServerAnswer { head, body }));
+            }
+        }
+    }
+
+    fn end_of_stream(&mut self) -> Option<ServerAnswer> {
+        let (head, mut reader) = self.current.take()?;
+        if self.skipping {
+            return None;
+        }
+        let body = reader.take_at_close()?;
+        Some(ServerAnswer { head, body })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/http/framing.rs
@@ -0,0 +1,299 @@
+//! Finds the end of message heads and bodies.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use super::message::{HeaderField, HeaderLookup, RequestHead};
+
+/// The most header fields of a message.
+const MAX_FIELDS: usize = 128;
+
+/// The longest line that starts a chunk, extensions included, in bytes.
+const MAX_CHUNK_LINE: usize = 1024;
+
+/// The largest trailer section in bytes.
+const MAX_TRAILER: usize = 16 * 1024;
+
+/// Why bytes are not a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum FramingError {
+    #[error("the message head cannot be parsed")]
+    Head,
+    #[error("the message head is too large")]
+    HeadTooLarge,
+    #[error("the body length is ambiguous or invalid")]
+    Length,
+    #[error("a chunk of the body is invalid")]
+    Chunk,
+    #[error("the body is too large")]
+    BodyTooLarge,
+}
+
+/// The start line and header fields of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: u16,
+    pub(crate) fields: Vec<HeaderField>,
+    pub(crate) is_http10: bool,
+}
+
+impl HeaderLookup for AnswerHead {
+    fn fields(&self) -> &[HeaderField] {
+        &self.fields
+    }
+}
+
+fn copy_fields(headers: &[httparse::Header<'_>]) -> Vec<HeaderField> {
+    headers
+        .iter()
+        .map(|header| HeaderField { name: header.name.to_owned(), value: header.value.to_vec() })
+        .collect()
+}
+
+/// Parses a request head at the start of the buffer and removes it. `None`
+/// means that more bytes are needed.
+pub(crate) fn take_request_head(
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Option<RequestHead>, FramingError> {
+    // Empty lines before a request line are permitted and ignored.
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => {
+            if length > max_bytes {
+                return Err(FramingError::HeadTooLarge);
+            }
+            let (Some(method), Some(target), Some(version)) =
+                (request.method, request.path, request.version)
+            else {
+                return Err(FramingError::Head);
+            };
+            let head = RequestHead {
+                method: method.to_owned(),
+                target: target.to_owned(),
+                is_http10: version == 0,
+                fields: copy_fields(request.headers),
+            };
+            buffer.advance(length);
+            Ok(Some(head))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => Err(FramingError::HeadTooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(FramingError::HeadTooLarge),
+        Err(_reason) => Err(FramingError::Head),
+    }
+}
+
+/// Parses an answer head at the start of the buffer and removes it.
+pub(crate) fn take_answer_head(
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Option<AnswerHead>, FramingError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut answer = httparse::Response::new(&mut headers);
+    match answer.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => {
+            let (Some(status), Some(version)) = (answer.code, answer.version) else {
+                return Err(FramingError::Head);
+            };
+            let head = AnswerHead {
+                status,
+                fields: copy_fields(answer.headers),
+                is_http10: version == 0,
+            };
+            buffer.advance(length);
+            Ok(Some(head))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => Err(FramingError::HeadTooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_reason) => Err(FramingError::Head),
+    }
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyLength {
+    /// It has this many bytes.
+    Fixed(usize),
+    /// It ends with an empty chunk.
+    Chunked,
+    /// It ends with the connection.
+    UntilClose,
+}
+
+fn declared_length(message: &impl HeaderLookup) -> Result<Option<usize>, FramingError> {
+    let mut length = None;
+    for field in message.fields() {
+        if !field.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        let text = std::str::from_utf8(&field.value).map_err(|_invalid| FramingError::Length)?;
+        let text = text.trim();
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(FramingError::Length);
+        }
+        let value: usize = text.parse().map_err(|_overflow| FramingError::Length)?;
+        if length.is_some_and(|known| known != value) {
+            return Err(FramingError::Length);
+        }
+        length = Some(value);
+    }
+    Ok(length)
+}
+
+fn is_chunked(message: &impl HeaderLookup) -> Result<bool, FramingError> {
+    let codings: Vec<&HeaderField> = message
+        .fields()
+        .iter()
+        .filter(|field| field.name.eq_ignore_ascii_case("transfer-encoding"))
+        .collect();
+    match codings.as_slice() {
+        [] => Ok(false),
+        [coding] if coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(FramingError::Length),
+    }
+}
+
+/// The body length of a request. Both a length and chunks are refused, since
+/// another server may find a different end.
+pub(crate) fn request_length(head: &RequestHead) -> Result<BodyLength, FramingError> {
+    let chunked = is_chunked(head)?;
+    let length = declared_length(head)?;
+    match (chunked, length) {
+        (true, Some(_)) => Err(FramingError::Length),
+        (true, None) if head.is_http10 => Err(FramingError::Length),
+        (true, None) => Ok(BodyLength::Chunked),
+        (false, length) => Ok(BodyLength::Fixed(length.unwrap_or(0))),
+    }
+}
+
+/// The body length of an answer to a request with this method.
+pub(crate) fn answer_length(head: &AnswerHead, method: &str) -> Result<BodyLength, FramingError> {
+    if method == "HEAD" || matches!(head.status, 204 | 304) {
+        return Ok(BodyLength::Fixed(0));
+    }
+    if is_chunked(head)? {
+        return Ok(BodyLength::Chunked);
+    }
+    Ok(declared_length(head)?.map_or(BodyLength::UntilClose, BodyLength::Fixed))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+}
+
+/// Collects a body from a buffer that grows.
+#[derive(Debug)]
+pub(crate) struct BodyReader {
+    length: BodyLength,
+    state: ChunkState,
+    body: BytesMut,
+    trailer: usize,
+    max_bytes: usize,
+}
+
+impl BodyReader {
+    pub(crate) fn new(length: BodyLength, max_bytes: usize) -> Result<Self, FramingError> {
+        if let BodyLength::Fixed(bytes) = length
+            && bytes > max_bytes
+        {
+            return Err(FramingError::BodyTooLarge);
+        }
+        Ok(Self { length, state: ChunkState::Size, body: BytesMut::new(), trailer: 0, max_bytes })
+    }
+
+    /// Takes bytes from the buffer. Returns the body once it is complete.
+    pub(crate) fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, FramingError> {
+        match self.length {
+            BodyLength::Fixed(length) => {
+                if buffer.len() < length {
+                    return Ok(None);
+                }
+                Ok(Some(buffer.split_to(length).freeze()))
+            }
+            BodyLength::Chunked => self.take_chunks(buffer),
+            BodyLength::UntilClose => {
+                self.push(buffer.len(), buffer)?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// The body that ends with a connection closed in order.
+    pub(crate) fn take_at_close(&mut self) -> Option<Bytes> {
+        (self.length == BodyLength::UntilClose).then(|| self.body.split().freeze())
+    }
+
+    fn push(&mut self, count: usize, buffer: &mut BytesMut) -> Result<(), FramingError> {
+        if self.body.len() + count > self.max_bytes {
+            return Err(FramingError::BodyTooLarge);
+        }
+        self.body.extend_from_slice(&buffer.split_to(count));
+        Ok(())
+    }
+
+    fn take_chunks(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, FramingError> {
+        loop {
+            match self.state {
+                ChunkState::Size => {
+                    let Some(line) = take_line(buffer, MAX_CHUNK_LINE)? else { return Ok(None) };
+                    let size = chunk_size(&line)?;
+                    self.state = if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                }
+                ChunkState::Data(left) => {
+                    let count = left.min(buffer.len());
+                    self.push(count, buffer)?;
+                    if count < left {
+                        self.state = ChunkState::Data(left - count);
+                        return Ok(None);
+                    }
+                    self.state = ChunkState::DataEnd;
+                }
+                ChunkState::DataEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(None);
+                    }
+                    if buffer.split_to(2).as_ref() != b"\r\n" {
+                        return Err(FramingError::Chunk);
+                    }
+                    self.state = ChunkState::Size;
+                }
+                ChunkState::Trailer => {
+                    let Some(line) = take_line(buffer, MAX_TRAILER)? else { return Ok(None) };
+                    self.trailer += line.len();
+                    if self.trailer > MAX_TRAILER {
+                        return Err(FramingError::Chunk);
+                    }
+                    if line.is_empty() {
+                        return Ok(Some(self.body.split().freeze()));
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, FramingError> {
+    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+        return if buffer.len() > max_bytes { Err(FramingError::Chunk) } else { Ok(None) };
+    };
+    let line = buffer.split_to(end);
+    buffer.advance(2);
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, FramingError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let text = std::str::from_utf8(digits).map_err(|_invalid| FramingError::Chunk)?;
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(FramingError::Chunk);
+    }
+    usize::from_str_radix(text, 16).map_err(|_overflow| FramingError::Chunk)
+}
--- /dev/null
+++ b/crates/edge/src/http/server.rs
@@ -0,0 +1,343 @@
+//! Serves callers' connections.
+//!
+//! Requests that a caller sends before the first answer are handled at the same
+//! time; answers keep the order of the requests. A caller that closes its
+//! connection cancels what it asked for.
+
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use tarragonpulley_policy::entry::config::CallerLimits;
+
+use super::framing::{BodyLength, BodyReader, FramingError, request_length, take_request_head};
+use super::message::{CallerReply, CallerRequest, HeaderLookup, RequestHead, reason_phrase};
+
+/// The most requests of one connection that are handled at a time.
+const MAX_PIPELINED: usize = 16;
+
+/// How long a caller may take to read an answer before it is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The most bytes of requests read ahead while earlier ones are handled.
+const READ_AHEAD: usize = 256 * 1024;
+
+/// Pause after a failed accept, in which descriptors may become free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How far a listener has come in stopping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// Serves.
+    Running,
+    /// Serves, and closes each connection with its next answer.
+    Draining,
+    /// Closes connections that have no request; accepts none.
+    Closing,
+}
+
+/// Handles the requests of a listener.
+pub(crate) trait RequestHandler {
+    /// Handles one request. Dropping the future cancels it.
+    fn handle(&self, request: CallerRequest) -> LocalBoxFuture<'static, CallerReply>;
+
+    /// The limits on requests now.
+    fn limits(&self) -> CallerLimits;
+}
+
+/// Accepts connections until the stop phase is [`StopPhase::Closing`].
+pub(crate) async fn serve(
+    listener: TcpListener,
+    handler: Rc<dyn RequestHandler>,
+    stop: watch::Receiver<StopPhase>,
+) {
+    let mut phase = stop.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let connection = serve_connection(stream, Rc::clone(&handler), stop.clone());
+                    actix_rt::spawn(connection);
+                }
+                // Out of descriptors, or the caller is gone already.
+                Err(_failed) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+            closed = phase.wait_for(|phase| *phase == StopPhase::Closing) => {
+                drop(closed);
+                return;
+            }
+        }
+    }
+}
+
+struct ReplyTask(JoinHandle<CallerReply>);
+
+impl Drop for ReplyTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+enum PendingReply {
+    Task(ReplyTask),
+    Ready(CallerReply),
+}
+
+impl PendingReply {
+    async fn wait(&mut self) -> CallerReply {
+        match self {
+            Self::Ready(reply) => reply.clone(),
+            Self::Task(task) => match (&mut task.0).await {
+                Ok(reply) => reply,
+                Err(_panicked) => CallerReply::empty(500).closing(),
+            },
+        }
+    }
+}
+
+struct PendingRequest {
+    reply: PendingReply,
+    is_head: bool,
+    keeps_alive: bool,
+}
+
+enum ReadEvent {
+    Request(CallerRequest),
+    Refused(FramingError),
+    Gone,
+    TimedOut { partial: bool },
+}
+
+/// Reads requests; all progress is kept in the value, so that waiting for the
+/// next one can be cancelled.
+struct RequestReader {
+    stream: OwnedReadHalf,
+    buffer: BytesMut,
+    head: Option<(RequestHead, BodyReader)>,
+    last_byte: Instant,
+    partial_since: Option<Instant>,
+    expects_continue: bool,
+}
+
+impl RequestReader {
+    fn parse(&mut self, limits: &CallerLimits) -> Result<Option<CallerRequest>, FramingError> {
+        if self.head.is_none() {
+            let Some(head) = take_request_head(&mut self.buffer, limits.max_header_bytes)? else {
+                return Ok(None);
+            };
+            let length = request_length(&head)?;
+            let reader = BodyReader::new(length, limits.max_body_bytes)?;
+            self.expects_continue =
+                head.has_token("expect", "100-continue") && length != BodyLength::Fixed(0);
+            self.head = Some((head, reader));
+        }
+        let Some((_, reader)) = &mut self.head else { return Ok(None) };
+        let Some(body) = reader.take(&mut self.buffer)? else { return Ok(None) };
+        let Some((head, _)) = self.head.take() else { return Ok(None) };
+        self.expects_continue = false;
+        self.partial_since = None;
+        Ok(Some(CallerRequest { head, body, received: Instant::now() }))
+    }
+
+    fn is_partial(&self) -> bool {
+        self.head.is_some() || !self.buffer.is_empty()
+    }
+
+    async fn next(&mut self, limits: &CallerLimits, accepts: bool, idle: bool) -> ReadEvent {
+        loop {
+            if accepts {
+                match self.parse(limits) {
+                    Ok(Some(request)) => return ReadEvent::Request(request),
+                    Ok(None) => {}
+                    Err(error) => return ReadEvent::Refused(error),
+                }
+            }
+            let partial = accepts && self.is_partial();
+            if partial && self.partial_since.is_none() {
+                self.partial_since = Some(self.last_byte);
+            }
+            let limit = if self.head.is_some() {
+                Some(self.last_byte + limits.header_timeout.max(limits.idle_timeout))
+            } else if partial {
+                self.partial_since.map(|since| since + limits.header_timeout)
+            } else if idle {
+                Some(self.last_byte + limits.idle_timeout)
+            } else {
+                None
+            };
+            if self.buffer.len() > READ_AHEAD && !accepts {
+                std::future::pending::<()>().await;
+            }
+            let read = self.stream.read_buf(&mut self.buffer);
+            let count = match limit {
+                Some(limit) => match tokio::time::timeout_at(limit.into(), read).await {
+                    Ok(count) => count,
+                    Err(_elapsed) => return ReadEvent::TimedOut { partial },
+                },
+                None => read.await,
+            };
+            match count {
+                Ok(0) | Err(_) => return ReadEvent::Gone,
+                Ok(_) => self.last_byte = Instant::now(),
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    handler: Rc<dyn RequestHandler>,
+    mut stop: watch::Receiver<StopPhase>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        // The caller has reset the connection.
+        return;
+    }
+    let (read_half, mut write_half) = stream.into_split();
+    let mut reader = RequestReader {
+        stream: read_half,
+        buffer: BytesMut::new(),
+        head: None,
+        last_byte: Instant::now(),
+        partial_since: None,
+        expects_continue: false,
+    };
+    let mut pending: VecDeque<PendingRequest> = VecDeque::new();
+    let mut ends = false;
+    loop {
+        let limits = handler.limits();
+        let phase = *stop.borrow_and_update();
+        if phase == StopPhase::Closing && pending.is_empty() && !reader.is_partial() {
+            return;
+        }
+        if reader.expects_continue && pending.is_empty() {
+            reader.expects_continue = false;
+            if write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                return;
+            }
+        }
+        let accepts = !ends && pending.len() < MAX_PIPELINED;
+        let is_idle = pending.is_empty();
+        tokio::select! {
+            biased;
+            reply = async { match pending.front_mut() {
+                Some(first) => first.reply.wait().await,
+                None => std::future::pending().await,
+            }} => {
+                let Some(request) = pending.pop_front() else { return };
+                let last = pending.is_empty() && !reader.is_partial();
+                let close = reply.close
+                    || !request.keeps_alive
+                    || (ends && pending.is_empty())
+                    || (last && phase >= StopPhase::Draining);
+                let bytes = encode_reply(&reply, request.is_head, close);
+                let written = tokio::time::timeout(WRITE_TIMEOUT, write_half.write_all(&bytes)).await;
+                if !matches!(written, Ok(Ok(()))) {
+                    return;
+                }
+                reader.last_byte = reader.last_byte.max(Instant::now());
+                if close {
+                    linger(write_half, reader.stream).await;
+                    return;
+                }
+            }
+            event = reader.next(&limits, accepts, is_idle) => match event {
+                ReadEvent::Request(request) => {
+                    let is_head = request.head.method == "HEAD";
+                    let keeps_alive = request.head.keeps_alive();
+                    ends |= !keeps_alive;
+                    let task = actix_rt::spawn(handler.handle(request));
+                    pending.push_back(PendingRequest {
+                        reply: PendingReply::Task(ReplyTask(task)),
+                        is_head,
+                        keeps_alive,
+                    });
+                }
+                ReadEvent::Refused(error) => {
+                    let reply = CallerReply::empty(refusal_status(error)).closing();
+                    pending.push_back(PendingRequest {
+                        reply: PendingReply::Ready(reply),
+                        is_head: false,
+                        keeps_alive: false,
+                    });
+                    ends = true;
+                }
+                ReadEvent::TimedOut { partial: true } => {
+                    pending.push_back(PendingRequest {
+                        reply: PendingReply::Ready(CallerReply::empty(408).closing()),
+                        is_head: false,
+                        keeps_alive: false,
+                    });
+                    ends = true;
+                }
+                ReadEvent::TimedOut { partial: false } | ReadEvent::Gone => return,
+            },
+            changed = stop.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn refusal_status(error: FramingError) -> u16 {
+    match error {
+        FramingError::HeadTooLarge => 431,
+        FramingError::BodyTooLarge => 413,
+        FramingError::Head | FramingError::Length | FramingError::Chunk => 400,
+    }
+}
+
+/// Sends the end of the stream and discards what still arrives for a moment:
+/// closing with unread bytes would reset the connection and could destroy the
+/// answer on its way.
+async fn linger(mut write_half: tokio::net::tcp::OwnedWriteHalf, mut read_half: OwnedReadHalf) {
+    const LINGER: Duration = Duration::from_millis(500);
+    if write_half.shutdown().await.is_err() {
+        return;
+    }
+    let discard = async {
+        let mut scratch = [0_u8; 2048];
+        while matches!(read_half.read(&mut scratch).await, Ok(count) if count > 0) {}
+    };
+    // Not reading to the end within the time is the ordinary case of a caller
+    // that keeps its side open.
+    drop(tokio::time::timeout(LINGER, discard).await);
+}
+
+fn encode_reply(reply: &CallerReply, is_head: bool, close: bool) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(256 + reply.body.len());
+    bytes.put_slice(format!("HTTP/1.1 {} {}\r\n", reply.status, reason_phrase(reply.status)).as_bytes());
+    for field in &reply.fields {
+        bytes.put_slice(field.name.as_bytes());
+        bytes.put_slice(b": ");
+        bytes.put_slice(&field.value);
+        bytes.put_slice(b"\r\n");
+    }
+    if reply.status != 204 && reply.status != 304 && !is_head {
+        bytes.put_slice(format!("Content-Length: {}\r\n", reply.body.len()).as_bytes());
+    }
+    if close {
+        bytes.put_slice(b"Connection: close\r\n");
+    }
+    bytes.put_slice(b"\r\n");
+    if !is_head {
+        bytes.put_slice(&reply.body);
+    }
+    bytes.freeze()
+}
+
+/// Binds a listener.
+pub(crate) async fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/crates/edge/src/instance.rs
@@ -0,0 +1,355 @@
+//! The state of one instance and the events that change it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::entry::budget::{BudgetBound, RepeatBudget};
+use tarragonpulley_policy::entry::cold::{ColdBound, ColdGate};
+use tarragonpulley_policy::entry::config::{RolloutRecord, TrafficConfig};
+use tarragonpulley_policy::entry::crash::CrashLedger;
+use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
+use tarragonpulley_policy::entry::names::{CentreName, RegionName, ServiceName};
+use tarragonpulley_policy::entry::placement::text_hash;
+use tarragonpulley_policy::entry::quota::TeamQuota;
+use tarragonpulley_policy::entry::split::SplitMeter;
+
+use crate::adapter::{OperatorOrder, PlatformAdapter};
+use crate::events::EventLog;
+use crate::metrics::InstanceMetrics;
+use crate::rollout::RolloutBook;
+use crate::servers::ServerSet;
+use crate::table::{TableBatch, TableKind, TableMirror, TableService};
+
+/// Time after the table's return in which entries that lapsed during its outage
+/// are written again.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// Settings of an instance.
+#[derive(Debug, Clone)]
+pub struct InstanceOptions {
+    /// Where it is and how it is reached.
+    pub record: InstanceRecord,
+    /// The region of each data centre.
+    pub regions: BTreeMap<CentreName, RegionName>,
+    /// How old the proof of the configuration may be when a key is used.
+    pub key_proof_limit: Duration,
+    /// The bound on repeats.
+    pub repeats: BudgetBound,
+    /// The bound on requests to cold servers.
+    pub cold: ColdBound,
+    /// Time from the stop signal until the process is killed.
+    pub stop_limit: Duration,
+}
+
+/// An instance while it runs.
+pub(crate) struct Instance {
+    pub(crate) clock: Rc<dyn TimeSource>,
+    /// Dates proofs; goes on while the machine is suspended.
+    pub(crate) proof_clock: Rc<dyn TimeSource>,
+    pub(crate) adapter: Rc<dyn PlatformAdapter>,
+    pub(crate) table: Rc<dyn TableService>,
+    pub(crate) options: RefCell<InstanceOptions>,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: InstanceMetrics,
+    pub(crate) config: RefCell<Option<Rc<TrafficConfig>>>,
+    pub(crate) mirrors: RefCell<BTreeMap<TableKind, TableMirror>>,
+    pub(crate) servers: RefCell<ServerSet>,
+    pub(crate) evacuated: RefCell<BTreeSet<CentreName>>,
+    pub(crate) records: RefCell<BTreeMap<ServiceName, RolloutRecord>>,
+    pub(crate) rollouts: RefCell<RolloutBook>,
+    pub(crate) peers: RefCell<InstanceTable>,
+    pub(crate) quota: RefCell<TeamQuota>,
+    pub(crate) repeats: RefCell<RepeatBudget>,
+    pub(crate) cold_gate: RefCell<ColdGate>,
+    pub(crate) crashes: RefCell<CrashLedger>,
+    pub(crate) splits: RefCell<BTreeMap<String, SplitMeter>>,
+    pub(crate) leaving: Cell<bool>,
+    pub(crate) table_failed_at: Cell<Option<Instant>>,
+    pub(crate) table_returned_at: Cell<Option<Instant>>,
+    /// Wakes those who wait for a change of a mirror.
+    pub(crate) changed: tokio::sync::Notify,
+    /// Wakes the sender of digests.
+    pub(crate) urgent: tokio::sync::Notify,
+    unreadable: RefCell<BTreeMap<(TableKind, String), u64>>,
+}
+
+impl Instance {
+    pub(crate) fn new(
+        clock: Rc<dyn TimeSource>,
+        proof_clock: Rc<dyn TimeSource>,
+        adapter: Rc<dyn PlatformAdapter>,
+        table: Rc<dyn TableService>,
+        options: InstanceOptions,
+        log: EventLog,
+    ) -> Self {
+        Self {
+            peers: RefCell::new(InstanceTable::new(options.record.clone())),
+            quota: RefCell::new(TeamQuota::new()),
+            repeats: RefCell::new(RepeatBudget::new(options.repeats)),
+            clock,
+            proof_clock,
+            adapter,
+            table,
+            options: RefCell::new(options),
+            log,
+            metrics: InstanceMetrics::new(),
+            config: RefCell::default(),
+            mirrors: RefCell::default(),
+            servers: RefCell::default(),
+            evacuated: RefCell::default(),
+            records: RefCell::default(),
+            rollouts: RefCell::default(),
+            cold_gate: RefCell::default(),
+            crashes: RefCell::default(),
+            splits: RefCell::default(),
+            leaving: Cell::new(false),
+            table_failed_at: Cell::new(None),
+            table_returned_at: Cell::new(None),
+            changed: tokio::sync::Notify::new(),
+            urgent: tokio::sync::Notify::new(),
+            unreadable: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.instant()
+    }
+
+    /// The time by which proofs are dated.
+    pub(crate) fn proof_now(&self) -> Instant {
+        self.proof_clock.instant()
+    }
+
+    /// How long ago the configuration was last known to be current.
+    pub(crate) fn proof_age(&self) -> Option<Duration> {
+        let now = self.proof_now();
+        let mirrors = self.mirrors.borrow();
+        let proved = mirrors.get(&TableKind::Orders)?.proved()?;
+        Some(now.saturating_duration_since(proved))
+    }
+
+    /// Whether keys may be used, and unknown routes and keys be refused.
+    pub(crate) fn is_proved(&self) -> bool {
+        let limit = self.options.borrow().key_proof_limit;
+        self.proof_age().is_some_and(|age| age < limit)
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn state(&self) -> InstanceState {
+        if self.leaving.get() {
+            return InstanceState::Leaving;
+        }
+        let has_servers = self.mirrors.borrow().get(&TableKind::Servers).is_some_and(|m| m.upto().is_some());
+        if self.config.borrow().is_some() && has_servers && self.is_proved() {
+            InstanceState::Ready
+        } else {
+            InstanceState::Unready
+        }
+    }
+
+    pub(crate) fn region_of(&self, centre: &CentreName) -> Option<RegionName> {
+        self.options.borrow().regions.get(centre).cloned()
+    }
+
+    /// Takes rows of a table, read by a call that began at `started` by the proof
+    /// clock.
+    pub(crate) fn apply(&self, table: TableKind, batch: TableBatch, started: Instant) {
+        let now = self.now();
+        let changed = {
+            let mut mirrors = self.mirrors.borrow_mut();
+            mirrors.entry(table).or_default().apply(batch, started, self.proof_now())
+        };
+        if changed.is_empty() {
+            return;
+        }
+        for key in &changed {
+            match table {
+                TableKind::Orders => self.apply_order(key, now),
+                TableKind::Servers => self.apply_server(key, now),
+                TableKind::Records => self.apply_record(key),
+                TableKind::Instances => self.apply_instance(key),
+            }
+        }
+        if table == TableKind::Servers {
+            self.servers.borrow_mut().prune(now);
+        }
+        self.follow_rollouts(now);
+        self.changed.notify_waiters();
+    }
+
+    fn value(&self, table: TableKind, key: &str) -> Option<Vec<u8>> {
+        self.mirrors.borrow().get(&table)?.value(key).map(<[u8]>::to_vec)
+    }
+
+    /// Logs a row that is not used, once for each version of it.
+    fn unreadable(&self, table: TableKind, key: &str, reason: &str) {
+        let version = self.mirrors.borrow().get(&table).and_then(|mirror| mirror.version(key));
+        let mut seen = self.unreadable.borrow_mut();
+        let first = seen.insert((table, key.to_owned()), version.unwrap_or(0)).is_none();
+        self.metrics.unreadable_rows.inc();
+        if first {
+            self.log.event(
+                "row_ignored",
+                json!({"table": format!("{table:?}"), "key": key, "row_version": version, "reason": reason}),
+            );
+        }
+    }
+
+    fn apply_order(&self, key: &str, now: Instant) {
+        let Some(value) = self.value(TableKind::Orders, key) else {
+            self.withdraw_order(key, now);
+            return;
+        };
+        match self.adapter.decode_order(key, &value) {
+            Ok(OperatorOrder::Config(config)) => self.apply_config(*config),
+            Ok(OperatorOrder::Evacuate(centre)) => {
+                self.log.event("evacuation_started", json!({"centre": centre.as_str()}));
+                self.evacuated.borrow_mut().insert(centre);
+            }
+            Ok(OperatorOrder::Rollout(order)) => {
+                let version = self.mirrors.borrow().get(&TableKind::Orders).and_then(|m| m.version(key));
+                self.log.event(
+                    "rollout_ordered",
+                    json!({"service": order.service.as_str(), "to": order.to.as_str(),
+                        "within_ms": order.within.as_millis(), "row_version": version}),
+                );
+                let id = text_hash(&format!("{key} {} {}", order.to, version.unwrap_or(0)));
+                self.rollouts.borrow_mut().order(key, id, order, now);
+            }
+            Err(error) => self.unreadable(TableKind::Orders, key, &error.reason),
+        }
+    }
+
+    fn withdraw_order(&self, key: &str, now: Instant) {
+        self.rollouts.borrow_mut().withdraw(key);
+        let remaining: BTreeSet<CentreName> = {
+            let mirrors = self.mirrors.borrow();
+            let rows = mirrors.get(&TableKind::Orders);
+            rows.into_iter()
+                .flat_map(TableMirror::rows)
+                .filter_map(|(key, value)| match self.adapter.decode_order(key, value) {
+                    Ok(OperatorOrder::Evacuate(centre)) => Some(centre),
+                    _ => None,
+                })
+                .collect()
+        };
+        let ended: Vec<CentreName> =
+            self.evacuated.borrow().difference(&remaining).cloned().collect();
+        for centre in ended {
+            self.log.event("evacuation_ended", json!({"centre": centre.as_str()}));
+            self.evacuated.borrow_mut().remove(&centre);
+            self.expect_cold(&centre, now);
+        }
+    }
+
+    /// Servers that had no requests for a while may be cold before they say so.
+    fn expect_cold(&self, centre: &CentreName, now: Instant) {
+        let config = self.config.borrow();
+        let servers = self.servers.borrow();
+        for server in servers.all().filter(|server| &server.entry.borrow().centre == centre) {
+            let service = server.entry.borrow().service.clone();
+            if let Some(rule) = config.as_ref().and_then(|config| config.services.get(&service)) {
+                server.cold_until.set(Some(now + rule.cold_period));
+            }
+        }
+    }
+
+    fn apply_config(&self, config: TrafficConfig) {
+        let known = self.config.borrow().as_ref().map(|config| config.version);
+        if known.is_some_and(|known| known >= config.version) {
+            return;
+        }
+        self.log.event(
+            "config_applied",
+            json!({"version": config.version.0, "before": known.map(|version| version.0),
+                "routes": config.routes.len(), "teams": config.teams.len(), "keys": config.keys.len()}),
+        );
+        *self.config.borrow_mut() = Some(Rc::new(config));
+    }
+
+    fn apply_server(&self, key: &str, now: Instant) {
+        let Some(value) = self.value(TableKind::Servers, key) else {
+            if let Some(id) = self.adapter.server_id(key) {
+                self.remove_server(&id, now);
+            }
+            return;
+        };
+        match self.adapter.decode_server(key, &value) {
+            Ok(entry) => {
+                let line = json!({"server": entry.id.as_str(), "service": entry.service.as_str(),
+                    "version": entry.version.as_str(), "centre": entry.centre.as_str(),
+                    "leaving": entry.leaving, "cold_left_ms": entry.cold_left.as_millis()});
+                if self.servers.borrow_mut().update(entry, now) {
+                    self.log.event("server_changed", line);
+                }
+            }
+            Err(error) => {
+                if let Some(id) = self.adapter.server_id(key) {
+                    self.remove_server(&id, now);
+                }
+                self.unreadable(TableKind::Servers, key, &error.reason);
+            }
+        }
+    }
+
+    fn remove_server(&self, id: &tarragonpulley_policy::entry::names::ServerId, now: Instant) {
+        // Entries that lapsed while the table was away are written again soon.
+        let returned = self.table_returned_at.get().map(|at| at + LAPSE_GRACE);
+        let at = returned.map_or(now, |until| until.max(now));
+        let mut servers = self.servers.borrow_mut();
+        if servers.get(id).is_some() {
+            servers.remove(id, at);
+            let delay = at.saturating_duration_since(now).as_millis();
+            self.log.event("server_gone", json!({"server": id.as_str(), "after_ms": delay}));
+        }
+    }
+
+    fn apply_record(&self, key: &str) {
+        let Some(value) = self.value(TableKind::Records, key) else { return };
+        match self.adapter.decode_record(key, &value) {
+            Ok((service, record)) => {
+                self.log.event(
+                    "rollout_recorded",
+                    json!({"service": service.as_str(), "to": record.to.as_str(),
+                        "state": format!("{:?}", record.state)}),
+                );
+                self.records.borrow_mut().insert(service, record);
+            }
+            Err(error) => self.unreadable(TableKind::Records, key, &error.reason),
+        }
+    }
+
+    fn apply_instance(&self, key: &str) {
+        let Some(value) = self.value(TableKind::Instances, key) else { return };
+        match serde_json::from_slice::<InstanceRecord>(&value) {
+            Ok(record) => self.peers.borrow_mut().register(record),
+            Err(error) => self.unreadable(TableKind::Instances, key, &error.to_string()),
+        }
+    }
+
+    /// Notes whether the table answered, and logs when that changes.
+    pub(crate) fn note_table(&self, result: Result<(), &str>) {
+        let now = self.now();
+        self.metrics.table_calls.inc();
+        match result {
+            Ok(()) => {
+                if let Some(since) = self.table_failed_at.take() {
+                    self.table_returned_at.set(Some(now));
+                    let away = now.saturating_duration_since(since).as_millis();
+                    self.log.event("table_regained", json!({"away_ms": away}));
+                }
+            }
+            Err(reason) => {
+                self.metrics.table_failures.inc();
+                if self.table_failed_at.get().is_none() {
+                    self.table_failed_at.set(Some(now));
+                    self.log.event("table_lost", json!({"reason": reason}));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,83 @@
+//! Counters and latency histograms.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabel {
+    pub(crate) status: u32,
+    pub(crate) reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PlaceLabel {
+    pub(crate) place: &'static str,
+}
+
+/// All metrics of an instance.
+#[derive(Debug)]
+pub(crate) struct InstanceMetrics {
+    registry: Registry,
+    pub(crate) outcomes: Family<OutcomeLabel, Counter>,
+    pub(crate) placements: Family<PlaceLabel, Counter>,
+    pub(crate) latency: Histogram,
+    pub(crate) connections_opened: Counter,
+    pub(crate) repeats: Counter,
+    pub(crate) table_calls: Counter,
+    pub(crate) table_failures: Counter,
+    pub(crate) unreadable_rows: Counter,
+    pub(crate) proof_age_ms: Gauge,
+    pub(crate) digest_bytes: Counter,
+}
+
+impl InstanceMetrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("tarragonpulley"),
+            outcomes: Family::default(),
+            placements: Family::default(),
+            latency: Histogram::new(LATENCY_BUCKETS),
+            connections_opened: Counter::default(),
+            repeats: Counter::default(),
+            table_calls: Counter::default(),
+            table_failures: Counter::default(),
+            unreadable_rows: Counter::default(),
+            proof_age_ms: Gauge::default(),
+            digest_bytes: Counter::default(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("answers", "Answers by status and reason", metrics.outcomes.clone());
+        registry.register(
+            "placements",
+            "Requests by whether the server knows the object, is the owner, or neither",
+            metrics.placements.clone(),
+        );
+        registry.register("latency_seconds", "Time until the answer", metrics.latency.clone());
+        registry.register("server_connections", "Connections opened to servers", metrics.connections_opened.clone());
+        registry.register("repeats", "Requests sent to a second server", metrics.repeats.clone());
+        registry.register("table_calls", "Calls to the shared table", metrics.table_calls.clone());
+        registry.register("table_failures", "Calls that failed", metrics.table_failures.clone());
+        registry.register("unreadable_rows", "Rows that are not used", metrics.unreadable_rows.clone());
+        registry.register("proof_age_ms", "Age of the configuration's last proof", metrics.proof_age_ms.clone());
+        registry.register("digest_bytes", "Bytes of digests sent", metrics.digest_bytes.clone());
+        metrics
+    }
+
+    /// The metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        if encode(&mut text, &self.registry).is_err() {
+            text.clear();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,266 @@
+//! What instances send each other: digests over UDP, copies of tables over TCP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tarragonpulley_policy::entry::digest::{InstanceDigest, InstanceRecord};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use crate::instance::Instance;
+use crate::table::{TableBatch, TableKind};
+
+/// Time between two digests to the instances of the data centre.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How many digests are sent in the data centre for one to the others.
+const BUNDLE_EVERY: u64 = 2;
+
+/// The largest datagram in bytes; stays below the usual path limit.
+const MAX_DATAGRAM: usize = 1300;
+
+/// The largest message over TCP in bytes.
+const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
+
+/// Time for one exchange with another instance beyond the wait asked for: two
+/// round trips between regions, and its pauses.
+const EXCHANGE_LIMIT: Duration = Duration::from_millis(600);
+
+/// How long the connection of another instance may stay open.
+const CONNECTION_LIMIT: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerDatagram {
+    /// Whether the receiver hands the digests on in its data centre.
+    relay: bool,
+    /// Whether the first digest is the sender's own.
+    digests: Vec<InstanceDigest>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct ReadRequest {
+    table: TableKind,
+    after: Option<u64>,
+    wait_ms: u32,
+}
+
+/// Why an exchange with another instance failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PeerError {
+    #[error("no answer in time")]
+    Elapsed,
+    #[error("the connection failed: {0}")]
+    Connection(#[from] io::Error),
+    #[error("the message cannot be read: {0}")]
+    Decode(#[from] bincode::error::DecodeError),
+    #[error("the message cannot be written: {0}")]
+    Encode(#[from] bincode::error::EncodeError),
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, bincode::error::DecodeError> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard()).map(|(value, _)| value)
+}
+
+async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(|_large| io::Error::from(io::ErrorKind::InvalidInput))?;
+    stream.write_all(&[&length.to_be_bytes(), bytes].concat()).await
+}
+
+async fn read_message(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await?;
+    if length > MAX_MESSAGE {
+        return Err(io::Error::from(io::ErrorKind::InvalidData));
+    }
+    let mut bytes = vec![0; usize::try_from(length).unwrap_or(0)];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
+
+/// Reads another instance's copy of a table. `None` if it has none.
+pub(crate) async fn read_from_peer(
+    peer: SocketAddr,
+    table: TableKind,
+    after: Option<u64>,
+    wait: Duration,
+) -> Result<Option<TableBatch>, PeerError> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(peer).await?;
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        write_message(&mut stream, &encode(&ReadRequest { table, after, wait_ms })?).await?;
+        Ok(decode(&read_message(&mut stream).await?)?)
+    };
+    match tokio::time::timeout(wait + EXCHANGE_LIMIT, exchange).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(PeerError::Elapsed),
+    }
+}
+
+impl Instance {
+    /// Answers other instances that read this one's copies.
+    pub(crate) async fn serve_peers(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let instance = Rc::clone(&self);
+            actix_rt::spawn(async move {
+                let served = instance.serve_peer(stream);
+                match tokio::time::timeout(CONNECTION_LIMIT, served).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(error)) => {
+                        instance.log.event("peer_request_failed", json!({"reason": error.to_string()}));
+                    }
+                    Err(_elapsed) => {
+                        instance.log.event("peer_request_failed", json!({"reason": "not complete in time"}));
+                    }
+                }
+            });
+        }
+    }
+
+    async fn serve_peer(&self, mut stream: TcpStream) -> Result<(), PeerError> {
+        let request: ReadRequest = decode(&read_message(&mut stream).await?)?;
+        let wait = Duration::from_millis(request.wait_ms.into());
+        let is_current = || {
+            let mirrors = self.mirrors.borrow();
+            let upto = mirrors.get(&request.table).and_then(crate::table::TableMirror::upto);
+            request.after.is_some() && upto <= request.after
+        };
+        if is_current() && !wait.is_zero() {
+            // Answered either way when the time is over.
+            drop(tokio::time::timeout(wait, self.changed.notified()).await);
+        }
+        let batch: Option<TableBatch> = {
+            let mirrors = self.mirrors.borrow();
+            mirrors.get(&request.table).and_then(|mirror| mirror.batch(request.after, self.proof_now()))
+        };
+        write_message(&mut stream, &encode(&batch)?).await?;
+        Ok(())
+    }
+
+    fn digest(&self, sequence: u64) -> InstanceDigest {
+        let now = self.now();
+        #[expect(clippy::cast_possible_truncation, reason = "rates of a few thousand at most")]
+        let demands = self.quota.borrow_mut().demands(now).into_iter().map(|(team, rate)| (team, rate as f32)).collect();
+        InstanceDigest {
+            record: self.peers.borrow().own().clone(),
+            sequence,
+            state: self.state(),
+            demands,
+            trials: self.rollouts.borrow().evidence(),
+            crashes: self.crashes.borrow().report(),
+        }
+    }
+
+    /// Sends digests until the process ends.
+    pub(crate) async fn send_digests(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        let mut sequence = 0;
+        loop {
+            sequence += 1;
+            let now = self.now();
+            let own = self.digest(sequence);
+            let neighbours: Vec<InstanceRecord> = self.peers.borrow().neighbours().cloned().collect();
+            for neighbour in &neighbours {
+                self.send(&socket, neighbour.peer, false, vec![own.clone()]).await;
+            }
+            let is_urgent = tokio::select! {
+                () = self.urgent.notified() => true,
+                () = actix_rt::time::sleep(DIGEST_INTERVAL) => false,
+            };
+            let due = is_urgent || sequence.is_multiple_of(BUNDLE_EVERY) || sequence < 4;
+            // A leaving instance tells the other data centres itself, as its
+            // delegate may be stopping too.
+            if due && (self.peers.borrow().is_delegate(now) || self.leaving.get()) {
+                let mut digests = vec![self.digest(sequence)];
+                digests.extend(self.peers.borrow().centre_digests(now));
+                let targets: Vec<SocketAddr> =
+                    self.peers.borrow().delegates(now).iter().map(|record| record.peer).collect();
+                for target in targets {
+                    self.send(&socket, target, true, digests.clone()).await;
+                }
+            }
+            self.refresh_limits();
+        }
+    }
+
+    async fn send(&self, socket: &UdpSocket, target: SocketAddr, relay: bool, digests: Vec<InstanceDigest>) {
+        let mut part: Vec<InstanceDigest> = Vec::new();
+        let mut parts: Vec<Vec<u8>> = Vec::new();
+        let mut last: Option<Vec<u8>> = None;
+        for digest in digests {
+            part.push(digest);
+            match encode(&PeerDatagram { relay, digests: part.clone() }) {
+                Ok(bytes) if bytes.len() > MAX_DATAGRAM && part.len() > 1 => {
+                    parts.extend(last.take());
+                    part.drain(..part.len() - 1);
+                    last = encode(&PeerDatagram { relay, digests: part.clone() }).ok();
+                }
+                Ok(bytes) => last = Some(bytes),
+                Err(error) => {
+                    self.log.event("digest_not_sent", json!({"reason": error.to_string()}));
+                    return;
+                }
+            }
+        }
+        parts.extend(last);
+        for bytes in parts {
+            self.metrics.digest_bytes.inc_by(u64::try_from(bytes.len()).unwrap_or(0));
+            // Digests are repeated, so a lost one needs no handling.
+            drop(socket.send_to(&bytes, target).await);
+        }
+    }
+
+    /// Receives digests until the process ends.
+    pub(crate) async fn receive_digests(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0_u8; 64 * 1024];
+        loop {
+            let Ok((count, sender)) = socket.recv_from(&mut buffer).await else {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let datagram: PeerDatagram = match decode(&buffer[..count]) {
+                Ok(datagram) => datagram,
+                Err(error) => {
+                    self.log.event("digest_ignored", json!({"sender": sender.to_string(), "reason": error.to_string()}));
+                    continue;
+                }
+            };
+            let now = self.now();
+            let mut fresh = Vec::new();
+            for digest in datagram.digests {
+                let direct = digest.record.peer == sender;
+                if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
+                    fresh.push(digest);
+                }
+            }
+            if datagram.relay && !fresh.is_empty() {
+                let neighbours: Vec<InstanceRecord> = self.peers.borrow().neighbours().cloned().collect();
+                for neighbour in neighbours {
+                    self.send(&socket, neighbour.peer, false, fresh.clone()).await;
+                }
+            }
+        }
+    }
+
+    /// Adjusts this instance's part of the fleet's limits to the others' reports.
+    fn refresh_limits(&self) {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let mut quota = self.quota.borrow_mut();
+        quota.set_instances(peers.sharing(now));
+        let others = peers.other_demands(now);
+        let config = self.config.borrow();
+        for team in config.iter().flat_map(|config| config.teams.keys()) {
+            quota.set_other_demand(team, others.get(team).copied().unwrap_or(0.0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/run.rs
@@ -0,0 +1,184 @@
+//! Starts an instance and stops it without cutting requests.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tarragonpulley_policy::clock::TimeSource;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::adapter::PlatformAdapter;
+use crate::events::EventLog;
+use crate::http::server::{RequestHandler, StopPhase, bind, serve};
+use crate::instance::{Instance, InstanceOptions};
+use crate::listeners::{FrontHandler, ServiceHandler};
+use crate::table::{TableKind, TableService};
+
+/// Time from the stop signal until connections without a request are closed and
+/// none is accepted. Callers learn within one and a half answer lifetimes that
+/// the instance is leaving.
+const CLOSE_AFTER: Duration = Duration::from_millis(2700);
+
+/// Time before the forced end at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(150);
+
+/// Pause between two looks whether requests are still in progress.
+const END_CHECK: Duration = Duration::from_millis(50);
+
+/// Pause before the registration is written again after a failure.
+const REGISTER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Where an instance listens.
+#[derive(Debug, Clone)]
+pub struct ListenAddresses {
+    /// Requests of callers.
+    pub front: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Look-ups.
+    pub directory: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+    /// Other instances, over TCP and UDP.
+    pub peer: SocketAddr,
+}
+
+/// Reads the settings again, after the signal for it.
+pub type SettingsReload = Rc<dyn Fn() -> Result<InstanceOptions, String>>;
+
+/// What an instance is built from.
+pub struct InstanceParts {
+    /// The clock of timers and deadlines.
+    pub clock: Rc<dyn TimeSource>,
+    /// The clock that dates proofs; goes on while the machine is suspended.
+    pub proof_clock: Rc<dyn TimeSource>,
+    /// The translation to the platform.
+    pub adapter: Rc<dyn PlatformAdapter>,
+    /// The shared table.
+    pub table: Rc<dyn TableService>,
+    /// The log.
+    pub log: EventLog,
+    /// Where to listen.
+    pub listen: ListenAddresses,
+    /// The settings.
+    pub options: InstanceOptions,
+    /// Reads the settings again.
+    pub reload: SettingsReload,
+}
+
+impl std::fmt::Debug for InstanceParts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("InstanceParts").field("listen", &self.listen).finish_non_exhaustive()
+    }
+}
+
+/// Runs an instance until it has stopped.
+///
+/// # Errors
+///
+/// If an address cannot be bound or a signal cannot be watched.
+pub async fn run(parts: InstanceParts) -> io::Result<()> {
+    let InstanceParts { clock, proof_clock, adapter, table, log, listen, options, reload } = parts;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let instance = Rc::new(Instance::new(clock, proof_clock, adapter, table, options, log));
+    let (stop, phase) = watch::channel(StopPhase::Running);
+    start_listeners(&instance, &listen, &phase).await?;
+    start_tasks(&instance, &listen).await?;
+    instance.log.event("started", json!({"front": listen.front.to_string()}));
+    loop {
+        tokio::select! {
+            _ = hang_up.recv() => reload_settings(&instance, &reload),
+            _ = terminate.recv() => break,
+        }
+    }
+    stop_instance(&instance, &stop).await;
+    Ok(())
+}
+
+async fn start_listeners(
+    instance: &Rc<Instance>,
+    listen: &ListenAddresses,
+    phase: &watch::Receiver<StopPhase>,
+) -> io::Result<()> {
+    let front = bind(listen.front).await?;
+    actix_rt::spawn(serve(front, Rc::new(FrontHandler(Rc::clone(instance))), phase.clone()));
+    let service: Rc<dyn RequestHandler> = Rc::new(ServiceHandler(Rc::clone(instance)));
+    // Readiness and look-ups are answered until the process ends.
+    let (running, always) = watch::channel(StopPhase::Running);
+    for address in [listen.ready, listen.directory, listen.metrics] {
+        let listener = bind(address).await?;
+        actix_rt::spawn(serve(listener, Rc::clone(&service), always.clone()));
+    }
+    std::mem::forget(running);
+    Ok(())
+}
+
+async fn start_tasks(instance: &Rc<Instance>, listen: &ListenAddresses) -> io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(listen.peer).await?);
+    let peers = bind(listen.peer).await?;
+    actix_rt::spawn(Rc::clone(instance).receive_digests(Rc::clone(&socket)));
+    actix_rt::spawn(Rc::clone(instance).send_digests(socket));
+    actix_rt::spawn(Rc::clone(instance).serve_peers(peers));
+    actix_rt::spawn(Rc::clone(instance).run_rollouts());
+    actix_rt::spawn(Rc::clone(instance).register());
+    for table in [TableKind::Orders, TableKind::Servers, TableKind::Records, TableKind::Instances] {
+        actix_rt::spawn(Rc::clone(instance).follow(table));
+    }
+    Ok(())
+}
+
+fn reload_settings(instance: &Instance, reload: &SettingsReload) {
+    match reload() {
+        Ok(options) => {
+            *instance.options.borrow_mut() = options;
+            instance.log.event("settings_reloaded", json!({}));
+        }
+        Err(reason) => instance.log.event("settings_not_reloaded", json!({"reason": reason})),
+    }
+}
+
+async fn stop_instance(instance: &Rc<Instance>, stop: &watch::Sender<StopPhase>) {
+    let began = instance.now();
+    let limit = instance.options.borrow().stop_limit;
+    instance.leaving.set(true);
+    instance.log.event("stopping", json!({"limit_ms": limit.as_millis()}));
+    instance.urgent.notify_one();
+    stop.send_replace(StopPhase::Draining);
+    actix_rt::time::sleep(CLOSE_AFTER.min(limit / 2)).await;
+    stop.send_replace(StopPhase::Closing);
+    let end = began + limit.saturating_sub(END_MARGIN);
+    // Each connection holds a receiver until its last answer is written.
+    while stop.receiver_count() > 1 && instance.now() < end {
+        actix_rt::time::sleep(END_CHECK).await;
+    }
+    instance.log.event("stopped", json!({"connections_left": stop.receiver_count().saturating_sub(1)}));
+    // Gives the writer of the log time for the last lines.
+    actix_rt::time::sleep(END_MARGIN / 2).await;
+}
+
+impl Instance {
+    /// Writes where this instance is, so that those that start later find it.
+    async fn register(self: Rc<Self>) {
+        let record = self.peers.borrow().own().clone();
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value,
+            Err(error) => {
+                self.log.event("not_registered", json!({"reason": error.to_string()}));
+                return;
+            }
+        };
+        loop {
+            let written = self.table.write(TableKind::Instances, record.name.as_str(), value.clone(), None).await;
+            match written {
+                Ok(()) => return self.log.event("registered", json!({"start": record.start})),
+                Err(error) => self.log.event("not_registered", json!({"reason": error.to_string()})),
+            }
+            actix_rt::time::sleep(REGISTER_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/servers.rs
@@ -0,0 +1,216 @@
+//! The backend servers that an instance may use.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::entry::config::ServerEntry;
+use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
+use tarragonpulley_policy::entry::names::{ServerId, ServiceName, VersionName};
+use tarragonpulley_policy::entry::placement::text_hash;
+
+use crate::http::client::ServerConnection;
+
+/// How long an object counts as known to a server. Longer than the time in
+/// which other objects displace it at the usual rates.
+const KNOWN_SPAN: Duration = Duration::from_secs(30);
+
+/// The most objects remembered for a server.
+const MAX_KNOWN: usize = 64;
+
+/// The most idle connections kept to a server.
+const MAX_IDLE: usize = 8;
+
+/// One start of a backend server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) entry: RefCell<ServerEntry>,
+    pub(crate) hash: u64,
+    pub(crate) health: RefCell<ServerHealth>,
+    pub(crate) cold_until: Cell<Option<Instant>>,
+    /// From when on the server counts as gone.
+    pub(crate) gone_at: Cell<Option<Instant>>,
+    known: RefCell<BTreeMap<u64, Instant>>,
+    pool: RefCell<Vec<ServerConnection>>,
+}
+
+impl Server {
+    fn new(entry: ServerEntry, now: Instant) -> Self {
+        Self {
+            hash: text_hash(entry.id.as_str()),
+            cold_until: Cell::new(cold_until(&entry, now)),
+            gone_at: Cell::new(None),
+            health: RefCell::new(ServerHealth::new(now)),
+            known: RefCell::default(),
+            pool: RefCell::default(),
+            entry: RefCell::new(entry),
+        }
+    }
+
+    pub(crate) fn id(&self) -> ServerId {
+        self.entry.borrow().id.clone()
+    }
+
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Whether new requests may be sent.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        !self.entry.borrow().leaving && self.gone_at.get().is_none_or(|at| now < at)
+    }
+
+    /// Whether this instance had an answer about the object from the server.
+    pub(crate) fn knows(&self, object: u64, now: Instant) -> bool {
+        self.known
+            .borrow()
+            .get(&object)
+            .is_some_and(|at| now.saturating_duration_since(*at) < KNOWN_SPAN)
+    }
+
+    pub(crate) fn learn(&self, object: u64, now: Instant) {
+        let mut known = self.known.borrow_mut();
+        known.insert(object, now);
+        if known.len() > MAX_KNOWN
+            && let Some(oldest) = known.iter().min_by_key(|(_, at)| **at).map(|(object, _)| *object)
+        {
+            known.remove(&oldest);
+        }
+    }
+
+    /// Takes the idle connection that was used last, if one is in order.
+    pub(crate) fn take_connection(&self, max_idle: Duration) -> Option<ServerConnection> {
+        let mut pool = self.pool.borrow_mut();
+        while let Some(connection) = pool.pop() {
+            if connection.is_usable(max_idle) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn return_connection(&self, connection: ServerConnection) {
+        let mut pool = self.pool.borrow_mut();
+        if pool.len() < MAX_IDLE && connection.is_usable(Duration::MAX) {
+            pool.push(connection);
+        }
+    }
+
+    /// Closes idle connections; they may have stopped working with the one that
+    /// gave no answer.
+    pub(crate) fn drop_connections(&self) {
+        self.pool.borrow_mut().clear();
+    }
+}
+
+fn cold_until(entry: &ServerEntry, now: Instant) -> Option<Instant> {
+    (!entry.cold_left.is_zero()).then(|| now + entry.cold_left)
+}
+
+/// Marks a request in progress at a server until dropped.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    server: Rc<Server>,
+    ticket: SendTicket,
+}
+
+impl InProgress {
+    pub(crate) fn begin(server: &Rc<Server>, now: Instant) -> Self {
+        let ticket = server.health.borrow_mut().sent(now);
+        Self { server: Rc::clone(server), ticket }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.server.health.borrow_mut().ended(self.ticket);
+    }
+}
+
+/// All backend servers by id and by service.
+#[derive(Debug, Default)]
+pub(crate) struct ServerSet {
+    servers: BTreeMap<ServerId, Rc<Server>>,
+    by_service: BTreeMap<ServiceName, Vec<Rc<Server>>>,
+}
+
+impl ServerSet {
+    /// Takes a server's entry. A new start under the same id begins without
+    /// history. Returns whether anything but its load of work changed.
+    pub(crate) fn update(&mut self, entry: ServerEntry, now: Instant) -> bool {
+        if let Some(server) = self.servers.get(&entry.id) {
+            let known = server.entry.borrow().clone();
+            let same_start = known.started == entry.started
+                && known.address == entry.address
+                && known.service == entry.service;
+            if same_start {
+                server.gone_at.set(None);
+                if let Some(until) = cold_until(&entry, now) {
+                    server.cold_until.set(Some(until));
+                }
+                let changed = known.leaving != entry.leaving || known.version != entry.version;
+                *server.entry.borrow_mut() = entry;
+                return changed;
+            }
+            server.drop_connections();
+        }
+        let id = entry.id.clone();
+        self.servers.insert(id, Rc::new(Server::new(entry, now)));
+        self.index();
+        true
+    }
+
+    /// Marks a server as gone from a time on.
+    pub(crate) fn remove(&mut self, id: &ServerId, at: Instant) {
+        if let Some(server) = self.servers.get(id) {
+            let earlier = server.gone_at.get().map_or(at, |known| known.min(at));
+            server.gone_at.set(Some(earlier));
+        }
+    }
+
+    /// Forgets servers that have been gone for a while.
+    pub(crate) fn prune(&mut self, now: Instant) {
+        const KEEP: Duration = Duration::from_secs(5);
+        let before = self.servers.len();
+        self.servers.retain(|_, server| {
+            server.gone_at.get().is_none_or(|at| now.saturating_duration_since(at) < KEEP)
+        });
+        if self.servers.len() != before {
+            self.index();
+        }
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for server in self.servers.values() {
+            let service = server.entry.borrow().service.clone();
+            self.by_service.entry(service).or_default().push(Rc::clone(server));
+        }
+    }
+
+    pub(crate) fn of_service(&self, service: &ServiceName) -> &[Rc<Server>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.servers.values()
+    }
+
+    pub(crate) fn get(&self, id: &ServerId) -> Option<&Rc<Server>> {
+        self.servers.get(id)
+    }
+
+    pub(crate) fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Server>])> {
+        self.by_service.iter().map(|(service, servers)| (service, servers.as_slice()))
+    }
+
+    /// How many open servers of a service run each version.
+    pub(crate) fn versions(&self, service: &ServiceName, now: Instant) -> BTreeMap<VersionName, usize> {
+        let mut versions = BTreeMap::new();
+        for server in self.of_service(service).iter().filter(|server| server.is_open(now)) {
+            *versions.entry(server.entry.borrow().version.clone()).or_insert(0) += 1;
+        }
+        versions
+    }
+}
--- /dev/null
+++ b/crates/edge/src/service_client.rs
@@ -0,0 +1,105 @@
+//! A client for one HTTP service of the platform, with connections kept open.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection};
+
+/// The longest time for a new connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// The most idle connections kept: one for each table that is followed, and one
+/// for writes.
+const MAX_IDLE: usize = 5;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum ServiceError {
+    /// The time is over.
+    #[error("no answer within {0:?}")]
+    Elapsed(Duration),
+    /// The connection failed.
+    #[error("{0}")]
+    Connection(String),
+}
+
+/// An answer of the service.
+#[derive(Debug)]
+pub struct ServiceAnswer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Calls a service at one address.
+#[derive(Debug)]
+pub struct ServiceClient {
+    address: SocketAddr,
+    idle: RefCell<Vec<ServerConnection>>,
+}
+
+impl ServiceClient {
+    /// Creates a client without a connection.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: RefCell::default() }
+    }
+
+    /// Makes one call and waits up to `limit` for the answer.
+    ///
+    /// # Errors
+    ///
+    /// If there is no complete answer; the call may have been performed.
+    pub async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        match tokio::time::timeout(limit, self.exchange(method, target, body)).await {
+            Ok(result) => result.map_err(|error| ServiceError::Connection(error.to_string())),
+            Err(_elapsed) => {
+                // The other connections may be silent as well.
+                self.idle.borrow_mut().clear();
+                Err(ServiceError::Elapsed(limit))
+            }
+        }
+    }
+
+    async fn exchange(&self, method: &str, target: &str, body: Option<&[u8]>) -> Result<ServiceAnswer, ExchangeError> {
+        let mut request = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
+        if let Some(body) = body {
+            request.push_str("Content-Type: application/json\r\n");
+            request.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        request.push_str("\r\n");
+        let mut bytes = request.into_bytes();
+        bytes.extend_from_slice(body.unwrap_or_default());
+        let mut connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => ServerConnection::open(self.address, CONNECT_LIMIT).await?,
+        };
+        let answer = connection.exchange(method, &bytes, None, &ExchangeProgress::default()).await?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE && connection.is_usable(Duration::MAX) {
+            idle.push(connection);
+        }
+        Ok(ServiceAnswer { status: answer.head.status, body: answer.body })
+    }
+
+    fn take_idle(&self) -> Option<ServerConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_usable(Duration::MAX) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/cold.rs
@@ -0,0 +1,78 @@
+//! Keeps requests to cold backend servers within their rate.
+//!
+//! The bound holds over all instances in any second. Only as many instances as
+//! the bound allows requests send to a cold server, chosen by rendezvous hash
+//! of server and instance; each of them leaves a fixed time between its
+//! requests. No messages are needed.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::names::ServerId;
+use super::placement::mix;
+
+/// The part of the bound that is used, as instances may disagree briefly about
+/// which instances there are.
+pub const SAFETY: f64 = 0.75;
+
+/// The bound for one cold server.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdBound {
+    /// Multiplies the server's own rate.
+    pub excess: f64,
+    /// Added to it, in requests per second.
+    pub slack: f64,
+}
+
+/// When this instance last sent to each cold server.
+#[derive(Debug, Default)]
+pub struct ColdGate {
+    sent: BTreeMap<ServerId, Vec<Instant>>,
+}
+
+/// How many requests per second this instance may send to a cold server.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the bound is a small positive number"
+)]
+pub fn allowance(bound: ColdBound, rate: f64, server: u64, own: u64, instances: &[u64]) -> usize {
+    let total = ((rate * bound.excess + bound.slack) * SAFETY).max(1.0) as usize;
+    let own_score = mix(own ^ server);
+    let rank = instances
+        .iter()
+        .filter(|other| **other != own && mix(**other ^ server) > own_score)
+        .count();
+    let count = instances.len().max(1);
+    total / count + usize::from(rank < total % count)
+}
+
+impl ColdGate {
+    /// Takes a request if fewer than `allowed` were sent in the last second.
+    pub fn take(&mut self, server: &ServerId, allowed: usize, now: Instant) -> bool {
+        if !self.has_room(server, allowed, now) {
+            return false;
+        }
+        self.sent.entry(server.clone()).or_default().push(now);
+        true
+    }
+
+    /// Whether [`ColdGate::take`] would succeed.
+    #[must_use]
+    pub fn has_room(&self, server: &ServerId, allowed: usize, now: Instant) -> bool {
+        const WINDOW: Duration = Duration::from_millis(1100);
+        let recent = self.sent.get(server).map_or(0, |times| {
+            times
+                .iter()
+                .filter(|time| now.saturating_duration_since(**time) < WINDOW)
+                .count()
+        });
+        recent < allowed
+    }
+
+    /// Forgets a server that is no longer cold.
+    pub fn forget(&mut self, server: &ServerId) {
+        self.sent.remove(server);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/digest.rs
@@ -0,0 +1,273 @@
+//! What instances tell each other, and what follows from it.
+//!
+//! An instance sends its digest to the others of its data centre. The delegate
+//! of a data centre, its live instance with the lowest name, exchanges bundles
+//! of these digests with the other delegates and hands them on. The cost
+//! between data centres thus grows with their number, not with that of the
+//! instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::names::{CentreName, InstanceName, RegionName, TeamName};
+use super::trial::TrialEvidence;
+
+/// How long an instance that is not heard from counts as live.
+pub const LIVE_SPAN: Duration = Duration::from_millis(3000);
+
+/// How long its last digest still counts in sums of demand and evidence. Longer
+/// than [`LIVE_SPAN`], because an instance that cannot be heard may still serve.
+pub const MEMORY_SPAN: Duration = Duration::from_secs(10);
+
+/// Whether callers may be sent to an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InstanceState {
+    /// It serves.
+    Ready,
+    /// It runs but has no current configuration.
+    Unready,
+    /// It is stopping.
+    Leaving,
+}
+
+/// Where an instance is and how it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// The instance.
+    pub name: InstanceName,
+    /// The start of the process, in milliseconds since the Unix epoch. Tells
+    /// two starts apart; a higher one is not always later.
+    pub start: i64,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Its region.
+    pub region: RegionName,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
+}
+
+/// The state that one instance tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InstanceDigest {
+    /// The instance.
+    pub record: InstanceRecord,
+    /// Grows with each digest of one start.
+    pub sequence: u64,
+    /// Whether callers may be sent there.
+    pub state: InstanceState,
+    /// Requests per second by team.
+    pub demands: Vec<(TeamName, f32)>,
+    /// Evidence by rollout; the key identifies the order.
+    pub trials: Vec<(u64, TrialEvidence)>,
+    /// Crashes by request fingerprint.
+    pub crashes: Vec<(u64, u32)>,
+}
+
+#[derive(Debug)]
+struct Member {
+    digest: InstanceDigest,
+    heard: Instant,
+    direct: bool,
+}
+
+/// All instances as far as one of them knows.
+#[derive(Debug)]
+pub struct InstanceTable {
+    own: InstanceRecord,
+    members: BTreeMap<InstanceName, Member>,
+    known: BTreeMap<InstanceName, InstanceRecord>,
+}
+
+impl InstanceTable {
+    /// Creates a table that knows only its own instance.
+    #[must_use]
+    pub fn new(own: InstanceRecord) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// The record of this instance.
+    #[must_use]
+    pub fn own(&self) -> &InstanceRecord {
+        &self.own
+    }
+
+    /// Adds an instance that is registered in the store. It counts as live only
+    /// once it is heard.
+    pub fn register(&mut self, record: InstanceRecord) {
+        if record.name != self.own.name {
+            self.known.insert(record.name.clone(), record);
+        }
+    }
+
+    /// Takes a digest. `direct` tells that it came from the instance itself.
+    /// Returns whether it was new.
+    pub fn receive(&mut self, digest: InstanceDigest, direct: bool, now: Instant) -> bool {
+        let name = digest.record.name.clone();
+        if name == self.own.name {
+            return false;
+        }
+        if let Some(member) = self.members.get_mut(&name)
+            && member.digest.record.start == digest.record.start
+            && member.digest.sequence >= digest.sequence
+        {
+            return false;
+        }
+        self.known.insert(name.clone(), digest.record.clone());
+        self.members.insert(
+            name,
+            Member {
+                digest,
+                heard: now,
+                direct,
+            },
+        );
+        true
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |member| now.saturating_duration_since(member.heard) < LIVE_SPAN)
+    }
+
+    fn remembered(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |member| now.saturating_duration_since(member.heard) < MEMORY_SPAN)
+    }
+
+    /// Live instances in a state in which callers may be sent to them.
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &InstanceRecord> {
+        self.live(now)
+            .filter(|member| member.digest.state == InstanceState::Ready)
+            .map(|member| &member.digest.record)
+    }
+
+    /// How many instances share the fleet's limits: those that were heard not
+    /// long ago, and this one.
+    #[must_use]
+    pub fn sharing(&self, now: Instant) -> usize {
+        let heard = self.remembered(now).count() + 1;
+        // Right after a start nobody was heard yet; the registered ones count.
+        if heard == 1 {
+            self.known.len() + 1
+        } else {
+            heard
+        }
+    }
+
+    /// The names of the instances that share the fleet's limits.
+    pub fn sharing_names(&self, now: Instant) -> Vec<InstanceName> {
+        let mut names: Vec<InstanceName> = self
+            .remembered(now)
+            .map(|member| member.digest.record.name.clone())
+            .collect();
+        names.push(self.own.name.clone());
+        names
+    }
+
+    /// Whether this instance speaks for its data centre.
+    #[must_use]
+    pub fn is_delegate(&self, now: Instant) -> bool {
+        !self.live(now).any(|member| {
+            let record = &member.digest.record;
+            member.direct && record.centre == self.own.centre && record.name < self.own.name
+        })
+    }
+
+    /// Whether this instance has the lowest name of all live ones, so that it
+    /// writes records on behalf of the fleet.
+    #[must_use]
+    pub fn is_first(&self, now: Instant) -> bool {
+        !self.live(now).any(|member| {
+            member.digest.state == InstanceState::Ready && member.digest.record.name < self.own.name
+        })
+    }
+
+    /// Registered and heard instances of this data centre, for direct digests.
+    pub fn neighbours(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.known
+            .values()
+            .filter(|record| record.centre == self.own.centre)
+    }
+
+    /// Live neighbours, for reading what they hold, ready ones only.
+    pub fn ready_neighbours(&self, now: Instant) -> impl Iterator<Item = &InstanceRecord> {
+        self.ready(now)
+            .filter(|record| record.centre == self.own.centre)
+    }
+
+    /// The instances that receive bundles: of each other data centre the live
+    /// instance with the lowest name, or if none is live the registered ones.
+    #[must_use]
+    pub fn delegates(&self, now: Instant) -> Vec<&InstanceRecord> {
+        let mut chosen: BTreeMap<&CentreName, Vec<&InstanceRecord>> = BTreeMap::new();
+        for member in self.live(now) {
+            let record = &member.digest.record;
+            let first = chosen.entry(&record.centre).or_insert_with(|| vec![record]);
+            if record.name < first[0].name {
+                first[0] = record;
+            }
+        }
+        let live: Vec<&CentreName> = chosen.keys().copied().collect();
+        for record in self.known.values() {
+            if !live.contains(&&record.centre) {
+                chosen.entry(&record.centre).or_default().push(record);
+            }
+        }
+        chosen.remove(&self.own.centre);
+        chosen.into_values().flatten().collect()
+    }
+
+    /// The digests of this data centre that a delegate sends, without its own.
+    pub fn centre_digests(&self, now: Instant) -> Vec<InstanceDigest> {
+        self.live(now)
+            .filter(|member| member.direct && member.digest.record.centre == self.own.centre)
+            .map(|member| member.digest.clone())
+            .collect()
+    }
+
+    /// The demand of each team at the other instances.
+    #[must_use]
+    pub fn other_demands(&self, now: Instant) -> BTreeMap<TeamName, f64> {
+        let mut sums = BTreeMap::new();
+        for member in self.remembered(now) {
+            for (team, rate) in &member.digest.demands {
+                *sums.entry(team.clone()).or_insert(0.0) += f64::from(*rate);
+            }
+        }
+        sums
+    }
+
+    /// The evidence of the other instances on one rollout.
+    #[must_use]
+    pub fn other_evidence(&self, order: u64) -> TrialEvidence {
+        self.members
+            .values()
+            .flat_map(|member| &member.digest.trials)
+            .filter(|(key, _)| *key == order)
+            .fold(TrialEvidence::default(), |sum, (_, evidence)| {
+                sum.plus(*evidence)
+            })
+    }
+
+    /// Crashes of a fingerprint that the others reported.
+    #[must_use]
+    pub fn other_crashes(&self, fingerprint: u64) -> u32 {
+        self.members
+            .values()
+            .flat_map(|member| &member.digest.crashes)
+            .filter(|(key, _)| *key == fingerprint)
+            .map(|(_, count)| count)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/health.rs
@@ -0,0 +1,192 @@
+//! What an instance concludes about a backend server from its answers.
+//!
+//! Observed answers count more than the server's own health reports, which may
+//! be false either way. Slow and failing servers are not excluded but compared
+//! at their observed speed, so that they keep getting what they can bear. A
+//! server that refuses connections or stays silent is suspended for a while.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Weight of the newest sample in the averages.
+pub const SAMPLE_WEIGHT: f64 = 0.25;
+
+/// The time in which the averages return halfway to normal without samples, so
+/// that a server that has recovered is tried again.
+pub const RECOVERY_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// The largest slowness that is remembered.
+pub const MAX_SLOWNESS: f64 = 12.0;
+
+/// The first suspension; doubles with each one in a row.
+pub const FIRST_SUSPENSION: Duration = Duration::from_millis(500);
+
+/// The longest suspension.
+pub const MAX_SUSPENSION: Duration = Duration::from_secs(4);
+
+/// Silence, in target latencies, after which a server that owes an answer is
+/// not given more: a request on an unknown object with a short queue is answered
+/// within it.
+pub const SILENCE_TARGETS: f64 = 2.5;
+
+/// How long a reported load counts.
+pub const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+
+/// The state of one backend server as seen from one instance.
+#[derive(Debug)]
+pub struct ServerHealth {
+    slowness: f64,
+    failing: f64,
+    updated: Instant,
+    suspended_until: Option<Instant>,
+    suspensions: u32,
+    last_heard: Instant,
+    waiting: BTreeMap<u64, Instant>,
+    next_ticket: u64,
+    reported_others: f64,
+    reported_at: Option<Instant>,
+}
+
+/// Identifies a request in progress at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendTicket(u64);
+
+impl ServerHealth {
+    /// Creates the state of a server with no history.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            slowness: 1.0,
+            failing: 0.0,
+            updated: now,
+            suspended_until: None,
+            suspensions: 0,
+            last_heard: now,
+            waiting: BTreeMap::new(),
+            next_ticket: 0,
+            reported_others: 0.0,
+            reported_at: None,
+        }
+    }
+
+    fn recover(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let keep = 0.5_f64.powf(passed / RECOVERY_HALF_LIFE.as_secs_f64());
+        self.slowness = 1.0 + (self.slowness - 1.0) * keep;
+        self.failing *= keep;
+        self.updated = now;
+    }
+
+    fn sample_failure(&mut self, value: f64, now: Instant) {
+        self.recover(now);
+        self.failing += SAMPLE_WEIGHT * (value - self.failing);
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: Instant) -> SendTicket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.waiting.insert(ticket, now);
+        SendTicket(ticket)
+    }
+
+    /// The request is no longer in progress, whatever became of it.
+    pub fn ended(&mut self, ticket: SendTicket) {
+        self.waiting.remove(&ticket.0);
+    }
+
+    /// Bytes of an answer arrived.
+    pub fn heard(&mut self, now: Instant) {
+        self.last_heard = now;
+        self.suspended_until = None;
+        self.suspensions = 0;
+    }
+
+    /// A complete answer arrived: the observed and the expected time.
+    pub fn answered(&mut self, observed: Duration, expected: Duration, failed: bool, now: Instant) {
+        self.heard(now);
+        self.sample_failure(if failed { 1.0 } else { 0.0 }, now);
+        if failed {
+            return;
+        }
+        let ratio = observed.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        let ratio = ratio.clamp(0.5, MAX_SLOWNESS);
+        self.slowness += SAMPLE_WEIGHT * (ratio - self.slowness);
+        self.slowness = self.slowness.max(0.7);
+    }
+
+    /// The server rejected a request without running it.
+    pub fn shed(&mut self, now: Instant) {
+        self.heard(now);
+        self.sample_failure(0.6, now);
+    }
+
+    /// The connection broke before the answer was complete.
+    pub fn broke(&mut self, now: Instant) {
+        self.sample_failure(1.0, now);
+    }
+
+    /// No answer came in time.
+    pub fn timed_out(&mut self, observed: Duration, expected: Duration, now: Instant) {
+        self.recover(now);
+        let ratio = observed.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        if ratio > self.slowness {
+            self.slowness += 2.0 * SAMPLE_WEIGHT * (ratio.min(MAX_SLOWNESS) - self.slowness);
+        }
+    }
+
+    /// The server cannot be reached, or another one has its address.
+    pub fn suspend(&mut self, now: Instant) {
+        let span = FIRST_SUSPENSION * 2_u32.pow(self.suspensions.min(3));
+        self.suspensions += 1;
+        self.suspended_until = Some(now + span.min(MAX_SUSPENSION));
+    }
+
+    /// Whether the server is to be avoided now.
+    #[must_use]
+    pub fn is_suspended(&self, target: Duration, now: Instant) -> bool {
+        if self.suspended_until.is_some_and(|until| now < until) {
+            return true;
+        }
+        let silence = target.mul_f64(SILENCE_TARGETS);
+        self.waiting.values().min().is_some_and(|oldest| {
+            now.saturating_duration_since((*oldest).max(self.last_heard)) > silence
+        })
+    }
+
+    /// The server reported how many requests it runs and holds.
+    pub fn reported(&mut self, load: f64, now: Instant) {
+        self.reported_others = (load - self.own_load()).max(0.0);
+        self.reported_at = Some(now);
+    }
+
+    fn own_load(&self) -> f64 {
+        f64::from(u32::try_from(self.waiting.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Requests of this instance in progress there.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests running or waiting there: own ones, and those of others as far
+    /// as the last report still counts.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> f64 {
+        let others = self.reported_at.map_or(0.0, |at| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            let left = 1.0 - age / REPORT_LIFETIME.as_secs_f64();
+            self.reported_others * left.max(0.0)
+        });
+        self.own_load() + others
+    }
+
+    /// Observed time divided by expected time, and the share of failures.
+    #[must_use]
+    pub fn averages(&self, now: Instant) -> (f64, f64) {
+        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let keep = 0.5_f64.powf(passed / RECOVERY_HALF_LIFE.as_secs_f64());
+        (1.0 + (self.slowness - 1.0) * keep, self.failing * keep)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/placement.rs
@@ -0,0 +1,167 @@
+//! Chooses the backend server of a request.
+//!
+//! Load answered: services whose mean cold work exceeds the target latency, and
+//! whose servers are about three times as fast on objects that they handled
+//! recently. Every instance ranks the servers of an object in the same
+//! rendezvous-hash order, so that an object has one owner in the whole fleet
+//! with no messages, and a server that joins or leaves moves only its own
+//! objects. Among the first few of that order, the request goes where it is
+//! expected to finish first: the owner unless its queue costs more than the
+//! work on a server that does not know the object.
+
+use std::time::Duration;
+
+/// How many servers of the rendezvous order are compared.
+pub const CANDIDATES: usize = 4;
+
+/// Work on a known object, as a share of the route's target latency. Both
+/// sites' sheets: mean work 1.3 to 1.5 times the target, 70 % saved when warm.
+pub const WARM_WORK: f64 = 0.45;
+
+/// Work on an unknown object, as a share of the target latency (same source).
+pub const UNKNOWN_WORK: f64 = 1.45;
+
+/// How much slower a cold server works (the sites' `cold-start` behaviour).
+pub const COLD_FACTOR: f64 = 2.0;
+
+/// Mean time a slot is occupied, as a share of the target latency: mostly known
+/// objects.
+pub const MEAN_WORK: f64 = 0.6;
+
+/// Added for a server in another region: twice a one-way delay of 35 to 55 ms.
+pub const REGION_ROUND_TRIP: Duration = Duration::from_millis(90);
+
+/// How far above the owner's expected finish another server may be taken for
+/// granted as better; avoids leaving the owner for a small gain.
+pub const LEAVE_OWNER_GAIN: f64 = 0.15;
+
+/// What placement knows of one server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerView {
+    /// Hash of the server's id.
+    pub hash: u64,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Requests running or waiting there, as far as known.
+    pub load: f64,
+    /// Observed work divided by expected work; 1 when normal.
+    pub slowness: f64,
+    /// Share of recent requests that failed, 0 to 1.
+    pub failing: f64,
+    /// Whether it is cold after its start.
+    pub cold: bool,
+    /// Whether it is in the region of this instance.
+    pub near: bool,
+    /// Whether it is not to be used now if another one is left.
+    pub suspended: bool,
+    /// Whether this instance sent the object there recently.
+    pub known: bool,
+}
+
+/// The choice for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Placement {
+    /// Index of the server in the list given.
+    pub index: usize,
+    /// Rank in the rendezvous order; 0 is the owner.
+    pub rank: usize,
+    /// Expected time until the answer.
+    pub finish: Duration,
+}
+
+/// Mixes the bits of a 64-bit value (the finaliser of SplitMix64).
+#[must_use]
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Hashes text with FNV-1a, mixed. Equal on every instance and build.
+#[must_use]
+pub fn text_hash(text: &str) -> u64 {
+    let hash = text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(hash)
+}
+
+/// The indices of the servers with the highest scores for the object, highest
+/// first, at most `most` of them.
+#[must_use]
+pub fn rendezvous(object: u64, servers: &[ServerView], most: usize) -> Vec<usize> {
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(most + 1);
+    for (index, server) in servers.iter().enumerate() {
+        let score = mix(object ^ server.hash);
+        if best.len() == most && best.last().is_some_and(|last| last.0 >= score) {
+            continue;
+        }
+        let at = best.partition_point(|entry| entry.0 > score);
+        best.insert(at, (score, index));
+        best.truncate(most);
+    }
+    best.into_iter().map(|(_, index)| index).collect()
+}
+
+/// The expected time until a server answers, without the owner's advantage.
+#[must_use]
+pub fn expected_finish(server: &ServerView, known: bool, target: Duration) -> Duration {
+    let target_s = target.as_secs_f64();
+    let slots = f64::from(server.slots.max(1));
+    let speed = server.slowness * if server.cold { COLD_FACTOR } else { 1.0 };
+    let waiting = (server.load + 1.0 - slots).max(0.0);
+    let queue = waiting / slots * MEAN_WORK * target_s * speed;
+    let work = if known { WARM_WORK } else { UNKNOWN_WORK } * target_s * speed;
+    let distance = if server.near {
+        0.0
+    } else {
+        REGION_ROUND_TRIP.as_secs_f64()
+    };
+    // A failed attempt costs its work and is repeated elsewhere.
+    let failing = server.failing.clamp(0.0, 0.95);
+    Duration::from_secs_f64(((queue + work) / (1.0 - failing) + distance).min(3600.0))
+}
+
+/// Chooses a server for an object, or without one the server that is expected
+/// to finish first. `None` if the list is empty.
+#[must_use]
+pub fn choose(object: Option<u64>, servers: &[ServerView], target: Duration) -> Option<Placement> {
+    let usable: Vec<usize> = {
+        let fit: Vec<usize> = (0..servers.len())
+            .filter(|i| !servers[*i].suspended)
+            .collect();
+        if fit.is_empty() {
+            (0..servers.len()).collect()
+        } else {
+            fit
+        }
+    };
+    let Some(object) = object else {
+        return usable
+            .into_iter()
+            .map(|index| Placement {
+                index,
+                rank: 0,
+                finish: expected_finish(&servers[index], true, target),
+            })
+            .min_by_key(|placement| placement.finish);
+    };
+    let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
+    let order = rendezvous(object, &views, CANDIDATES);
+    let mut best: Option<Placement> = None;
+    for (rank, position) in order.into_iter().enumerate() {
+        let server = &views[position];
+        let finish = expected_finish(server, rank == 0 || server.known, target);
+        let better = best.is_none_or(|owner| {
+            finish.as_secs_f64() < owner.finish.as_secs_f64() * (1.0 - LEAVE_OWNER_GAIN)
+        });
+        if better {
+            best = Some(Placement {
+                index: usable[position],
+                rank,
+                finish,
+            });
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/policy/src/entry/quota.rs
@@ -0,0 +1,152 @@
+//! Team limits over the whole fleet, kept locally.
+//!
+//! Each instance holds a token bucket per team whose rate and depth are its
+//! share of the team's limit. The share follows the demand that the instance
+//! sees compared with the demand that the others report, so that a team whose
+//! callers are in one place can use its whole limit there. Shares of all
+//! instances add up to one as far as their reports agree; the reports lag by
+//! about a second.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::names::TeamName;
+
+/// The time over which demand is averaged.
+pub const DEMAND_WINDOW: Duration = Duration::from_secs(3);
+
+/// Demand, in requests per second, that each instance is assumed to have at
+/// least, so that the first request of a team at an instance finds a token.
+pub const BASE_DEMAND: f64 = 0.25;
+
+/// The part of its depth that a bucket holds when it is created. A restarted
+/// instance may have spent its tokens before, so it does not start full.
+pub const INITIAL_LEVEL: f64 = 0.3;
+
+/// Demand averaged over [`DEMAND_WINDOW`].
+#[derive(Debug, Clone)]
+pub struct DemandMeter {
+    rate: f64,
+    updated: Instant,
+}
+
+impl DemandMeter {
+    /// Creates a meter with no demand.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            rate: 0.0,
+            updated: now,
+        }
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.rate *= (-passed / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.updated = now;
+    }
+
+    /// Counts one request.
+    pub fn note(&mut self, now: Instant) {
+        self.decay(now);
+        self.rate += 1.0 / DEMAND_WINDOW.as_secs_f64();
+    }
+
+    /// The demand in requests per second.
+    pub fn rate(&mut self, now: Instant) -> f64 {
+        self.decay(now);
+        self.rate
+    }
+}
+
+#[derive(Debug)]
+struct TeamBucket {
+    demand: DemandMeter,
+    others: f64,
+    level: f64,
+    updated: Instant,
+}
+
+/// The result of asking for one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum QuotaVerdict {
+    /// Within the limit.
+    Within,
+    /// Beyond it; a token is expected after this time.
+    Beyond {
+        /// The time until the next token.
+        retry_after: Duration,
+    },
+}
+
+/// The limits of all teams at one instance.
+#[derive(Debug, Default)]
+pub struct TeamQuota {
+    buckets: BTreeMap<TeamName, TeamBucket>,
+    instances: f64,
+}
+
+impl TeamQuota {
+    /// Creates an empty set of limits.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            buckets: BTreeMap::new(),
+            instances: 1.0,
+        }
+    }
+
+    /// Sets how many instances share the limits, this one included.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+    }
+
+    /// Sets the demand of a team at all other instances.
+    pub fn set_other_demand(&mut self, team: &TeamName, demand: f64) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.others = demand;
+        }
+    }
+
+    /// The demand of each team at this instance.
+    pub fn demands(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
+        self.buckets
+            .iter_mut()
+            .map(|(team, bucket)| (team.clone(), bucket.demand.rate(now)))
+            .filter(|(_, rate)| *rate > 0.05)
+            .collect()
+    }
+
+    /// Takes a token for one request of a team with this rate and burst.
+    pub fn take(&mut self, team: &TeamName, rate: f64, burst: f64, now: Instant) -> QuotaVerdict {
+        let instances = self.instances;
+        let bucket = self
+            .buckets
+            .entry(team.clone())
+            .or_insert_with(|| TeamBucket {
+                demand: DemandMeter::new(now),
+                others: 0.0,
+                level: f64::NAN,
+                updated: now,
+            });
+        bucket.demand.note(now);
+        let own = bucket.demand.rate(now) + BASE_DEMAND;
+        let others = bucket.others + BASE_DEMAND * (instances - 1.0);
+        let share = own / (own + others);
+        let depth = (burst * share).max(1.0);
+        if bucket.level.is_nan() {
+            bucket.level = (depth * INITIAL_LEVEL).max(1.0);
+        }
+        let passed = now.saturating_duration_since(bucket.updated).as_secs_f64();
+        bucket.updated = now;
+        bucket.level = (bucket.level + passed * rate * share).min(depth);
+        if bucket.level >= 1.0 {
+            bucket.level -= 1.0;
+            return QuotaVerdict::Within;
+        }
+        let wait = (1.0 - bucket.level) / (rate * share).max(0.01);
+        QuotaVerdict::Beyond {
+            retry_after: Duration::from_secs_f64(wait.min(60.0)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/trial.rs
@@ -0,0 +1,218 @@
+//! Moves a service to a new version: trial, verdict, promotion.
+//!
+//! The chart is short and the same on all instances:
+//!
+//! - *trial*: the new version gets a small share of the requests, bounded over
+//!   the whole fleet. Evidence of all instances is added up.
+//! - *promoted*: the trial lasted and found no fault; all requests go to the new
+//!   version while those at the old one end. The old servers stop at once when
+//!   the completion is recorded, so it is recorded only after that.
+//! - *completed* or *taken back*: recorded for the operator.
+//!
+//! A fault takes the version back from the trial and from the promotion. The
+//! instance that finds it stops its own traffic to the version at once.
+
+use std::time::{Duration, Instant};
+
+/// Share of the requests that a version on trial gets.
+pub const TRIAL_SHARE: f64 = 0.07;
+
+/// Requests over the whole fleet that the trial may use beyond its share, for
+/// evidence soon after its start. Half of the slack of the sites.
+pub const TRIAL_HEAD_START: f64 = 20.0;
+
+/// The part of the order's time after which a version on trial is promoted.
+pub const PROMOTION_POINT: f64 = 0.6;
+
+/// Time between the promotion and the record of completion, in which requests
+/// at the old version end and every instance hears of the promotion.
+pub const SETTLE_TIME: Duration = Duration::from_millis(3000);
+
+/// Time after a promotion decided by the clock until instances that saw the
+/// order later are sure to have followed.
+pub const LATEST_PROMOTION: f64 = 0.72;
+
+/// Answers needed before a version is promoted.
+pub const MIN_ANSWERS: u32 = 8;
+
+/// Failures needed for a fault.
+pub const MIN_FAILURES: u32 = 4;
+
+/// Share of failures that makes a fault, above twice that of the old version.
+pub const FAULT_SHARE: f64 = 0.2;
+
+/// Outcomes of requests at one version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct VersionTally {
+    /// Complete answers.
+    pub answers: u32,
+    /// Answers that were failures, broken or far too late.
+    pub failures: u32,
+}
+
+impl VersionTally {
+    /// Adds one outcome.
+    pub fn note(&mut self, failed: bool) {
+        self.answers += 1;
+        self.failures += u32::from(failed);
+    }
+
+    /// The sum of two tallies.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_add(other.answers),
+            failures: self.failures.saturating_add(other.failures),
+        }
+    }
+
+    fn failure_share(self) -> f64 {
+        f64::from(self.failures) / f64::from(self.answers.max(1))
+    }
+}
+
+/// Evidence of one rollout: the new version, and the old one in the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct TrialEvidence {
+    /// Requests at the new version.
+    pub new: VersionTally,
+    /// Requests at the old version.
+    pub old: VersionTally,
+    /// Whether an instance has found a fault.
+    pub fault: bool,
+    /// Whether an instance has promoted the version.
+    pub promoted: bool,
+}
+
+impl TrialEvidence {
+    /// The sum of two instances' evidence.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            new: self.new.plus(other.new),
+            old: self.old.plus(other.old),
+            fault: self.fault || other.fault,
+            promoted: self.promoted || other.promoted,
+        }
+    }
+
+    /// Whether the new version is faulty.
+    #[must_use]
+    pub fn is_faulty(self) -> bool {
+        self.fault
+            || (self.new.failures >= MIN_FAILURES
+                && self.new.failure_share() >= FAULT_SHARE + 2.0 * self.old.failure_share())
+    }
+}
+
+/// Where a rollout stands at one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TrialPhase {
+    /// The new version gets its trial share.
+    Trial,
+    /// The new version gets everything; the instance may record the completion
+    /// when the time has come.
+    Promoted,
+    /// The new version gets nothing; the instance may record that.
+    TakenBack,
+}
+
+/// A rollout in progress at one instance.
+#[derive(Debug, Clone)]
+pub struct VersionTrial {
+    started: Instant,
+    within: Duration,
+    promoted_at: Option<Instant>,
+    taken_back: bool,
+    requests: f64,
+    sent: f64,
+    own: TrialEvidence,
+}
+
+impl VersionTrial {
+    /// Starts a trial of an order that was seen at `started`.
+    #[must_use]
+    pub fn new(started: Instant, within: Duration) -> Self {
+        Self {
+            started,
+            within,
+            promoted_at: None,
+            taken_back: false,
+            requests: 0.0,
+            sent: 0.0,
+            own: TrialEvidence::default(),
+        }
+    }
+
+    /// This instance's evidence, for the digest.
+    #[must_use]
+    pub fn evidence(&self) -> TrialEvidence {
+        TrialEvidence {
+            fault: self.taken_back,
+            promoted: self.promoted_at.is_some(),
+            ..self.own
+        }
+    }
+
+    /// Adds the outcome of a request at either version.
+    pub fn note(&mut self, new: bool, failed: bool) {
+        if new {
+            self.own.new.note(failed);
+        } else {
+            self.own.old.note(failed);
+        }
+    }
+
+    /// Whether the next request of the service goes to the new version; counts
+    /// the request. `instances` share the head start.
+    pub fn route_to_new(&mut self, instances: usize) -> bool {
+        self.requests += 1.0;
+        if self.taken_back {
+            return false;
+        }
+        if self.promoted_at.is_some() {
+            return true;
+        }
+        let count = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+        let due = self.requests * TRIAL_SHARE + TRIAL_HEAD_START / count;
+        // The head start is spread over the first requests, so that the other
+        // version keeps its load.
+        if self.sent + 1.0 > due || (self.sent + 1.0) * 4.0 > self.requests {
+            return false;
+        }
+        self.sent += 1.0;
+        true
+    }
+
+    /// Re-evaluates with the evidence of the other instances.
+    pub fn step(&mut self, others: TrialEvidence, now: Instant) -> TrialPhase {
+        let all = self.evidence().plus(others);
+        if self.taken_back || all.is_faulty() {
+            self.taken_back = true;
+            return TrialPhase::TakenBack;
+        }
+        if self.promoted_at.is_none() {
+            let passed = now.saturating_duration_since(self.started).as_secs_f64()
+                / self.within.as_secs_f64().max(0.001);
+            let proved = passed >= PROMOTION_POINT && all.new.answers >= MIN_ANSWERS;
+            let unproved = passed >= LATEST_PROMOTION && all.new.answers > all.new.failures;
+            if proved || unproved || all.promoted {
+                self.promoted_at = Some(now);
+            }
+        }
+        if self.promoted_at.is_some() {
+            TrialPhase::Promoted
+        } else {
+            TrialPhase::Trial
+        }
+    }
+
+    /// Whether the completion may be recorded.
+    #[must_use]
+    pub fn may_complete(&self, now: Instant) -> bool {
+        !self.taken_back
+            && self
+                .promoted_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= SETTLE_TIME)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod contract;
 pub mod credential;
+pub mod entry;
 pub mod evidence;
 pub mod facts;
 pub mod freshness;
--- a/crates/testkit/tests/kit/fleet.rs
+++ b/crates/testkit/tests/kit/fleet.rs
@@ -4,7 +4,7 @@
 use std::process::ExitStatus;
 
 use actix_rt::time::timeout;
-use tarragonpulley_platform::{HttpList, InstanceList, ListedInstance};
+use tarragonpulley_backing::{HttpList, InstanceList, ListedInstance};
 use tarragonpulley_policy::contract::CustomerContract;
 use tarragonpulley_testkit::{
     BackendControl, BackendFault, Deployment, DirectionFault, Fleet, FleetBuilder, LinkControl,
