--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -65,7 +65,9 @@
 impl RowError {
     /// Creates an error from a reason.
     pub fn new(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into() }
+        Self {
+            reason: reason.into(),
+        }
     }
 }
 
@@ -81,7 +83,11 @@
     fn ready_path(&self) -> &'static str;
 
     /// Encodes the answer to a look-up: media type and body.
-    fn lookup_answer(&self, instances: &[SocketAddr], lifetime: Duration) -> (&'static str, Vec<u8>);
+    fn lookup_answer(
+        &self,
+        instances: &[SocketAddr],
+        lifetime: Duration,
+    ) -> (&'static str, Vec<u8>);
 
     /// The key that a caller shows in its request, given the header fields.
     fn caller_key<'a>(&self, authorization: &'a str) -> Option<&'a str>;
@@ -108,7 +114,11 @@
     /// # Errors
     ///
     /// If the row is of another kind or cannot be read.
-    fn decode_record(&self, key: &str, value: &[u8]) -> Result<(ServiceName, RolloutRecord), RowError>;
+    fn decode_record(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> Result<(ServiceName, RolloutRecord), RowError>;
 
     /// Encodes a row of [`super::table::TableKind::Records`]: key and value.
     fn encode_record(&self, service: &ServiceName, record: &RolloutRecord) -> (String, Vec<u8>);
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -24,7 +24,10 @@
     /// Creates the clock; instants of two clocks cannot be compared.
     #[must_use]
     pub fn new() -> Self {
-        Self { start: Instant::now(), boot: since_boot() }
+        Self {
+            start: Instant::now(),
+            boot: since_boot(),
+        }
     }
 }
 
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -38,7 +38,9 @@
 
 impl fmt::Debug for EventLog {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("EventLog").field("instance", &self.instance).finish_non_exhaustive()
+        f.debug_struct("EventLog")
+            .field("instance", &self.instance)
+            .finish_non_exhaustive()
     }
 }
 
@@ -52,7 +54,11 @@
                 let batch = wait_for_lines(&queue);
                 // A log that cannot be written must not stop the instance; the
                 // reader of the log sees the gap in the sequence of times.
-                if sink.write_all(batch.as_bytes()).and_then(|()| sink.flush()).is_err() {
+                if sink
+                    .write_all(batch.as_bytes())
+                    .and_then(|()| sink.flush())
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -67,8 +73,13 @@
     /// Writes one event. `fields` must be a JSON object.
     pub fn event(&self, event: &str, fields: Value) {
         let mut line = Map::new();
-        let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        line.insert("t".to_owned(), Value::from(u64::try_from(time.as_millis()).unwrap_or(u64::MAX)));
+        let time = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        line.insert(
+            "t".to_owned(),
+            Value::from(u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+        );
         line.insert("instance".to_owned(), Value::from(self.instance.as_str()));
         line.insert("event".to_owned(), Value::from(event));
         if let Value::Object(fields) = fields {
@@ -94,7 +105,8 @@
     /// this second. `fields` is evaluated only when the line is written.
     pub fn success(&self, event: &str, now: Instant, fields: impl FnOnce() -> Value) {
         let (since, count) = self.successes.get();
-        let is_new = since.is_none_or(|since| now.saturating_duration_since(since) >= Duration::from_secs(1));
+        let is_new = since
+            .is_none_or(|since| now.saturating_duration_since(since) >= Duration::from_secs(1));
         if is_new {
             self.successes.set((Some(now), 1));
         } else if count >= SUCCESS_LINES_PER_SECOND {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -42,7 +42,11 @@
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
 fn wait_of(table: TableKind) -> Duration {
-    if table == TableKind::Orders { ORDERS_WAIT } else { Duration::ZERO }
+    if table == TableKind::Orders {
+        ORDERS_WAIT
+    } else {
+        Duration::ZERO
+    }
 }
 
 impl Instance {
@@ -50,7 +54,8 @@
     pub(crate) async fn follow(self: Rc<Self>, table: TableKind) {
         let mut reads = TableReads::default();
         loop {
-            if table == TableKind::Records && reads.has_read && !self.rollouts.borrow().is_active() {
+            if table == TableKind::Records && reads.has_read && !self.rollouts.borrow().is_active()
+            {
                 actix_rt::time::sleep(IDLE_PAUSE).await;
                 continue;
             }
@@ -71,8 +76,38 @@
     }
 }
 
+/// Relates the table service's steady clock to the own one.
+///
+/// An answer with service time `n` to a call that began at `s` shows that the
+/// service's clock stood at zero no earlier than `s - n`. The latest such bound
+/// dates every later answer, however long it waited at the service or on the
+/// way: an answer that waited for changes proves more than its start.
+#[derive(Debug, Default)]
+struct ServiceClock {
+    last: Duration,
+    zero: Option<Instant>,
+}
+
+impl ServiceClock {
+    /// The earliest own time at which an answer can have been made.
+    fn date(&mut self, started: Instant, service_time: Option<Duration>) -> Instant {
+        let Some(time) = service_time else {
+            return started;
+        };
+        if time < self.last {
+            // The service was restarted.
+            self.zero = None;
+        }
+        self.last = time;
+        let bound = started.checked_sub(time);
+        self.zero = self.zero.max(bound);
+        self.zero.map_or(started, |zero| (zero + time).max(started))
+    }
+}
+
 #[derive(Debug, Default)]
 struct TableReads {
+    clock: ServiceClock,
     has_read: bool,
     /// Whether the changes since the known version cannot be had.
     reread: bool,
@@ -84,8 +119,9 @@
     /// it succeeded.
     async fn once(&mut self, instance: &Instance, table: TableKind) -> bool {
         let now = instance.now();
-        let service_due =
-            self.failed_at.is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
+        let service_due = self
+            .failed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
         if service_due && self.from_service(instance, table).await {
             return true;
         }
@@ -94,8 +130,16 @@
 
     async fn from_service(&mut self, instance: &Instance, table: TableKind) -> bool {
         let started = instance.proof_now();
-        let after = instance.mirrors.borrow().get(&table).and_then(crate::table::TableMirror::upto);
-        let wait = if self.failed_at.is_some() { Duration::ZERO } else { wait_of(table) };
+        let after = instance
+            .mirrors
+            .borrow()
+            .get(&table)
+            .and_then(crate::table::TableMirror::upto);
+        let wait = if self.failed_at.is_some() {
+            Duration::ZERO
+        } else {
+            wait_of(table)
+        };
         let result = match after.filter(|_| !self.reread) {
             Some(after) => instance.table.changes(table, after, wait).await,
             None => instance.table.read(table).await,
@@ -106,12 +150,16 @@
                 self.failed_at = None;
                 self.reread = false;
                 self.has_read = true;
-                instance.apply(table, batch, started);
+                let proof = self.clock.date(started, batch.service_time);
+                instance.apply(table, batch, proof.min(instance.proof_now()));
                 true
             }
             Err(TableError::HistoryGone) => {
                 instance.note_table(Ok(()));
-                instance.log.event("table_reread", json!({"table": format!("{table:?}"), "after": after}));
+                instance.log.event(
+                    "table_reread",
+                    json!({"table": format!("{table:?}"), "after": after}),
+                );
                 self.reread = true;
                 false
             }
@@ -125,7 +173,11 @@
 
     async fn from_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
         for peer in nearest_peers(instance) {
-            let after = instance.mirrors.borrow().get(&table).and_then(crate::table::TableMirror::upto);
+            let after = instance
+                .mirrors
+                .borrow()
+                .get(&table)
+                .and_then(crate::table::TableMirror::upto);
             let started = instance.proof_now();
             match read_from_peer(peer.peer, table, after, PEER_WAIT).await {
                 Ok(Some(batch)) if is_newer_proof(instance, table, &batch, started) => {
@@ -144,9 +196,16 @@
     }
 }
 
-fn is_newer_proof(instance: &Instance, table: TableKind, batch: &TableBatch, started: Instant) -> bool {
+fn is_newer_proof(
+    instance: &Instance,
+    table: TableKind,
+    batch: &TableBatch,
+    started: Instant,
+) -> bool {
     let mirrors = instance.mirrors.borrow();
-    let known = mirrors.get(&table).and_then(crate::table::TableMirror::proved);
+    let known = mirrors
+        .get(&table)
+        .and_then(crate::table::TableMirror::proved);
     let proof = started.checked_sub(batch.age);
     known.is_none() || proof > known
 }
@@ -161,7 +220,8 @@
     let own_hash = tarragonpulley_policy::entry::placement::text_hash(own.name.as_str());
     let mut found: Vec<&InstanceRecord> = peers.ready(now).collect();
     found.sort_by_key(|record| {
-        let distance = u8::from(record.centre != own.centre) + u8::from(record.region != own.region);
+        let distance =
+            u8::from(record.centre != own.centre) + u8::from(record.region != own.region);
         let order = tarragonpulley_policy::entry::placement::mix(
             own_hash ^ tarragonpulley_policy::entry::placement::text_hash(record.name.as_str()),
         );
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -39,8 +39,16 @@
 
 /// Header fields that concern one connection only, or that the instance sets.
 const HOP_FIELDS: [&str; 10] = [
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-    "transfer-encoding", "upgrade", "content-length", "proxy-connection",
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "proxy-connection",
 ];
 
 /// Why an instance answers by itself.
@@ -126,15 +134,26 @@
     /// Handles a request of a caller.
     pub(crate) async fn forward(self: Rc<Self>, request: CallerRequest) -> CallerReply {
         let received = request.received;
-        let id = request.head.text(self.adapter.headers().request_id).unwrap_or_default().to_owned();
+        let id = request
+            .head
+            .text(self.adapter.headers().request_id)
+            .unwrap_or_default()
+            .to_owned();
         let mut reply = match self.admit_request(request, id.clone()) {
             Ok(forward) => self.run(&forward).await,
             Err((refusal, retry_after)) => self.refuse(&id, refusal, retry_after, json!({})),
         };
-        if !id.is_empty() && reply.fields.iter().all(|field| field.name != self.adapter.headers().request_id) {
+        if !id.is_empty()
+            && reply
+                .fields
+                .iter()
+                .all(|field| field.name != self.adapter.headers().request_id)
+        {
             reply = reply.with_field(self.adapter.headers().request_id, &id);
         }
-        self.metrics.latency.observe(received.elapsed().as_secs_f64());
+        self.metrics
+            .latency
+            .observe(received.elapsed().as_secs_f64());
         reply
     }
 
@@ -162,7 +181,10 @@
     }
 
     fn count(&self, status: u16, reason: &'static str) {
-        let label = OutcomeLabel { status: status.into(), reason };
+        let label = OutcomeLabel {
+            status: status.into(),
+            reason,
+        };
         self.metrics.outcomes.get_or_create(&label).inc();
     }
 
@@ -181,11 +203,22 @@
             return Err((Refusal::NotConfigured, elsewhere));
         };
         let proved = self.is_proved();
-        let Some(route) = config.route(&request.head.host(), request.head.path()).cloned() else {
-            let refusal = if proved { Refusal::NoRoute } else { Refusal::KeyNotProved };
+        let Some(route) = config
+            .route(&request.head.host(), request.head.path())
+            .cloned()
+        else {
+            let refusal = if proved {
+                Refusal::NoRoute
+            } else {
+                Refusal::KeyNotProved
+            };
             return Err((refusal, if proved { None } else { elsewhere }));
         };
-        let team = if route.open { None } else { Some(self.authenticate(&request, &config, proved)?) };
+        let team = if route.open {
+            None
+        } else {
+            Some(self.authenticate(&request, &config, proved)?)
+        };
         let caller_wait = request
             .head
             .text(names.deadline_ms)
@@ -195,10 +228,19 @@
         let deadline = caller_deadline.min(request.received + route.timeout);
         if let Some(team) = &team
             && let Some(rate) = team.rate
-            && let QuotaVerdict::Beyond { retry_after } =
-                self.quota.borrow_mut().take(&team.name, rate, team.burst, now)
+            && let QuotaVerdict::Beyond { retry_after, share } = self
+                .quota
+                .borrow_mut()
+                .take(&team.name, rate, team.burst, now)
         {
-            return Err((Refusal::OverLimit, Some(spread_retry(retry_after, rand::random()))));
+            self.log.event(
+                "over_team_limit",
+                json!({"request": id, "team": team.name.as_str(), "rate": rate, "burst": team.burst, "share": share}),
+            );
+            return Err((
+                Refusal::OverLimit,
+                Some(spread_retry(retry_after, rand::random())),
+            ));
         }
         let object = object_of(&request, names.object_cookie).filter(|_| route.sticky);
         let object_hash = object.map(|object| text_hash(&object));
@@ -240,7 +282,9 @@
         }
         let field = request.head.text(self.adapter.key_header());
         let key = field.and_then(|field| self.adapter.caller_key(field));
-        key.and_then(|key| config.team(key)).cloned().ok_or((Refusal::NoKey, None))
+        key.and_then(|key| config.team(key))
+            .cloned()
+            .ok_or((Refusal::NoKey, None))
     }
 
     /// Sends the request until an answer is final or the time is over.
@@ -306,7 +350,11 @@
             let exhausted = sent >= forward.route.max_attempts || tried.len() >= CANDIDATES;
             if exhausted
                 || left < MIN_ATTEMPT
-                || (was_sent && !self.repeats.borrow_mut().take(&forward.service, sharing, self.now()))
+                || (was_sent
+                    && !self
+                        .repeats
+                        .borrow_mut()
+                        .take(&forward.service, sharing, self.now()))
             {
                 return self.give_up(forward, maybe_ran, last_failure);
             }
@@ -324,7 +372,11 @@
     /// The established version, for a repeat after a failure at any version.
     fn fallback_version(&self, service: &ServiceName) -> VersionChoice {
         let version = self.established_version(service);
-        VersionChoice { version, is_new: false, is_trial: false }
+        VersionChoice {
+            version,
+            is_new: false,
+            is_trial: false,
+        }
     }
 
     fn give_up(
@@ -343,7 +395,12 @@
         }
         if !maybe_ran {
             let after = spread_retry(ELSEWHERE, rand::random());
-            return self.refuse(&forward.id, Refusal::AllShed, Some(after), json!({"service": forward.service.as_str()}));
+            return self.refuse(
+                &forward.id,
+                Refusal::AllShed,
+                Some(after),
+                json!({"service": forward.service.as_str()}),
+            );
         }
         self.log.event(
             "failed",
@@ -354,7 +411,12 @@
         CallerReply::empty(502)
     }
 
-    fn pass_on(&self, forward: &ForwardRequest, server: &Server, answer: ServerAnswer) -> CallerReply {
+    fn pass_on(
+        &self,
+        forward: &ForwardRequest,
+        server: &Server,
+        answer: ServerAnswer,
+    ) -> CallerReply {
         let status = answer.head.status;
         self.count(status, "server");
         let elapsed = forward.request.received.elapsed().as_millis();
@@ -382,7 +444,12 @@
                 !HOP_FIELDS.iter().any(|name| is(name)) && !own.iter().any(|name| is(name))
             })
             .collect();
-        CallerReply { status: answer.head.status, fields, body: answer.body, close: false }
+        CallerReply {
+            status: answer.head.status,
+            fields,
+            body: answer.body,
+            close: false,
+        }
     }
 
     /// The regions in which the request may run; `None` means all.
@@ -426,7 +493,8 @@
                 let (slowness, failing) = health.averages(now);
                 let entry = server.entry.borrow();
                 let is_cold = server.is_cold(now);
-                let allowed = !is_cold || gate.has_room(&entry.id, self.cold_allowance(forward, server, now), now);
+                let allowed = !is_cold
+                    || gate.has_room(&entry.id, self.cold_allowance(forward, server, now), now);
                 ServerView {
                     hash: server.hash,
                     slots: entry.slots,
@@ -436,14 +504,18 @@
                     cold: is_cold,
                     near: self.region_of(&entry.centre).as_ref() == Some(&own_region),
                     suspended: !allowed || health.is_suspended(target, now),
-                    known: forward.object.is_some_and(|object| server.knows(object, now)),
+                    known: forward
+                        .object
+                        .is_some_and(|object| server.knows(object, now)),
                 }
             })
             .collect();
         let Some(placement) = choose(forward.object, &views, target) else {
             return Err((Refusal::NoServer, spread_retry(ELSEWHERE, rand::random())));
         };
-        if let AdmissionVerdict::Reject { retry_after } = admit(placement.finish, left, rand::random()) {
+        if let AdmissionVerdict::Reject { retry_after } =
+            admit(placement.finish, left, rand::random())
+        {
             return Err((Refusal::NoTime, retry_after));
         }
         let server = Rc::clone(&candidates[placement.index]);
@@ -460,17 +532,31 @@
             (false, 0) => "owner",
             (false, _) => "unknown",
         };
-        self.metrics.placements.get_or_create(&PlaceLabel { place }).inc();
+        self.metrics
+            .placements
+            .get_or_create(&PlaceLabel { place })
+            .inc();
         Ok(server)
     }
 
     fn cold_allowance(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> usize {
-        let Some(rule) = forward.config.services.get(&forward.service) else { return 1 };
+        let Some(rule) = forward.config.services.get(&forward.service) else {
+            return 1;
+        };
         let bound = self.options.borrow().cold;
         let peers = self.peers.borrow();
-        let names: Vec<u64> =
-            peers.sharing_names(now).iter().map(|name| text_hash(name.as_str())).collect();
-        allowance(bound, rule.cold_rate, server.hash, text_hash(peers.own().name.as_str()), &names)
+        let names: Vec<u64> = peers
+            .sharing_names(now)
+            .iter()
+            .map(|name| text_hash(name.as_str()))
+            .collect();
+        allowance(
+            bound,
+            rule.cold_rate,
+            server.hash,
+            text_hash(peers.own().name.as_str()),
+            &names,
+        )
     }
 
     async fn attempt(
@@ -482,10 +568,16 @@
     ) -> AttemptOutcome {
         let now = self.now();
         let is_cold = server.is_cold(now);
-        let knows = forward.object.is_some_and(|object| server.knows(object, now));
+        let knows = forward
+            .object
+            .is_some_and(|object| server.knows(object, now));
         let expected = self.expected_work(server, knows, forward.route.target_latency, now);
         let _in_progress = InProgress::begin(server, now);
-        let max_idle = if forward.route.repeatable { Duration::MAX } else { UNSAFE_IDLE };
+        let max_idle = if forward.route.repeatable {
+            Duration::MAX
+        } else {
+            UNSAFE_IDLE
+        };
         let pooled = server.take_connection(max_idle);
         let mut connection = match pooled {
             Some(connection) => connection,
@@ -496,7 +588,16 @@
         };
         let progress = ExchangeProgress::default();
         let bytes = self.encode_request(forward, server);
-        let watch = AttemptWatch { instance: self, server, forward, choice, expected, is_cold, started: now, done: Cell::new(false) };
+        let watch = AttemptWatch {
+            instance: self,
+            server,
+            forward,
+            choice,
+            expected,
+            is_cold,
+            started: now,
+            done: Cell::new(false),
+        };
         in_flight.set(true);
         let id = Some((self.adapter.headers().request_id, forward.id.as_str()));
         let method = forward.request.head.method.as_str();
@@ -505,7 +606,8 @@
         let observed = self.now().saturating_duration_since(now);
         match result {
             Ok(answer) => {
-                let outcome = self.judge(forward, server, choice, answer, observed, expected, is_cold);
+                let outcome =
+                    self.judge(forward, server, choice, answer, observed, expected, is_cold);
                 server.return_connection(connection);
                 outcome
             }
@@ -513,7 +615,13 @@
         }
     }
 
-    fn expected_work(&self, server: &Server, knows: bool, target: Duration, now: Instant) -> Duration {
+    fn expected_work(
+        &self,
+        server: &Server,
+        knows: bool,
+        target: Duration,
+        now: Instant,
+    ) -> Duration {
         let health = server.health.borrow();
         let view = ServerView {
             hash: 0,
@@ -529,7 +637,11 @@
         expected_finish(&view, knows, target) + Duration::from_millis(20)
     }
 
-    async fn connect(&self, forward: &ForwardRequest, server: &Rc<Server>) -> Option<ServerConnection> {
+    async fn connect(
+        &self,
+        forward: &ForwardRequest,
+        server: &Rc<Server>,
+    ) -> Option<ServerConnection> {
         let address = server.entry.borrow().address;
         let left = forward.deadline.saturating_duration_since(self.now());
         self.metrics.connections_opened.inc();
@@ -560,8 +672,18 @@
             .flat_map(|value| value.split(','))
             .map(|token| token.trim().to_ascii_lowercase())
             .collect();
-        let replaced = [names.deadline_ms, names.team, names.expected_server, self.adapter.key_header(), "expect"];
-        let left = forward.deadline.saturating_duration_since(self.now()).as_millis().max(1);
+        let replaced = [
+            names.deadline_ms,
+            names.team,
+            names.expected_server,
+            self.adapter.key_header(),
+            "expect",
+        ];
+        let left = forward
+            .deadline
+            .saturating_duration_since(self.now())
+            .as_millis()
+            .max(1);
         let mut bytes = Vec::with_capacity(512 + forward.request.body.len());
         bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
         let mut field = |name: &str, value: &[u8]| {
@@ -585,7 +707,9 @@
             field(names.team, team.name.as_str().as_bytes());
         }
         let body = &forward.request.body;
-        if !body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        if !body.is_empty()
+            || !matches!(head.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS")
+        {
             field("Content-Length", body.len().to_string().as_bytes());
         }
         bytes.extend_from_slice(b"\r\n");
@@ -593,7 +717,10 @@
         bytes
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the inputs of one judgement, each used once")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the inputs of one judgement, each used once"
+    )]
     fn judge(
         &self,
         forward: &ForwardRequest,
@@ -622,9 +749,15 @@
             return AttemptOutcome::NotRun { answer };
         }
         let sealed = answer.head.text(names.seal).is_some();
-        let matched = answer.head.text(names.request_id).is_none_or(|id| id == forward.id);
+        let matched = answer
+            .head
+            .text(names.request_id)
+            .is_none_or(|id| id == forward.id);
         let failed = status >= 500 || !sealed || !matched;
-        server.health.borrow_mut().answered(observed, expected, failed, now);
+        server
+            .health
+            .borrow_mut()
+            .answered(observed, expected, failed, now);
         if choice.is_trial && !is_cold {
             self.note_trial(&forward.service, choice.is_new, failed);
         }
@@ -634,9 +767,16 @@
             }
             return AttemptOutcome::Answer(answer);
         }
-        self.log_attempt(forward, server, if sealed { "server_error" } else { "unsealed" }, status);
+        self.log_attempt(
+            forward,
+            server,
+            if sealed { "server_error" } else { "unsealed" },
+            status,
+        );
         // An answer that is not the server's own must not reach the caller.
-        AttemptOutcome::Failed { answer: (sealed && matched).then_some(answer) }
+        AttemptOutcome::Failed {
+            answer: (sealed && matched).then_some(answer),
+        }
     }
 
     fn log_attempt(&self, forward: &ForwardRequest, server: &Server, result: &str, status: u16) {
@@ -692,16 +832,24 @@
         }
         let now = self.instance.now();
         let observed = now.saturating_duration_since(self.started);
-        self.server.health.borrow_mut().timed_out(observed, self.expected, now);
+        self.server
+            .health
+            .borrow_mut()
+            .timed_out(observed, self.expected, now);
         let timed_out = now >= self.forward.deadline;
         if timed_out {
             // The connections may have stopped working without a reset.
             self.server.drop_connections();
             if self.choice.is_trial && !self.is_cold {
-                self.instance.note_trial(&self.forward.service, self.choice.is_new, true);
+                self.instance
+                    .note_trial(&self.forward.service, self.choice.is_new, true);
             }
         }
-        let result = if timed_out { "no_answer" } else { "caller_left" };
+        let result = if timed_out {
+            "no_answer"
+        } else {
+            "caller_left"
+        };
         let server = self.server.id();
         self.instance.log.event(
             "attempt",
@@ -725,7 +873,10 @@
 fn fingerprint(request: &CallerRequest, team: Option<&TeamRule>) -> u64 {
     let team = team.map_or("", |team| team.name.as_str());
     let body = String::from_utf8_lossy(&request.body);
-    text_hash(&format!("{} {} {team} {body}", request.head.method, request.head.target))
+    text_hash(&format!(
+        "{} {} {team} {body}",
+        request.head.method, request.head.target
+    ))
 }
 
 /// Requests running and waiting, from `running,waiting,slots`.
--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -68,7 +68,9 @@
     /// Opens a connection.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let connect = tokio::time::timeout(limit, TcpStream::connect(address));
-        let stream = connect.await.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = connect
+            .await
+            .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         Ok(Self {
             stream,
@@ -167,7 +169,9 @@
     ) -> Result<Option<ServerAnswer>, ExchangeError> {
         loop {
             if self.current.is_none() {
-                let Some(head) = take_answer_head(buffer, MAX_HEAD)? else { return Ok(None) };
+                let Some(head) = take_answer_head(buffer, MAX_HEAD)? else {
+                    return Ok(None);
+                };
                 if (100..200).contains(&head.status) {
                     continue;
                 }
@@ -177,9 +181,15 @@
                 });
                 self.current = Some((head, reader));
             }
-            let Some((_, reader)) = &mut self.current else { return Ok(None) };
-            let Some(body) = reader.take(buffer)? else { return Ok(None) };
-            let Some((head, _)) = self.current.take() else { return Ok(None) };
+            let Some((_, reader)) = &mut self.current else {
+                return Ok(None);
+            };
+            let Some(body) = reader.take(buffer)? else {
+                return Ok(None);
+            };
+            let Some((head, _)) = self.current.take() else {
+                return Ok(None);
+            };
             if !self.skipping {
                 return Ok(Some(ServerAnswer { head, body }));
             }
--- a/crates/edge/src/http/framing.rs
+++ b/crates/edge/src/http/framing.rs
@@ -45,7 +45,10 @@
 fn copy_fields(headers: &[httparse::Header<'_>]) -> Vec<HeaderField> {
     headers
         .iter()
-        .map(|header| HeaderField { name: header.name.to_owned(), value: header.value.to_vec() })
+        .map(|header| HeaderField {
+            name: header.name.to_owned(),
+            value: header.value.to_vec(),
+        })
         .collect()
 }
 
@@ -80,7 +83,9 @@
             buffer.advance(length);
             Ok(Some(head))
         }
-        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => Err(FramingError::HeadTooLarge),
+        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => {
+            Err(FramingError::HeadTooLarge)
+        }
         Ok(httparse::Status::Partial) => Ok(None),
         Err(httparse::Error::TooManyHeaders) => Err(FramingError::HeadTooLarge),
         Err(_reason) => Err(FramingError::Head),
@@ -107,7 +112,9 @@
             buffer.advance(length);
             Ok(Some(head))
         }
-        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => Err(FramingError::HeadTooLarge),
+        Ok(httparse::Status::Partial) if buffer.len() > max_bytes => {
+            Err(FramingError::HeadTooLarge)
+        }
         Ok(httparse::Status::Partial) => Ok(None),
         Err(_reason) => Err(FramingError::Head),
     }
@@ -206,7 +213,13 @@
         {
             return Err(FramingError::BodyTooLarge);
         }
-        Ok(Self { length, state: ChunkState::Size, body: BytesMut::new(), trailer: 0, max_bytes })
+        Ok(Self {
+            length,
+            state: ChunkState::Size,
+            body: BytesMut::new(),
+            trailer: 0,
+            max_bytes,
+        })
     }
 
     /// Takes bytes from the buffer. Returns the body once it is complete.
@@ -243,9 +256,15 @@
         loop {
             match self.state {
                 ChunkState::Size => {
-                    let Some(line) = take_line(buffer, MAX_CHUNK_LINE)? else { return Ok(None) };
+                    let Some(line) = take_line(buffer, MAX_CHUNK_LINE)? else {
+                        return Ok(None);
+                    };
                     let size = chunk_size(&line)?;
-                    self.state = if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                    self.state = if size == 0 {
+                        ChunkState::Trailer
+                    } else {
+                        ChunkState::Data(size)
+                    };
                 }
                 ChunkState::Data(left) => {
                     let count = left.min(buffer.len());
@@ -266,7 +285,9 @@
                     self.state = ChunkState::Size;
                 }
                 ChunkState::Trailer => {
-                    let Some(line) = take_line(buffer, MAX_TRAILER)? else { return Ok(None) };
+                    let Some(line) = take_line(buffer, MAX_TRAILER)? else {
+                        return Ok(None);
+                    };
                     self.trailer += line.len();
                     if self.trailer > MAX_TRAILER {
                         return Err(FramingError::Chunk);
@@ -282,7 +303,11 @@
 
 fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, FramingError> {
     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-        return if buffer.len() > max_bytes { Err(FramingError::Chunk) } else { Ok(None) };
+        return if buffer.len() > max_bytes {
+            Err(FramingError::Chunk)
+        } else {
+            Ok(None)
+        };
     };
     let line = buffer.split_to(end);
     buffer.advance(2);
@@ -290,7 +315,11 @@
 }
 
 fn chunk_size(line: &[u8]) -> Result<usize, FramingError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let digits = line
+        .split(|byte| *byte == b';')
+        .next()
+        .unwrap_or_default()
+        .trim_ascii();
     let text = std::str::from_utf8(digits).map_err(|_invalid| FramingError::Chunk)?;
     if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
         return Err(FramingError::Chunk);
--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -18,7 +18,10 @@
 
     /// The value of the first field with this name, if it is text.
     fn text(&self, name: &str) -> Option<&str> {
-        let field = self.fields().iter().find(|field| field.name.eq_ignore_ascii_case(name))?;
+        let field = self
+            .fields()
+            .iter()
+            .find(|field| field.name.eq_ignore_ascii_case(name))?;
         std::str::from_utf8(&field.value).ok().map(str::trim)
     }
 
@@ -101,12 +104,20 @@
 impl CallerReply {
     /// An answer without a body.
     pub(crate) fn empty(status: u16) -> Self {
-        Self { status, fields: Vec::new(), body: Bytes::new(), close: false }
+        Self {
+            status,
+            fields: Vec::new(),
+            body: Bytes::new(),
+            close: false,
+        }
     }
 
     /// Adds a header field.
     pub(crate) fn with_field(mut self, name: &str, value: &str) -> Self {
-        self.fields.push(HeaderField { name: name.to_owned(), value: value.as_bytes().to_vec() });
+        self.fields.push(HeaderField {
+            name: name.to_owned(),
+            value: value.as_bytes().to_vec(),
+        });
         self
     }
 
--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -140,12 +140,22 @@
                 head.has_token("expect", "100-continue") && length != BodyLength::Fixed(0);
             self.head = Some((head, reader));
         }
-        let Some((_, reader)) = &mut self.head else { return Ok(None) };
-        let Some(body) = reader.take(&mut self.buffer)? else { return Ok(None) };
-        let Some((head, _)) = self.head.take() else { return Ok(None) };
+        let Some((_, reader)) = &mut self.head else {
+            return Ok(None);
+        };
+        let Some(body) = reader.take(&mut self.buffer)? else {
+            return Ok(None);
+        };
+        let Some((head, _)) = self.head.take() else {
+            return Ok(None);
+        };
         self.expects_continue = false;
         self.partial_since = None;
-        Ok(Some(CallerRequest { head, body, received: Instant::now() }))
+        Ok(Some(CallerRequest {
+            head,
+            body,
+            received: Instant::now(),
+        }))
     }
 
     fn is_partial(&self) -> bool {
@@ -168,7 +178,8 @@
             let limit = if self.head.is_some() {
                 Some(self.last_byte + limits.header_timeout.max(limits.idle_timeout))
             } else if partial {
-                self.partial_since.map(|since| since + limits.header_timeout)
+                self.partial_since
+                    .map(|since| since + limits.header_timeout)
             } else if idle {
                 Some(self.last_byte + limits.idle_timeout)
             } else {
@@ -221,7 +232,11 @@
         }
         if reader.expects_continue && pending.is_empty() {
             reader.expects_continue = false;
-            if write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            if write_half
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await
+                .is_err()
+            {
                 return;
             }
         }
@@ -317,7 +332,14 @@
 
 fn encode_reply(reply: &CallerReply, is_head: bool, close: bool) -> Bytes {
     let mut bytes = BytesMut::with_capacity(256 + reply.body.len());
-    bytes.put_slice(format!("HTTP/1.1 {} {}\r\n", reply.status, reason_phrase(reply.status)).as_bytes());
+    bytes.put_slice(
+        format!(
+            "HTTP/1.1 {} {}\r\n",
+            reply.status,
+            reason_phrase(reply.status)
+        )
+        .as_bytes(),
+    );
     for field in &reply.fields {
         bytes.put_slice(field.name.as_bytes());
         bytes.put_slice(b": ");
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -14,7 +14,7 @@
 use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::text_hash;
-use tarragonpulley_policy::entry::quota::TeamQuota;
+use tarragonpulley_policy::entry::quota::{QuotaBound, TeamQuota};
 use tarragonpulley_policy::entry::split::SplitMeter;
 
 use crate::adapter::{OperatorOrder, PlatformAdapter};
@@ -37,6 +37,8 @@
     pub regions: BTreeMap<CentreName, RegionName>,
     /// How old the proof of the configuration may be when a key is used.
     pub key_proof_limit: Duration,
+    /// The bound on requests beyond a team's limit.
+    pub quota: QuotaBound,
     /// The bound on repeats.
     pub repeats: BudgetBound,
     /// The bound on requests to cold servers.
@@ -88,7 +90,7 @@
     ) -> Self {
         Self {
             peers: RefCell::new(InstanceTable::new(options.record.clone())),
-            quota: RefCell::new(TeamQuota::new()),
+            quota: RefCell::new(TeamQuota::new(options.quota)),
             repeats: RefCell::new(RepeatBudget::new(options.repeats)),
             clock,
             proof_clock,
@@ -143,7 +145,11 @@
         if self.leaving.get() {
             return InstanceState::Leaving;
         }
-        let has_servers = self.mirrors.borrow().get(&TableKind::Servers).is_some_and(|m| m.upto().is_some());
+        let has_servers = self
+            .mirrors
+            .borrow()
+            .get(&TableKind::Servers)
+            .is_some_and(|m| m.upto().is_some());
         if self.config.borrow().is_some() && has_servers && self.is_proved() {
             InstanceState::Ready
         } else {
@@ -161,7 +167,10 @@
         let now = self.now();
         let changed = {
             let mut mirrors = self.mirrors.borrow_mut();
-            mirrors.entry(table).or_default().apply(batch, started, self.proof_now())
+            mirrors
+                .entry(table)
+                .or_default()
+                .apply(batch, started, self.proof_now())
         };
         if changed.is_empty() {
             return;
@@ -182,14 +191,24 @@
     }
 
     fn value(&self, table: TableKind, key: &str) -> Option<Vec<u8>> {
-        self.mirrors.borrow().get(&table)?.value(key).map(<[u8]>::to_vec)
+        self.mirrors
+            .borrow()
+            .get(&table)?
+            .value(key)
+            .map(<[u8]>::to_vec)
     }
 
     /// Logs a row that is not used, once for each version of it.
     fn unreadable(&self, table: TableKind, key: &str, reason: &str) {
-        let version = self.mirrors.borrow().get(&table).and_then(|mirror| mirror.version(key));
+        let version = self
+            .mirrors
+            .borrow()
+            .get(&table)
+            .and_then(|mirror| mirror.version(key));
         let mut seen = self.unreadable.borrow_mut();
-        let first = seen.insert((table, key.to_owned()), version.unwrap_or(0)).is_none();
+        let first = seen
+            .insert((table, key.to_owned()), version.unwrap_or(0))
+            .is_none();
         self.metrics.unreadable_rows.inc();
         if first {
             self.log.event(
@@ -207,11 +226,16 @@
         match self.adapter.decode_order(key, &value) {
             Ok(OperatorOrder::Config(config)) => self.apply_config(*config),
             Ok(OperatorOrder::Evacuate(centre)) => {
-                self.log.event("evacuation_started", json!({"centre": centre.as_str()}));
+                self.log
+                    .event("evacuation_started", json!({"centre": centre.as_str()}));
                 self.evacuated.borrow_mut().insert(centre);
             }
             Ok(OperatorOrder::Rollout(order)) => {
-                let version = self.mirrors.borrow().get(&TableKind::Orders).and_then(|m| m.version(key));
+                let version = self
+                    .mirrors
+                    .borrow()
+                    .get(&TableKind::Orders)
+                    .and_then(|m| m.version(key));
                 self.log.event(
                     "rollout_ordered",
                     json!({"service": order.service.as_str(), "to": order.to.as_str(),
@@ -237,10 +261,15 @@
                 })
                 .collect()
         };
-        let ended: Vec<CentreName> =
-            self.evacuated.borrow().difference(&remaining).cloned().collect();
+        let ended: Vec<CentreName> = self
+            .evacuated
+            .borrow()
+            .difference(&remaining)
+            .cloned()
+            .collect();
         for centre in ended {
-            self.log.event("evacuation_ended", json!({"centre": centre.as_str()}));
+            self.log
+                .event("evacuation_ended", json!({"centre": centre.as_str()}));
             self.evacuated.borrow_mut().remove(&centre);
             self.expect_cold(&centre, now);
         }
@@ -250,9 +279,15 @@
     fn expect_cold(&self, centre: &CentreName, now: Instant) {
         let config = self.config.borrow();
         let servers = self.servers.borrow();
-        for server in servers.all().filter(|server| &server.entry.borrow().centre == centre) {
+        for server in servers
+            .all()
+            .filter(|server| &server.entry.borrow().centre == centre)
+        {
             let service = server.entry.borrow().service.clone();
-            if let Some(rule) = config.as_ref().and_then(|config| config.services.get(&service)) {
+            if let Some(rule) = config
+                .as_ref()
+                .and_then(|config| config.services.get(&service))
+            {
                 server.cold_until.set(Some(now + rule.cold_period));
             }
         }
@@ -304,12 +339,17 @@
         if servers.get(id).is_some() {
             servers.remove(id, at);
             let delay = at.saturating_duration_since(now).as_millis();
-            self.log.event("server_gone", json!({"server": id.as_str(), "after_ms": delay}));
+            self.log.event(
+                "server_gone",
+                json!({"server": id.as_str(), "after_ms": delay}),
+            );
         }
     }
 
     fn apply_record(&self, key: &str) {
-        let Some(value) = self.value(TableKind::Records, key) else { return };
+        let Some(value) = self.value(TableKind::Records, key) else {
+            return;
+        };
         match self.adapter.decode_record(key, &value) {
             Ok((service, record)) => {
                 self.log.event(
@@ -324,7 +364,9 @@
     }
 
     fn apply_instance(&self, key: &str) {
-        let Some(value) = self.value(TableKind::Instances, key) else { return };
+        let Some(value) = self.value(TableKind::Instances, key) else {
+            return;
+        };
         match serde_json::from_slice::<InstanceRecord>(&value) {
             Ok(record) => self.peers.borrow_mut().register(record),
             Err(error) => self.unreadable(TableKind::Instances, key, &error.to_string()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,6 @@
 pub use clock::BootClock;
 pub use events::EventLog;
 pub use instance::InstanceOptions;
-pub use service_client::{ServiceAnswer, ServiceClient, ServiceError};
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
+pub use service_client::{ServiceAnswer, ServiceClient, ServiceError};
 pub use table::{TableBatch, TableError, TableKind, TableResult, TableRow, TableService};
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -22,7 +22,11 @@
     }
 
     fn limits(&self) -> CallerLimits {
-        self.0.config.borrow().as_ref().map_or_else(CallerLimits::default, |config| config.limits)
+        self.0
+            .config
+            .borrow()
+            .as_ref()
+            .map_or_else(CallerLimits::default, |config| config.limits)
     }
 }
 
@@ -44,9 +48,12 @@
             return instance.look_up(region, centre);
         }
         if path == METRICS_PATH {
-            let age = instance.proof_age().map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+            let age = instance
+                .proof_age()
+                .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
             instance.metrics.proof_age_ms.set(age);
-            return CallerReply::empty(200).with_body("text/plain; version=1.0.0", instance.metrics.text());
+            return CallerReply::empty(200)
+                .with_body("text/plain; version=1.0.0", instance.metrics.text());
         }
         CallerReply::empty(404)
     }
@@ -68,7 +75,8 @@
 impl Instance {
     fn look_up(&self, region: &str, centre: &str) -> CallerReply {
         let now = self.now();
-        let (Ok(region), Ok(centre)) = (region.parse::<RegionName>(), centre.parse::<CentreName>()) else {
+        let (Ok(region), Ok(centre)) = (region.parse::<RegionName>(), centre.parse::<CentreName>())
+        else {
             return CallerReply::empty(400);
         };
         let peers = self.peers.borrow();
@@ -79,7 +87,10 @@
             instances.push(peers.own().front);
         }
         if instances.is_empty() {
-            self.log.event("lookup_refused", json!({"region": region.as_str(), "reason": "no instance is ready"}));
+            self.log.event(
+                "lookup_refused",
+                json!({"region": region.as_str(), "reason": "no instance is ready"}),
+            );
             return CallerReply::empty(503);
         }
         let (media_type, body) = self.adapter.lookup_answer(&instances, ANSWER_LIFETIME);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -54,20 +54,56 @@
             digest_bytes: Counter::default(),
         };
         let registry = &mut metrics.registry;
-        registry.register("answers", "Answers by status and reason", metrics.outcomes.clone());
+        registry.register(
+            "answers",
+            "Answers by status and reason",
+            metrics.outcomes.clone(),
+        );
         registry.register(
             "placements",
             "Requests by whether the server knows the object, is the owner, or neither",
             metrics.placements.clone(),
         );
-        registry.register("latency_seconds", "Time until the answer", metrics.latency.clone());
-        registry.register("server_connections", "Connections opened to servers", metrics.connections_opened.clone());
-        registry.register("repeats", "Requests sent to a second server", metrics.repeats.clone());
-        registry.register("table_calls", "Calls to the shared table", metrics.table_calls.clone());
-        registry.register("table_failures", "Calls that failed", metrics.table_failures.clone());
-        registry.register("unreadable_rows", "Rows that are not used", metrics.unreadable_rows.clone());
-        registry.register("proof_age_ms", "Age of the configuration's last proof", metrics.proof_age_ms.clone());
-        registry.register("digest_bytes", "Bytes of digests sent", metrics.digest_bytes.clone());
+        registry.register(
+            "latency_seconds",
+            "Time until the answer",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "server_connections",
+            "Connections opened to servers",
+            metrics.connections_opened.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Requests sent to a second server",
+            metrics.repeats.clone(),
+        );
+        registry.register(
+            "table_calls",
+            "Calls to the shared table",
+            metrics.table_calls.clone(),
+        );
+        registry.register(
+            "table_failures",
+            "Calls that failed",
+            metrics.table_failures.clone(),
+        );
+        registry.register(
+            "unreadable_rows",
+            "Rows that are not used",
+            metrics.unreadable_rows.clone(),
+        );
+        registry.register(
+            "proof_age_ms",
+            "Age of the configuration's last proof",
+            metrics.proof_age_ms.clone(),
+        );
+        registry.register(
+            "digest_bytes",
+            "Bytes of digests sent",
+            metrics.digest_bytes.clone(),
+        );
         metrics
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -70,8 +70,11 @@
 }
 
 async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
-    let length = u32::try_from(bytes.len()).map_err(|_large| io::Error::from(io::ErrorKind::InvalidInput))?;
-    stream.write_all(&[&length.to_be_bytes(), bytes].concat()).await
+    let length = u32::try_from(bytes.len())
+        .map_err(|_large| io::Error::from(io::ErrorKind::InvalidInput))?;
+    stream
+        .write_all(&[&length.to_be_bytes(), bytes].concat())
+        .await
 }
 
 async fn read_message(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
@@ -94,7 +97,15 @@
     let exchange = async {
         let mut stream = TcpStream::connect(peer).await?;
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        write_message(&mut stream, &encode(&ReadRequest { table, after, wait_ms })?).await?;
+        write_message(
+            &mut stream,
+            &encode(&ReadRequest {
+                table,
+                after,
+                wait_ms,
+            })?,
+        )
+        .await?;
         Ok(decode(&read_message(&mut stream).await?)?)
     };
     match tokio::time::timeout(wait + EXCHANGE_LIMIT, exchange).await {
@@ -117,10 +128,15 @@
                 match tokio::time::timeout(CONNECTION_LIMIT, served).await {
                     Ok(Ok(())) => {}
                     Ok(Err(error)) => {
-                        instance.log.event("peer_request_failed", json!({"reason": error.to_string()}));
+                        instance
+                            .log
+                            .event("peer_request_failed", json!({"reason": error.to_string()}));
                     }
                     Err(_elapsed) => {
-                        instance.log.event("peer_request_failed", json!({"reason": "not complete in time"}));
+                        instance.log.event(
+                            "peer_request_failed",
+                            json!({"reason": "not complete in time"}),
+                        );
                     }
                 }
             });
@@ -132,7 +148,9 @@
         let wait = Duration::from_millis(request.wait_ms.into());
         let is_current = || {
             let mirrors = self.mirrors.borrow();
-            let upto = mirrors.get(&request.table).and_then(crate::table::TableMirror::upto);
+            let upto = mirrors
+                .get(&request.table)
+                .and_then(crate::table::TableMirror::upto);
             request.after.is_some() && upto <= request.after
         };
         if is_current() && !wait.is_zero() {
@@ -141,7 +159,9 @@
         }
         let batch: Option<TableBatch> = {
             let mirrors = self.mirrors.borrow();
-            mirrors.get(&request.table).and_then(|mirror| mirror.batch(request.after, self.proof_now()))
+            mirrors
+                .get(&request.table)
+                .and_then(|mirror| mirror.batch(request.after, self.proof_now()))
         };
         write_message(&mut stream, &encode(&batch)?).await?;
         Ok(())
@@ -149,8 +169,17 @@
 
     fn digest(&self, sequence: u64) -> InstanceDigest {
         let now = self.now();
-        #[expect(clippy::cast_possible_truncation, reason = "rates of a few thousand at most")]
-        let demands = self.quota.borrow_mut().demands(now).into_iter().map(|(team, rate)| (team, rate as f32)).collect();
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "rates of a few thousand at most"
+        )]
+        let demands = self
+            .quota
+            .borrow_mut()
+            .report(now)
+            .into_iter()
+            .map(|(team, rate)| (team, rate as f32))
+            .collect();
         InstanceDigest {
             record: self.peers.borrow().own().clone(),
             sequence,
@@ -168,9 +197,11 @@
             sequence += 1;
             let now = self.now();
             let own = self.digest(sequence);
-            let neighbours: Vec<InstanceRecord> = self.peers.borrow().neighbours().cloned().collect();
+            let neighbours: Vec<InstanceRecord> =
+                self.peers.borrow().neighbours().cloned().collect();
             for neighbour in &neighbours {
-                self.send(&socket, neighbour.peer, false, vec![own.clone()]).await;
+                self.send(&socket, neighbour.peer, false, vec![own.clone()])
+                    .await;
             }
             let is_urgent = tokio::select! {
                 () = self.urgent.notified() => true,
@@ -182,8 +213,13 @@
             if due && (self.peers.borrow().is_delegate(now) || self.leaving.get()) {
                 let mut digests = vec![self.digest(sequence)];
                 digests.extend(self.peers.borrow().centre_digests(now));
-                let targets: Vec<SocketAddr> =
-                    self.peers.borrow().delegates(now).iter().map(|record| record.peer).collect();
+                let targets: Vec<SocketAddr> = self
+                    .peers
+                    .borrow()
+                    .delegates(now)
+                    .iter()
+                    .map(|record| record.peer)
+                    .collect();
                 for target in targets {
                     self.send(&socket, target, true, digests.clone()).await;
                 }
@@ -192,28 +228,44 @@
         }
     }
 
-    async fn send(&self, socket: &UdpSocket, target: SocketAddr, relay: bool, digests: Vec<InstanceDigest>) {
+    async fn send(
+        &self,
+        socket: &UdpSocket,
+        target: SocketAddr,
+        relay: bool,
+        digests: Vec<InstanceDigest>,
+    ) {
         let mut part: Vec<InstanceDigest> = Vec::new();
         let mut parts: Vec<Vec<u8>> = Vec::new();
         let mut last: Option<Vec<u8>> = None;
         for digest in digests {
             part.push(digest);
-            match encode(&PeerDatagram { relay, digests: part.clone() }) {
+            match encode(&PeerDatagram {
+                relay,
+                digests: part.clone(),
+            }) {
                 Ok(bytes) if bytes.len() > MAX_DATAGRAM && part.len() > 1 => {
                     parts.extend(last.take());
                     part.drain(..part.len() - 1);
-                    last = encode(&PeerDatagram { relay, digests: part.clone() }).ok();
+                    last = encode(&PeerDatagram {
+                        relay,
+                        digests: part.clone(),
+                    })
+                    .ok();
                 }
                 Ok(bytes) => last = Some(bytes),
                 Err(error) => {
-                    self.log.event("digest_not_sent", json!({"reason": error.to_string()}));
+                    self.log
+                        .event("digest_not_sent", json!({"reason": error.to_string()}));
                     return;
                 }
             }
         }
         parts.extend(last);
         for bytes in parts {
-            self.metrics.digest_bytes.inc_by(u64::try_from(bytes.len()).unwrap_or(0));
+            self.metrics
+                .digest_bytes
+                .inc_by(u64::try_from(bytes.len()).unwrap_or(0));
             // Digests are repeated, so a lost one needs no handling.
             drop(socket.send_to(&bytes, target).await);
         }
@@ -230,7 +282,10 @@
             let datagram: PeerDatagram = match decode(&buffer[..count]) {
                 Ok(datagram) => datagram,
                 Err(error) => {
-                    self.log.event("digest_ignored", json!({"sender": sender.to_string(), "reason": error.to_string()}));
+                    self.log.event(
+                        "digest_ignored",
+                        json!({"sender": sender.to_string(), "reason": error.to_string()}),
+                    );
                     continue;
                 }
             };
@@ -243,9 +298,11 @@
                 }
             }
             if datagram.relay && !fresh.is_empty() {
-                let neighbours: Vec<InstanceRecord> = self.peers.borrow().neighbours().cloned().collect();
+                let neighbours: Vec<InstanceRecord> =
+                    self.peers.borrow().neighbours().cloned().collect();
                 for neighbour in neighbours {
-                    self.send(&socket, neighbour.peer, false, fresh.clone()).await;
+                    self.send(&socket, neighbour.peer, false, fresh.clone())
+                        .await;
                 }
             }
         }
--- a/crates/edge/src/rollout.rs
+++ b/crates/edge/src/rollout.rs
@@ -45,7 +45,11 @@
     /// Takes an order; a repeated one changes nothing.
     pub(crate) fn order(&mut self, key: &str, id: u64, order: RolloutOrder, now: Instant) {
         self.keys.insert(key.to_owned(), order.service.clone());
-        if self.active.get(&order.service).is_some_and(|active| active.id == id) {
+        if self
+            .active
+            .get(&order.service)
+            .is_some_and(|active| active.id == id)
+        {
             return;
         }
         let trial = VersionTrial::new(now, order.within);
@@ -74,7 +78,10 @@
 
     /// The evidence for the digest.
     pub(crate) fn evidence(&self) -> Vec<(u64, TrialEvidence)> {
-        self.active.values().map(|active| (active.id, active.trial.evidence())).collect()
+        self.active
+            .values()
+            .map(|active| (active.id, active.trial.evidence()))
+            .collect()
     }
 }
 
@@ -95,7 +102,10 @@
         let servers = self.servers.borrow();
         let records = self.records.borrow();
         let mut book = self.rollouts.borrow_mut();
-        let services: Vec<ServiceName> = servers.services().map(|(service, _)| service.clone()).collect();
+        let services: Vec<ServiceName> = servers
+            .services()
+            .map(|(service, _)| service.clone())
+            .collect();
         for service in services {
             let versions = servers.versions(&service, now);
             let record = records.get(&service);
@@ -132,12 +142,23 @@
             let warm = |server: &&Rc<Server>| {
                 server.entry.borrow().version == to && server.is_open(now) && !server.is_cold(now)
             };
-            let has_new = servers.of_service(service).iter().any(|server| warm(&server));
+            let has_new = servers
+                .of_service(service)
+                .iter()
+                .any(|server| warm(&server));
             let new = has_new && active.trial.route_to_new(sharing);
             let version = if new { Some(to) } else { current };
-            return VersionChoice { version, is_new: new, is_trial: true };
+            return VersionChoice {
+                version,
+                is_new: new,
+                is_trial: true,
+            };
+        }
+        VersionChoice {
+            version: current,
+            is_new: false,
+            is_trial: false,
         }
-        VersionChoice { version: current, is_new: false, is_trial: false }
     }
 
     /// The version that gets the requests of a service outside of rollouts.
@@ -201,18 +222,30 @@
                 TrialPhase::Promoted if active.trial.may_complete(now) => RolloutState::Completed,
                 TrialPhase::Trial | TrialPhase::Promoted => RolloutState::Running,
             };
-            let recorded = records.get(service).filter(|record| record.to == active.order.to);
-            let is_recorded = recorded.is_some_and(|record| record.state == state || record.state != RolloutState::Running);
+            let recorded = records
+                .get(service)
+                .filter(|record| record.to == active.order.to);
+            let is_recorded = recorded.is_some_and(|record| {
+                record.state == state || record.state != RolloutState::Running
+            });
             if is_recorded {
                 active.due_since = None;
                 continue;
             }
             let since = *active.due_since.get_or_insert(now);
             let waited = now.saturating_duration_since(since) >= DEPUTY_DELAY;
-            let retry = active.written_at.is_none_or(|at| now.saturating_duration_since(at) >= RECORD_RETRY);
+            let retry = active
+                .written_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= RECORD_RETRY);
             if (first || waited) && retry {
                 active.written_at = Some(now);
-                due.push((service.clone(), RolloutRecord { state, to: active.order.to.clone() }));
+                due.push((
+                    service.clone(),
+                    RolloutRecord {
+                        state,
+                        to: active.order.to.clone(),
+                    },
+                ));
             }
         }
         due
@@ -220,8 +253,15 @@
 
     async fn write_record(&self, service: &ServiceName, record: &RolloutRecord) {
         let (key, value) = self.adapter.encode_record(service, record);
-        let known = self.mirrors.borrow().get(&TableKind::Records).and_then(|m| m.version(&key));
-        let written = self.table.write(TableKind::Records, &key, value, Some(known.unwrap_or(0))).await;
+        let known = self
+            .mirrors
+            .borrow()
+            .get(&TableKind::Records)
+            .and_then(|m| m.version(&key));
+        let written = self
+            .table
+            .write(TableKind::Records, &key, value, Some(known.unwrap_or(0)))
+            .await;
         self.log.event(
             "rollout_record_written",
             json!({"service": service.as_str(), "to": record.to.as_str(),
@@ -230,7 +270,9 @@
         );
         match written {
             Ok(()) => {
-                self.records.borrow_mut().insert(service.clone(), record.clone());
+                self.records
+                    .borrow_mut()
+                    .insert(service.clone(), record.clone());
                 self.follow_rollouts(self.now());
             }
             // Another instance wrote first, or the answer is unknown: the next
@@ -259,9 +301,8 @@
         return Some(record.to.clone());
     }
     let undecided = |version: &VersionName| {
-        let recorded = record.is_some_and(|record| {
-            record.state != RolloutState::Completed && &record.to == version
-        });
+        let recorded = record
+            .is_some_and(|record| record.state != RolloutState::Completed && &record.to == version);
         let pending = ordered == Some(version) && !is_decided(record, version);
         recorded || pending
     };
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -72,7 +72,9 @@
 
 impl std::fmt::Debug for InstanceParts {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("InstanceParts").field("listen", &self.listen).finish_non_exhaustive()
+        f.debug_struct("InstanceParts")
+            .field("listen", &self.listen)
+            .finish_non_exhaustive()
     }
 }
 
@@ -82,14 +84,32 @@
 ///
 /// If an address cannot be bound or a signal cannot be watched.
 pub async fn run(parts: InstanceParts) -> io::Result<()> {
-    let InstanceParts { clock, proof_clock, adapter, table, log, listen, options, reload } = parts;
+    let InstanceParts {
+        clock,
+        proof_clock,
+        adapter,
+        table,
+        log,
+        listen,
+        options,
+        reload,
+    } = parts;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let instance = Rc::new(Instance::new(clock, proof_clock, adapter, table, options, log));
+    let instance = Rc::new(Instance::new(
+        clock,
+        proof_clock,
+        adapter,
+        table,
+        options,
+        log,
+    ));
     let (stop, phase) = watch::channel(StopPhase::Running);
     start_listeners(&instance, &listen, &phase).await?;
     start_tasks(&instance, &listen).await?;
-    instance.log.event("started", json!({"front": listen.front.to_string()}));
+    instance
+        .log
+        .event("started", json!({"front": listen.front.to_string()}));
     loop {
         tokio::select! {
             _ = hang_up.recv() => reload_settings(&instance, &reload),
@@ -106,7 +126,11 @@
     phase: &watch::Receiver<StopPhase>,
 ) -> io::Result<()> {
     let front = bind(listen.front).await?;
-    actix_rt::spawn(serve(front, Rc::new(FrontHandler(Rc::clone(instance))), phase.clone()));
+    actix_rt::spawn(serve(
+        front,
+        Rc::new(FrontHandler(Rc::clone(instance))),
+        phase.clone(),
+    ));
     let service: Rc<dyn RequestHandler> = Rc::new(ServiceHandler(Rc::clone(instance)));
     // Readiness and look-ups are answered until the process ends.
     let (running, always) = watch::channel(StopPhase::Running);
@@ -126,7 +150,12 @@
     actix_rt::spawn(Rc::clone(instance).serve_peers(peers));
     actix_rt::spawn(Rc::clone(instance).run_rollouts());
     actix_rt::spawn(Rc::clone(instance).register());
-    for table in [TableKind::Orders, TableKind::Servers, TableKind::Records, TableKind::Instances] {
+    for table in [
+        TableKind::Orders,
+        TableKind::Servers,
+        TableKind::Records,
+        TableKind::Instances,
+    ] {
         actix_rt::spawn(Rc::clone(instance).follow(table));
     }
     Ok(())
@@ -138,7 +167,9 @@
             *instance.options.borrow_mut() = options;
             instance.log.event("settings_reloaded", json!({}));
         }
-        Err(reason) => instance.log.event("settings_not_reloaded", json!({"reason": reason})),
+        Err(reason) => instance
+            .log
+            .event("settings_not_reloaded", json!({"reason": reason})),
     }
 }
 
@@ -146,7 +177,9 @@
     let began = instance.now();
     let limit = instance.options.borrow().stop_limit;
     instance.leaving.set(true);
-    instance.log.event("stopping", json!({"limit_ms": limit.as_millis()}));
+    instance
+        .log
+        .event("stopping", json!({"limit_ms": limit.as_millis()}));
     instance.urgent.notify_one();
     stop.send_replace(StopPhase::Draining);
     actix_rt::time::sleep(CLOSE_AFTER.min(limit / 2)).await;
@@ -156,7 +189,10 @@
     while stop.receiver_count() > 1 && instance.now() < end {
         actix_rt::time::sleep(END_CHECK).await;
     }
-    instance.log.event("stopped", json!({"connections_left": stop.receiver_count().saturating_sub(1)}));
+    instance.log.event(
+        "stopped",
+        json!({"connections_left": stop.receiver_count().saturating_sub(1)}),
+    );
     // Gives the writer of the log time for the last lines.
     actix_rt::time::sleep(END_MARGIN / 2).await;
 }
@@ -168,15 +204,26 @@
         let value = match serde_json::to_vec(&record) {
             Ok(value) => value,
             Err(error) => {
-                self.log.event("not_registered", json!({"reason": error.to_string()}));
+                self.log
+                    .event("not_registered", json!({"reason": error.to_string()}));
                 return;
             }
         };
         loop {
-            let written = self.table.write(TableKind::Instances, record.name.as_str(), value.clone(), None).await;
+            let written = self
+                .table
+                .write(
+                    TableKind::Instances,
+                    record.name.as_str(),
+                    value.clone(),
+                    None,
+                )
+                .await;
             match written {
                 Ok(()) => return self.log.event("registered", json!({"start": record.start})),
-                Err(error) => self.log.event("not_registered", json!({"reason": error.to_string()})),
+                Err(error) => self
+                    .log
+                    .event("not_registered", json!({"reason": error.to_string()})),
             }
             actix_rt::time::sleep(REGISTER_PAUSE).await;
         }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -73,7 +73,10 @@
         let mut known = self.known.borrow_mut();
         known.insert(object, now);
         if known.len() > MAX_KNOWN
-            && let Some(oldest) = known.iter().min_by_key(|(_, at)| **at).map(|(object, _)| *object)
+            && let Some(oldest) = known
+                .iter()
+                .min_by_key(|(_, at)| **at)
+                .map(|(object, _)| *object)
         {
             known.remove(&oldest);
         }
@@ -118,7 +121,10 @@
 impl InProgress {
     pub(crate) fn begin(server: &Rc<Server>, now: Instant) -> Self {
         let ticket = server.health.borrow_mut().sent(now);
-        Self { server: Rc::clone(server), ticket }
+        Self {
+            server: Rc::clone(server),
+            ticket,
+        }
     }
 }
 
@@ -174,7 +180,10 @@
         const KEEP: Duration = Duration::from_secs(5);
         let before = self.servers.len();
         self.servers.retain(|_, server| {
-            server.gone_at.get().is_none_or(|at| now.saturating_duration_since(at) < KEEP)
+            server
+                .gone_at
+                .get()
+                .is_none_or(|at| now.saturating_duration_since(at) < KEEP)
         });
         if self.servers.len() != before {
             self.index();
@@ -185,7 +194,10 @@
         self.by_service.clear();
         for server in self.servers.values() {
             let service = server.entry.borrow().service.clone();
-            self.by_service.entry(service).or_default().push(Rc::clone(server));
+            self.by_service
+                .entry(service)
+                .or_default()
+                .push(Rc::clone(server));
         }
     }
 
@@ -202,14 +214,26 @@
     }
 
     pub(crate) fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Server>])> {
-        self.by_service.iter().map(|(service, servers)| (service, servers.as_slice()))
+        self.by_service
+            .iter()
+            .map(|(service, servers)| (service, servers.as_slice()))
     }
 
     /// How many open servers of a service run each version.
-    pub(crate) fn versions(&self, service: &ServiceName, now: Instant) -> BTreeMap<VersionName, usize> {
+    pub(crate) fn versions(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> BTreeMap<VersionName, usize> {
         let mut versions = BTreeMap::new();
-        for server in self.of_service(service).iter().filter(|server| server.is_open(now)) {
-            *versions.entry(server.entry.borrow().version.clone()).or_insert(0) += 1;
+        for server in self
+            .of_service(service)
+            .iter()
+            .filter(|server| server.is_open(now))
+        {
+            *versions
+                .entry(server.entry.borrow().version.clone())
+                .or_insert(0) += 1;
         }
         versions
     }
--- a/crates/edge/src/service_client.rs
+++ b/crates/edge/src/service_client.rs
@@ -47,7 +47,10 @@
     /// Creates a client without a connection.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+        Self {
+            address,
+            idle: RefCell::default(),
+        }
     }
 
     /// Makes one call and waits up to `limit` for the answer.
@@ -72,7 +75,12 @@
         }
     }
 
-    async fn exchange(&self, method: &str, target: &str, body: Option<&[u8]>) -> Result<ServiceAnswer, ExchangeError> {
+    async fn exchange(
+        &self,
+        method: &str,
+        target: &str,
+        body: Option<&[u8]>,
+    ) -> Result<ServiceAnswer, ExchangeError> {
         let mut request = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
         if let Some(body) = body {
             request.push_str("Content-Type: application/json\r\n");
@@ -85,12 +93,17 @@
             Some(connection) => connection,
             None => ServerConnection::open(self.address, CONNECT_LIMIT).await?,
         };
-        let answer = connection.exchange(method, &bytes, None, &ExchangeProgress::default()).await?;
+        let answer = connection
+            .exchange(method, &bytes, None, &ExchangeProgress::default())
+            .await?;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE && connection.is_usable(Duration::MAX) {
             idle.push(connection);
         }
-        Ok(ServiceAnswer { status: answer.head.status, body: answer.body })
+        Ok(ServiceAnswer {
+            status: answer.head.status,
+            body: answer.body,
+        })
     }
 
     fn take_idle(&self) -> Option<ServerConnection> {
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -39,8 +39,10 @@
     pub upto: u64,
     /// Whether these are all rows, so that missing ones were removed.
     pub complete: bool,
-    /// How long before the answer the rows were known to be current.
+    /// How long before the start of the call the rows were known to be current.
     pub age: Duration,
+    /// The steady clock of the table service at its answer.
+    pub service_time: Option<Duration>,
 }
 
 /// Why a table call failed.
@@ -133,12 +135,19 @@
 
     /// The rows with their keys.
     pub(crate) fn rows(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.rows.iter().map(|(key, (_, value))| (key.as_str(), value.as_slice()))
+        self.rows
+            .iter()
+            .map(|(key, (_, value))| (key.as_str(), value.as_slice()))
     }
 
     /// Takes rows read by a call that began at `started`. Returns the keys that
     /// changed. Rows older than the known ones are ignored.
-    pub(crate) fn apply(&mut self, batch: TableBatch, started: Instant, now: Instant) -> Vec<String> {
+    pub(crate) fn apply(
+        &mut self,
+        batch: TableBatch,
+        started: Instant,
+        now: Instant,
+    ) -> Vec<String> {
         if let Some(proof) = started.checked_sub(batch.age)
             && self.upto.is_none_or(|upto| upto <= batch.upto)
         {
@@ -150,8 +159,12 @@
         let mut changed = Vec::new();
         if batch.complete {
             let kept: Vec<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
-            let missing: Vec<String> =
-                self.rows.keys().filter(|key| !kept.contains(&key.as_str())).cloned().collect();
+            let missing: Vec<String> = self
+                .rows
+                .keys()
+                .filter(|key| !kept.contains(&key.as_str()))
+                .cloned()
+                .collect();
             for key in missing {
                 self.rows.remove(&key);
                 self.removed.insert(key.clone(), (batch.upto, now));
@@ -162,7 +175,10 @@
             }
         }
         for row in batch.rows {
-            if self.version(&row.key).is_some_and(|known| known >= row.version) {
+            if self
+                .version(&row.key)
+                .is_some_and(|known| known >= row.version)
+            {
                 continue;
             }
             match row.value {
@@ -213,13 +229,22 @@
             })
             .collect();
         if from.is_some() {
-            let removed = self.removed.iter().filter(|(_, (version, _))| changed(*version));
+            let removed = self
+                .removed
+                .iter()
+                .filter(|(_, (version, _))| changed(*version));
             rows.extend(removed.map(|(key, (version, _))| TableRow {
                 key: key.clone(),
                 version: *version,
                 value: None,
             }));
         }
-        Some(TableBatch { rows, upto, complete: from.is_none(), age })
+        Some(TableBatch {
+            rows,
+            upto,
+            complete: from.is_none(),
+            age,
+            service_time: None,
+        })
     }
 }
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -23,6 +23,24 @@
 /// instance may have spent its tokens before, so it does not start full.
 pub const INITIAL_LEVEL: f64 = 0.3;
 
+/// The age of the own report that shares are computed from, in reports.
+pub const REPORT_LAG: usize = 2;
+
+/// The part of the bound's slack that is used, as shares may add up to slightly
+/// more than one while demand moves.
+pub const SLACK_PART: f64 = 0.6;
+
+/// How far the requests of a team may exceed its limit in a window.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaBound {
+    /// The length of the sliding window.
+    pub window: Duration,
+    /// The permitted excess, as a part of what the limit allows in the window.
+    pub excess: f64,
+    /// Requests permitted in addition.
+    pub slack: f64,
+}
+
 /// Demand averaged over [`DEMAND_WINDOW`].
 #[derive(Debug, Clone)]
 pub struct DemandMeter {
@@ -62,8 +80,15 @@
 #[derive(Debug)]
 struct TeamBucket {
     demand: DemandMeter,
+    /// Demand as reported, newest first. Shares are computed from the last
+    /// one, which is about as old as the others' reports: if each instance took
+    /// its own newest demand, the shares would add up to more than one while
+    /// demand grows everywhere.
+    reported: [f64; REPORT_LAG],
     others: f64,
     level: f64,
+    /// Tokens of the bound's slack that this instance may still use.
+    spare: f64,
     updated: Instant,
 }
 
@@ -76,12 +101,15 @@
     Beyond {
         /// The time until the next token.
         retry_after: Duration,
+        /// The part of the team's limit that this instance had.
+        share: f64,
     },
 }
 
 /// The limits of all teams at one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TeamQuota {
+    bound: QuotaBound,
     buckets: BTreeMap<TeamName, TeamBucket>,
     instances: f64,
 }
@@ -89,8 +117,9 @@
 impl TeamQuota {
     /// Creates an empty set of limits.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(bound: QuotaBound) -> Self {
         Self {
+            bound,
             buckets: BTreeMap::new(),
             instances: 1.0,
         }
@@ -108,11 +137,16 @@
         }
     }
 
-    /// The demand of each team at this instance.
-    pub fn demands(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
+    /// The demand of each team at this instance, to be reported to the others.
+    pub fn report(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
         self.buckets
             .iter_mut()
-            .map(|(team, bucket)| (team.clone(), bucket.demand.rate(now)))
+            .map(|(team, bucket)| {
+                let rate = bucket.demand.rate(now);
+                bucket.reported.rotate_right(1);
+                bucket.reported[0] = rate;
+                (team.clone(), rate)
+            })
             .filter(|(_, rate)| *rate > 0.05)
             .collect()
     }
@@ -125,12 +159,14 @@
             .entry(team.clone())
             .or_insert_with(|| TeamBucket {
                 demand: DemandMeter::new(now),
+                reported: [0.0; REPORT_LAG],
                 others: 0.0,
                 level: f64::NAN,
+                spare: 0.0,
                 updated: now,
             });
         bucket.demand.note(now);
-        let own = bucket.demand.rate(now) + BASE_DEMAND;
+        let own = bucket.reported[REPORT_LAG - 1] + BASE_DEMAND;
         let others = bucket.others + BASE_DEMAND * (instances - 1.0);
         let share = own / (own + others);
         let depth = (burst * share).max(1.0);
@@ -139,14 +175,27 @@
         }
         let passed = now.saturating_duration_since(bucket.updated).as_secs_f64();
         bucket.updated = now;
+        // Few tokens a second make a small team's requests fail by chance at
+        // one instance while others have tokens left; an equal part of the
+        // slack evens that out. Half of it as depth and half as refill keeps
+        // any window within the whole.
+        let window = self.bound.window.as_secs_f64();
+        let slack = (rate * window + burst) * self.bound.excess + self.bound.slack;
+        let spare = slack * SLACK_PART / instances / 2.0;
+        bucket.spare = (bucket.spare + passed * spare / window).min(spare);
         bucket.level = (bucket.level + passed * rate * share).min(depth);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             return QuotaVerdict::Within;
         }
+        if bucket.spare >= 1.0 {
+            bucket.spare -= 1.0;
+            return QuotaVerdict::Within;
+        }
         let wait = (1.0 - bucket.level) / (rate * share).max(0.01);
         QuotaVerdict::Beyond {
             retry_after: Duration::from_secs_f64(wait.min(60.0)),
+            share,
         }
     }
 }
