--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -15,9 +15,9 @@
 /// The time over which demand is averaged.
 pub const DEMAND_WINDOW: Duration = Duration::from_secs(3);
 
-/// Demand, in requests per second, that each instance is assumed to have at
-/// least, so that the first request of a team at an instance finds a token.
-pub const BASE_DEMAND: f64 = 0.25;
+/// Demand that each instance is assumed to have at least, as a part of an equal
+/// division of the team's rate. Steadies the shares of teams with few requests.
+pub const BASE_PART: f64 = 0.5;
 
 /// The part of its depth that a bucket holds when it is created. A restarted
 /// instance may have spent its tokens before, so it does not start full.
@@ -87,8 +87,6 @@
     reported: [f64; REPORT_LAG],
     others: f64,
     level: f64,
-    /// Tokens of the bound's slack that this instance may still use.
-    spare: f64,
     updated: Instant,
 }
 
@@ -162,36 +160,29 @@
                 reported: [0.0; REPORT_LAG],
                 others: 0.0,
                 level: f64::NAN,
-                spare: 0.0,
                 updated: now,
             });
         bucket.demand.note(now);
-        let own = bucket.reported[REPORT_LAG - 1] + BASE_DEMAND;
-        let others = bucket.others + BASE_DEMAND * (instances - 1.0);
+        let base = rate * BASE_PART / instances;
+        let own = bucket.reported[REPORT_LAG - 1] + base;
+        let others = bucket.others + base * (instances - 1.0);
         let share = own / (own + others);
-        let depth = (burst * share).max(1.0);
+        // Few tokens a second make a small team's requests fail by chance at one
+        // instance while others have tokens left; an equal part of the slack as
+        // depth evens that out.
+        let window = self.bound.window.as_secs_f64();
+        let slack = (rate * window + burst) * self.bound.excess + self.bound.slack;
+        let depth = (burst * share + slack * SLACK_PART / instances).max(1.0);
         if bucket.level.is_nan() {
             bucket.level = (depth * INITIAL_LEVEL).max(1.0);
         }
         let passed = now.saturating_duration_since(bucket.updated).as_secs_f64();
         bucket.updated = now;
-        // Few tokens a second make a small team's requests fail by chance at
-        // one instance while others have tokens left; an equal part of the
-        // slack evens that out. Half of it as depth and half as refill keeps
-        // any window within the whole.
-        let window = self.bound.window.as_secs_f64();
-        let slack = (rate * window + burst) * self.bound.excess + self.bound.slack;
-        let spare = slack * SLACK_PART / instances / 2.0;
-        bucket.spare = (bucket.spare + passed * spare / window).min(spare);
         bucket.level = (bucket.level + passed * rate * share).min(depth);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             return QuotaVerdict::Within;
         }
-        if bucket.spare >= 1.0 {
-            bucket.spare -= 1.0;
-            return QuotaVerdict::Within;
-        }
         let wait = (1.0 - bucket.level) / (rate * share).max(0.01);
         QuotaVerdict::Beyond {
             retry_after: Duration::from_secs_f64(wait.min(60.0)),
