--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -62,6 +62,7 @@
     OverLimit,
     NoServer,
     NoTime,
+    Saturated,
     CrashesServers,
     Stopping,
     AllShed,
@@ -79,6 +80,7 @@
             | Self::KeyNotProved
             | Self::NoServer
             | Self::NoTime
+            | Self::Saturated
             | Self::CrashesServers
             | Self::Stopping
             | Self::AllShed
@@ -96,6 +98,7 @@
             Self::OverLimit => "over_team_limit",
             Self::NoServer => "no_server",
             Self::NoTime => "no_time_left",
+            Self::Saturated => "servers_saturated",
             Self::CrashesServers => "crashes_servers",
             Self::Stopping => "stopping",
             Self::AllShed => "all_servers_shed",
@@ -422,7 +425,7 @@
         let elapsed = forward.request.received.elapsed().as_millis();
         let line = || {
             json!({"request": forward.id, "status": status, "server": server.id().as_str(),
-                "route": forward.route.name, "ms": elapsed, "config_version": forward.config.version.0})
+                "route": forward.route.name, "object": forward.object, "ms": elapsed, "config_version": forward.config.version.0})
         };
         if status < 400 {
             self.log.success("answered", self.now(), line);
@@ -513,6 +516,9 @@
         let Some(placement) = choose(forward.object, &views, target) else {
             return Err((Refusal::NoServer, spread_retry(ELSEWHERE, rand::random())));
         };
+        if placement.saturated {
+            return Err((Refusal::Saturated, spread_retry(target, rand::random())));
+        }
         if let AdmissionVerdict::Reject { retry_after } =
             admit(placement.finish, left, rand::random())
         {
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -89,7 +89,7 @@
         log: EventLog,
     ) -> Self {
         Self {
-            peers: RefCell::new(InstanceTable::new(options.record.clone())),
+            peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
             quota: RefCell::new(TeamQuota::new(options.quota)),
             repeats: RefCell::new(RepeatBudget::new(options.repeats)),
             clock,
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -22,6 +22,10 @@
 /// than [`LIVE_SPAN`], because an instance that cannot be heard may still serve.
 pub const MEMORY_SPAN: Duration = Duration::from_secs(10);
 
+/// Time after a start in which registered instances that were not heard yet are
+/// assumed to share the fleet's limits.
+pub const START_SPAN: Duration = Duration::from_millis(3000);
+
 /// Whether callers may be sent to an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum InstanceState {
@@ -79,6 +83,7 @@
 #[derive(Debug)]
 pub struct InstanceTable {
     own: InstanceRecord,
+    started: Instant,
     members: BTreeMap<InstanceName, Member>,
     known: BTreeMap<InstanceName, InstanceRecord>,
 }
@@ -86,9 +91,10 @@
 impl InstanceTable {
     /// Creates a table that knows only its own instance.
     #[must_use]
-    pub fn new(own: InstanceRecord) -> Self {
+    pub fn new(own: InstanceRecord, now: Instant) -> Self {
         Self {
             own,
+            started: now,
             members: BTreeMap::new(),
             known: BTreeMap::new(),
         }
@@ -157,9 +163,9 @@
     #[must_use]
     pub fn sharing(&self, now: Instant) -> usize {
         let heard = self.remembered(now).count() + 1;
-        // Right after a start nobody was heard yet; the registered ones count.
-        if heard == 1 {
-            self.known.len() + 1
+        // Right after a start not all were heard; the registered ones count.
+        if now.saturating_duration_since(self.started) < START_SPAN {
+            heard.max(self.known.len() + 1)
         } else {
             heard
         }
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -29,8 +29,12 @@
 /// within it.
 pub const SILENCE_TARGETS: f64 = 2.5;
 
-/// How long a reported load counts.
-pub const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+/// How long a reported load counts. Reports come with answers, which are rare
+/// when the server is slow.
+pub const REPORT_LIFETIME: Duration = Duration::from_millis(4000);
+
+/// Weight of the newest reported load.
+pub const REPORT_WEIGHT: f64 = 0.6;
 
 /// The state of one backend server as seen from one instance.
 #[derive(Debug)]
@@ -156,7 +160,8 @@
 
     /// The server reported how many requests it runs and holds.
     pub fn reported(&mut self, load: f64, now: Instant) {
-        self.reported_others = (load - self.own_load()).max(0.0);
+        let others = (load - self.own_load()).max(0.0);
+        self.reported_others += REPORT_WEIGHT * (others - self.reported_others);
         self.reported_at = Some(now);
     }
 
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -35,6 +35,11 @@
 /// granted as better; avoids leaving the owner for a small gain.
 pub const LEAVE_OWNER_GAIN: f64 = 0.15;
 
+/// Requests running and waiting at a server, in slots, at which it gets no more.
+/// A queue as long as the slots costs about one service time, after which an
+/// answer on a known object is still within the target latency.
+pub const LOAD_CAP: f64 = 2.0;
+
 /// What placement knows of one server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerView {
@@ -67,6 +72,14 @@
     pub rank: usize,
     /// Expected time until the answer.
     pub finish: Duration,
+    /// Whether all servers that come into question have reached [`LOAD_CAP`].
+    pub saturated: bool,
+}
+
+impl ServerView {
+    fn is_saturated(&self) -> bool {
+        self.load >= f64::from(self.slots) * LOAD_CAP
+    }
 }
 
 /// Mixes the bits of a 64-bit value (the finaliser of SplitMix64).
@@ -137,31 +150,41 @@
         }
     };
     let Some(object) = object else {
+        let place = |index: usize| Placement {
+            index,
+            rank: 0,
+            finish: expected_finish(&servers[index], true, target),
+            saturated: servers[index].is_saturated(),
+        };
         return usable
             .into_iter()
-            .map(|index| Placement {
-                index,
-                rank: 0,
-                finish: expected_finish(&servers[index], true, target),
-            })
-            .min_by_key(|placement| placement.finish);
+            .map(place)
+            .min_by_key(|placement| (placement.saturated, placement.finish));
     };
     let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
     let order = rendezvous(object, &views, CANDIDATES);
     let mut best: Option<Placement> = None;
     for (rank, position) in order.into_iter().enumerate() {
         let server = &views[position];
-        let finish = expected_finish(server, rank == 0 || server.known, target);
-        let better = best.is_none_or(|owner| {
-            finish.as_secs_f64() < owner.finish.as_secs_f64() * (1.0 - LEAVE_OWNER_GAIN)
-        });
-        if better {
-            best = Some(Placement {
-                index: usable[position],
-                rank,
-                finish,
-            });
+        let placement = Placement {
+            index: usable[position],
+            rank,
+            finish: expected_finish(server, rank == 0 || server.known, target),
+            saturated: server.is_saturated(),
+        };
+        if best.is_none_or(|owner| placement.is_better(&owner)) {
+            best = Some(placement);
         }
     }
     best
 }
+
+impl Placement {
+    /// Whether this placement is taken in place of one of a lower rank.
+    fn is_better(&self, owner: &Self) -> bool {
+        if self.saturated != owner.saturated {
+            return owner.saturated;
+        }
+        self.finish.as_secs_f64() < owner.finish.as_secs_f64() * (1.0 - LEAVE_OWNER_GAIN)
+    }
+}
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -21,7 +21,7 @@
 
 /// The part of its depth that a bucket holds when it is created. A restarted
 /// instance may have spent its tokens before, so it does not start full.
-pub const INITIAL_LEVEL: f64 = 0.3;
+pub const INITIAL_LEVEL: f64 = 0.1;
 
 /// The age of the own report that shares are computed from, in reports.
 pub const REPORT_LAG: usize = 2;
