Share requests in progress in digests; attempts and placement in modules of their own

Cause: servers with full queues (12 to 20 requests) were taken for nearly idle (2.4), since each of 12 instances knew only its own requests and old reports. Change: digests carry requests in progress by server; three candidates; an unknown object is not sent where it would wait.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,34 +1,28 @@
 //! Handles one request: from the route to the answer.
 
+mod attempt;
+mod place;
+mod refusal;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit, spread_retry};
-use tarragonpulley_policy::entry::cold::allowance;
+use tarragonpulley_policy::entry::admission::spread_retry;
 use tarragonpulley_policy::entry::config::{RouteRule, TeamRule, TrafficConfig};
-use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
-use tarragonpulley_policy::entry::placement::{
-    CANDIDATES, ServerView, choose, expected_finish, text_hash,
-};
+use tarragonpulley_policy::entry::names::ServiceName;
+use tarragonpulley_policy::entry::placement::{CANDIDATES, text_hash};
 use tarragonpulley_policy::entry::quota::QuotaVerdict;
 
-use crate::http::client::{ExchangeError, ExchangeProgress, ServerAnswer, ServerConnection};
-use crate::http::message::{CallerReply, CallerRequest, HeaderField, HeaderLookup};
+use self::attempt::{AttemptOutcome, ServerAttempt};
+use self::refusal::Refusal;
+use crate::http::client::ServerAnswer;
+use crate::http::message::{CallerReply, CallerRequest, HeaderLookup};
 use crate::instance::Instance;
-use crate::metrics::{OutcomeLabel, PlaceLabel};
+use crate::metrics::OutcomeLabel;
 use crate::rollout::VersionChoice;
-use crate::servers::{InProgress, Server};
-
-/// Time allowed for a connection to a backend server: two round trips between
-/// the farthest regions, with a margin for a busy instance.
-const CONNECT_LIMIT: Duration = Duration::from_millis(350);
-
-/// How long a connection may have been idle when it carries a request that must
-/// not be repeated. The server may close an idle connection without notice; the
-/// request would then end with an unknown outcome.
-const UNSAFE_IDLE: Duration = Duration::from_millis(1500);
+use crate::servers::Server;
 
 /// The least time left for which a request is sent to another server.
 const MIN_ATTEMPT: Duration = Duration::from_millis(50);
@@ -51,62 +45,6 @@
     "proxy-connection",
 ];
 
-/// Why an instance answers by itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Refusal {
-    NoRequestId,
-    NotConfigured,
-    NoRoute,
-    NoKey,
-    KeyNotProved,
-    OverLimit,
-    NoServer,
-    NoTime,
-    Saturated,
-    CrashesServers,
-    Stopping,
-    AllShed,
-    ColdLimit,
-}
-
-impl Refusal {
-    fn status(self) -> u16 {
-        match self {
-            Self::NoRequestId => 400,
-            Self::NoRoute => 404,
-            Self::NoKey => 401,
-            Self::OverLimit => 429,
-            Self::NotConfigured
-            | Self::KeyNotProved
-            | Self::NoServer
-            | Self::NoTime
-            | Self::Saturated
-            | Self::CrashesServers
-            | Self::Stopping
-            | Self::AllShed
-            | Self::ColdLimit => 503,
-        }
-    }
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::NoRequestId => "no_request_id",
-            Self::NotConfigured => "not_configured",
-            Self::NoRoute => "no_route",
-            Self::NoKey => "unknown_key",
-            Self::KeyNotProved => "key_not_proved",
-            Self::OverLimit => "over_team_limit",
-            Self::NoServer => "no_server",
-            Self::NoTime => "no_time_left",
-            Self::Saturated => "servers_saturated",
-            Self::CrashesServers => "crashes_servers",
-            Self::Stopping => "stopping",
-            Self::AllShed => "all_servers_shed",
-            Self::ColdLimit => "only_cold_servers",
-        }
-    }
-}
-
 /// A request with what was decided about it.
 struct ForwardRequest {
     request: CallerRequest,
@@ -121,18 +59,6 @@
     fingerprint: u64,
 }
 
-/// What became of one attempt.
-enum AttemptOutcome {
-    /// The server's answer is for the caller.
-    Answer(ServerAnswer),
-    /// The server stated that the request did not run.
-    NotRun { answer: ServerAnswer },
-    /// The server could not be reached; no byte was sent.
-    NotSent,
-    /// The server failed after the request was sent.
-    Failed { answer: Option<ServerAnswer> },
-}
-
 impl Instance {
     /// Handles a request of a caller.
     pub(crate) async fn forward(self: Rc<Self>, request: CallerRequest) -> CallerReply {
@@ -321,9 +247,8 @@
             } else {
                 self.fallback_version(&forward.service)
             };
-            let placed = self.place(forward, &choice, &tried, now);
-            let server = match placed {
-                Ok(server) => server,
+            let placed = match self.place(forward, &choice, &tried, now) {
+                Ok(placed) => placed,
                 Err(_) if !tried.is_empty() => {
                     return self.give_up(forward, maybe_ran, last_failure);
                 }
@@ -333,13 +258,16 @@
                     return self.refuse(&forward.id, refusal, Some(after), inputs);
                 }
             };
-            let outcome = self.attempt(forward, &server, &choice, in_flight).await;
+            let attempt = ServerAttempt::new(self, forward, &placed, &choice);
+            let outcome = attempt.run(in_flight).await;
             let was_sent = !matches!(outcome, AttemptOutcome::NotSent);
             sent += u32::from(was_sent);
-            tried.push(Rc::clone(&server));
+            tried.push(Rc::clone(&placed.server));
             match outcome {
-                AttemptOutcome::Answer(answer) => return self.pass_on(forward, &server, answer),
-                AttemptOutcome::NotRun { .. } | AttemptOutcome::NotSent => {}
+                AttemptOutcome::Answer(answer) => {
+                    return self.pass_on(forward, &placed.server, &attempt, answer);
+                }
+                AttemptOutcome::NotRun | AttemptOutcome::NotSent => {}
                 AttemptOutcome::Failed { answer } => {
                     maybe_ran = true;
                     last_failure = answer.or(last_failure);
@@ -366,7 +294,7 @@
             }
             self.log.event(
                 "repeated",
-                json!({"request": forward.id, "service": forward.service.as_str(), "after": server.id().as_str(),
+                json!({"request": forward.id, "service": forward.service.as_str(), "after": placed.server.id().as_str(),
                     "was_sent": was_sent, "may_have_run": maybe_ran, "left_ms": left.as_millis()}),
             );
         }
@@ -418,6 +346,7 @@
         &self,
         forward: &ForwardRequest,
         server: &Server,
+        attempt: &ServerAttempt<'_>,
         answer: ServerAnswer,
     ) -> CallerReply {
         let status = answer.head.status;
@@ -425,7 +354,8 @@
         let elapsed = forward.request.received.elapsed().as_millis();
         let line = || {
             json!({"request": forward.id, "status": status, "server": server.id().as_str(),
-                "route": forward.route.name, "object": forward.object, "ms": elapsed, "config_version": forward.config.version.0})
+                "route": forward.route.name, "object": forward.object, "ms": elapsed,
+                "config_version": forward.config.version.0, "inputs": attempt.inputs()})
         };
         if status < 400 {
             self.log.success("answered", self.now(), line);
@@ -454,416 +384,6 @@
             close: false,
         }
     }
-
-    /// The regions in which the request may run; `None` means all.
-    fn is_home(forward: &ForwardRequest, region: Option<&RegionName>) -> bool {
-        let within = |homes: &std::collections::BTreeSet<RegionName>| {
-            homes.is_empty() || region.is_some_and(|region| homes.contains(region))
-        };
-        within(&forward.route.homes) && forward.team.as_ref().is_none_or(|team| within(&team.homes))
-    }
-
-    fn place(
-        &self,
-        forward: &ForwardRequest,
-        choice: &VersionChoice,
-        tried: &[Rc<Server>],
-        now: Instant,
-    ) -> Result<Rc<Server>, (Refusal, Duration)> {
-        let target = forward.route.target_latency;
-        let left = forward.deadline.saturating_duration_since(now);
-        let evacuated = self.evacuated.borrow();
-        let own_region = self.peers.borrow().own().region.clone();
-        let servers = self.servers.borrow();
-        let candidates: Vec<Rc<Server>> = servers
-            .of_service(&forward.service)
-            .iter()
-            .filter(|server| {
-                let entry = server.entry.borrow();
-                server.is_open(now)
-                    && choice.version.as_ref() == Some(&entry.version)
-                    && !evacuated.contains(&entry.centre)
-                    && Self::is_home(forward, self.region_of(&entry.centre).as_ref())
-                    && !tried.iter().any(|other| Rc::ptr_eq(other, server))
-            })
-            .cloned()
-            .collect();
-        let mut gate = self.cold_gate.borrow_mut();
-        let views: Vec<ServerView> = candidates
-            .iter()
-            .map(|server| {
-                let health = server.health.borrow();
-                let (slowness, failing) = health.averages(now);
-                let entry = server.entry.borrow();
-                let is_cold = server.is_cold(now);
-                let allowed = !is_cold
-                    || gate.has_room(&entry.id, self.cold_allowance(forward, server, now), now);
-                ServerView {
-                    hash: server.hash,
-                    slots: entry.slots,
-                    load: health.load(now),
-                    slowness,
-                    failing,
-                    cold: is_cold,
-                    near: self.region_of(&entry.centre).as_ref() == Some(&own_region),
-                    suspended: !allowed || health.is_suspended(target, now),
-                    known: forward
-                        .object
-                        .is_some_and(|object| server.knows(object, now)),
-                }
-            })
-            .collect();
-        let Some(placement) = choose(forward.object, &views, target) else {
-            return Err((Refusal::NoServer, spread_retry(ELSEWHERE, rand::random())));
-        };
-        if placement.saturated {
-            return Err((Refusal::Saturated, spread_retry(target, rand::random())));
-        }
-        if let AdmissionVerdict::Reject { retry_after } =
-            admit(placement.finish, left, rand::random())
-        {
-            return Err((Refusal::NoTime, retry_after));
-        }
-        let server = Rc::clone(&candidates[placement.index]);
-        if views[placement.index].cold {
-            let allowed = self.cold_allowance(forward, &server, now);
-            if !gate.take(&server.id(), allowed, now) {
-                return Err((Refusal::ColdLimit, spread_retry(ELSEWHERE, rand::random())));
-            }
-        } else {
-            gate.forget(&server.id());
-        }
-        let place = match (views[placement.index].known, placement.rank) {
-            (true, _) => "known",
-            (false, 0) => "owner",
-            (false, _) => "unknown",
-        };
-        self.metrics
-            .placements
-            .get_or_create(&PlaceLabel { place })
-            .inc();
-        Ok(server)
-    }
-
-    fn cold_allowance(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> usize {
-        let Some(rule) = forward.config.services.get(&forward.service) else {
-            return 1;
-        };
-        let bound = self.options.borrow().cold;
-        let peers = self.peers.borrow();
-        let names: Vec<u64> = peers
-            .sharing_names(now)
-            .iter()
-            .map(|name| text_hash(name.as_str()))
-            .collect();
-        allowance(
-            bound,
-            rule.cold_rate,
-            server.hash,
-            text_hash(peers.own().name.as_str()),
-            &names,
-        )
-    }
-
-    async fn attempt(
-        &self,
-        forward: &ForwardRequest,
-        server: &Rc<Server>,
-        choice: &VersionChoice,
-        in_flight: &Cell<bool>,
-    ) -> AttemptOutcome {
-        let now = self.now();
-        let is_cold = server.is_cold(now);
-        let knows = forward
-            .object
-            .is_some_and(|object| server.knows(object, now));
-        let expected = self.expected_work(server, knows, forward.route.target_latency, now);
-        let _in_progress = InProgress::begin(server, now);
-        let max_idle = if forward.route.repeatable {
-            Duration::MAX
-        } else {
-            UNSAFE_IDLE
-        };
-        let pooled = server.take_connection(max_idle);
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => match self.connect(forward, server).await {
-                Some(connection) => connection,
-                None => return AttemptOutcome::NotSent,
-            },
-        };
-        let progress = ExchangeProgress::default();
-        let bytes = self.encode_request(forward, server);
-        let watch = AttemptWatch {
-            instance: self,
-            server,
-            forward,
-            choice,
-            expected,
-            is_cold,
-            started: now,
-            done: Cell::new(false),
-        };
-        in_flight.set(true);
-        let id = Some((self.adapter.headers().request_id, forward.id.as_str()));
-        let method = forward.request.head.method.as_str();
-        let result = connection.exchange(method, &bytes, id, &progress).await;
-        watch.done.set(true);
-        let observed = self.now().saturating_duration_since(now);
-        match result {
-            Ok(answer) => {
-                let outcome =
-                    self.judge(forward, server, choice, answer, observed, expected, is_cold);
-                server.return_connection(connection);
-                outcome
-            }
-            Err(error) => self.broken(forward, server, choice, &error, &progress),
-        }
-    }
-
-    fn expected_work(
-        &self,
-        server: &Server,
-        knows: bool,
-        target: Duration,
-        now: Instant,
-    ) -> Duration {
-        let health = server.health.borrow();
-        let view = ServerView {
-            hash: 0,
-            slots: server.entry.borrow().slots,
-            load: health.load(now),
-            slowness: 1.0,
-            failing: 0.0,
-            cold: server.is_cold(now),
-            near: true,
-            suspended: false,
-            known: knows,
-        };
-        expected_finish(&view, knows, target) + Duration::from_millis(20)
-    }
-
-    async fn connect(
-        &self,
-        forward: &ForwardRequest,
-        server: &Rc<Server>,
-    ) -> Option<ServerConnection> {
-        let address = server.entry.borrow().address;
-        let left = forward.deadline.saturating_duration_since(self.now());
-        self.metrics.connections_opened.inc();
-        match ServerConnection::open(address, CONNECT_LIMIT.min(left)).await {
-            Ok(connection) => Some(connection),
-            Err(error) => {
-                let now = self.now();
-                server.health.borrow_mut().broke(now);
-                server.health.borrow_mut().suspend(now);
-                server.drop_connections();
-                self.log.event(
-                    "connect_failed",
-                    json!({"request": forward.id, "server": server.id().as_str(), "reason": error.to_string()}),
-                );
-                None
-            }
-        }
-    }
-
-    fn encode_request(&self, forward: &ForwardRequest, server: &Server) -> Vec<u8> {
-        let names = self.adapter.headers();
-        let head = &forward.request.head;
-        let named: Vec<String> = head
-            .fields
-            .iter()
-            .filter(|field| field.name.eq_ignore_ascii_case("connection"))
-            .filter_map(|field| std::str::from_utf8(&field.value).ok())
-            .flat_map(|value| value.split(','))
-            .map(|token| token.trim().to_ascii_lowercase())
-            .collect();
-        let replaced = [
-            names.deadline_ms,
-            names.team,
-            names.expected_server,
-            self.adapter.key_header(),
-            "expect",
-        ];
-        let left = forward
-            .deadline
-            .saturating_duration_since(self.now())
-            .as_millis()
-            .max(1);
-        let mut bytes = Vec::with_capacity(512 + forward.request.body.len());
-        bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
-        let mut field = |name: &str, value: &[u8]| {
-            bytes.extend_from_slice(name.as_bytes());
-            bytes.extend_from_slice(b": ");
-            bytes.extend_from_slice(value);
-            bytes.extend_from_slice(b"\r\n");
-        };
-        for HeaderField { name, value } in &head.fields {
-            let is = |other: &&str| name.eq_ignore_ascii_case(other);
-            let dropped = HOP_FIELDS.iter().any(|other| is(other))
-                || replaced.iter().any(|other| is(other))
-                || named.iter().any(|other| name.eq_ignore_ascii_case(other));
-            if !dropped {
-                field(name, value);
-            }
-        }
-        field(names.deadline_ms, left.to_string().as_bytes());
-        field(names.expected_server, server.id().as_str().as_bytes());
-        if let Some(team) = &forward.team {
-            field(names.team, team.name.as_str().as_bytes());
-        }
-        let body = &forward.request.body;
-        if !body.is_empty()
-            || !matches!(head.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS")
-        {
-            field("Content-Length", body.len().to_string().as_bytes());
-        }
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body);
-        bytes
-    }
-
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the inputs of one judgement, each used once"
-    )]
-    fn judge(
-        &self,
-        forward: &ForwardRequest,
-        server: &Server,
-        choice: &VersionChoice,
-        answer: ServerAnswer,
-        observed: Duration,
-        expected: Duration,
-        is_cold: bool,
-    ) -> AttemptOutcome {
-        let now = self.now();
-        let names = self.adapter.headers();
-        if let Some(load) = answer.head.text(names.load).and_then(reported_load) {
-            server.health.borrow_mut().reported(load, now);
-        }
-        let status = answer.head.status;
-        if status == 421 {
-            server.health.borrow_mut().suspend(now);
-            server.drop_connections();
-            self.log_attempt(forward, server, "misdirected", status);
-            return AttemptOutcome::NotRun { answer };
-        }
-        if answer.head.text(names.not_run).is_some() {
-            server.health.borrow_mut().shed(now);
-            self.log_attempt(forward, server, "shed", status);
-            return AttemptOutcome::NotRun { answer };
-        }
-        let sealed = answer.head.text(names.seal).is_some();
-        let matched = answer
-            .head
-            .text(names.request_id)
-            .is_none_or(|id| id == forward.id);
-        let failed = status >= 500 || !sealed || !matched;
-        server
-            .health
-            .borrow_mut()
-            .answered(observed, expected, failed, now);
-        if choice.is_trial && !is_cold {
-            self.note_trial(&forward.service, choice.is_new, failed);
-        }
-        if !failed {
-            if let Some(object) = forward.object {
-                server.learn(object, now);
-            }
-            return AttemptOutcome::Answer(answer);
-        }
-        self.log_attempt(
-            forward,
-            server,
-            if sealed { "server_error" } else { "unsealed" },
-            status,
-        );
-        // An answer that is not the server's own must not reach the caller.
-        AttemptOutcome::Failed {
-            answer: (sealed && matched).then_some(answer),
-        }
-    }
-
-    fn log_attempt(&self, forward: &ForwardRequest, server: &Server, result: &str, status: u16) {
-        self.log.event(
-            "attempt",
-            json!({"request": forward.id, "server": server.id().as_str(), "result": result, "status": status}),
-        );
-    }
-
-    fn broken(
-        &self,
-        forward: &ForwardRequest,
-        server: &Rc<Server>,
-        choice: &VersionChoice,
-        error: &ExchangeError,
-        progress: &ExchangeProgress,
-    ) -> AttemptOutcome {
-        let now = self.now();
-        server.health.borrow_mut().broke(now);
-        server.drop_connections();
-        if choice.is_trial && !server.is_cold(now) {
-            self.note_trial(&forward.service, choice.is_new, true);
-        }
-        self.log.event(
-            "attempt",
-            json!({"request": forward.id, "server": server.id().as_str(), "result": "broken",
-                "reason": error.to_string(), "sent": progress.sent.get(), "heard": progress.heard.get()}),
-        );
-        if !progress.sent.get() {
-            return AttemptOutcome::NotSent;
-        }
-        AttemptOutcome::Failed { answer: None }
-    }
-}
-
-/// Notes that an attempt was given up while the server owed an answer, when the
-/// attempt's future is dropped.
-struct AttemptWatch<'a> {
-    instance: &'a Instance,
-    server: &'a Rc<Server>,
-    forward: &'a ForwardRequest,
-    choice: &'a VersionChoice,
-    expected: Duration,
-    is_cold: bool,
-    started: Instant,
-    done: Cell<bool>,
-}
-
-impl Drop for AttemptWatch<'_> {
-    fn drop(&mut self) {
-        if self.done.get() {
-            return;
-        }
-        let now = self.instance.now();
-        let observed = now.saturating_duration_since(self.started);
-        self.server
-            .health
-            .borrow_mut()
-            .timed_out(observed, self.expected, now);
-        let timed_out = now >= self.forward.deadline;
-        if timed_out {
-            // The connections may have stopped working without a reset.
-            self.server.drop_connections();
-            if self.choice.is_trial && !self.is_cold {
-                self.instance
-                    .note_trial(&self.forward.service, self.choice.is_new, true);
-            }
-        }
-        let result = if timed_out {
-            "no_answer"
-        } else {
-            "caller_left"
-        };
-        let server = self.server.id();
-        self.instance.log.event(
-            "attempt",
-            json!({"request": self.forward.id, "server": server.as_str(), "result": result,
-                "ms": observed.as_millis(),
-                "caller_left_ms": self.forward.caller_deadline.saturating_duration_since(now).as_millis()}),
-        );
-    }
 }
 
 /// The object that a request is about.
@@ -884,11 +404,3 @@
         request.head.method, request.head.target
     ))
 }
-
-/// Requests running and waiting, from `running,waiting,slots`.
-fn reported_load(text: &str) -> Option<f64> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse::<f64>());
-    let running = numbers.next()?.ok()?;
-    let waiting = numbers.next()?.ok()?;
-    Some(running + waiting)
-}
--- /dev/null
+++ b/crates/edge/src/forward/attempt.rs
@@ -0,0 +1,371 @@
+//! Sends a request to one backend server and judges what comes back.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tarragonpulley_policy::entry::placement::{ServerView, expected_finish};
+
+use super::place::PlacedServer;
+use super::{ForwardRequest, HOP_FIELDS};
+use crate::http::client::{ExchangeError, ExchangeProgress, ServerAnswer, ServerConnection};
+use crate::http::message::{HeaderField, HeaderLookup};
+use crate::instance::Instance;
+use crate::rollout::VersionChoice;
+use crate::servers::{InProgress, Server};
+
+/// Time allowed for a connection to a backend server: two round trips between
+/// the farthest regions, with a margin for a busy instance.
+const CONNECT_LIMIT: Duration = Duration::from_millis(350);
+
+/// How long a connection may have been idle when it carries a request that must
+/// not be repeated. The server may close an idle connection without notice; the
+/// request would then end with an unknown outcome.
+const UNSAFE_IDLE: Duration = Duration::from_millis(1500);
+
+/// Time between instance and server that is not work.
+const TRANSPORT_TIME: Duration = Duration::from_millis(20);
+
+/// What became of one attempt.
+pub(super) enum AttemptOutcome {
+    /// The server's answer is for the caller.
+    Answer(ServerAnswer),
+    /// The server stated that the request did not run.
+    NotRun,
+    /// The server could not be reached; no byte was sent.
+    NotSent,
+    /// The server failed after the request was sent. The answer is the server's
+    /// own failure, if it gave one.
+    Failed { answer: Option<ServerAnswer> },
+}
+
+/// One request at one server. Dropped before its end, it notes that the server
+/// still owed an answer.
+pub(super) struct ServerAttempt<'a> {
+    instance: &'a Instance,
+    forward: &'a ForwardRequest,
+    placed: &'a PlacedServer,
+    choice: &'a VersionChoice,
+    expected: Duration,
+    started: Instant,
+    ended: Cell<bool>,
+}
+
+impl<'a> ServerAttempt<'a> {
+    pub(super) fn new(
+        instance: &'a Instance,
+        forward: &'a ForwardRequest,
+        placed: &'a PlacedServer,
+        choice: &'a VersionChoice,
+    ) -> Self {
+        let normal = ServerView {
+            slowness: 1.0,
+            failing: 0.0,
+            near: true,
+            ..placed.view
+        };
+        let expected = expected_finish(&normal, normal.known, forward.route.target_latency);
+        Self {
+            instance,
+            forward,
+            placed,
+            choice,
+            expected: expected + TRANSPORT_TIME,
+            started: instance.now(),
+            ended: Cell::new(true),
+        }
+    }
+
+    fn server(&self) -> &Rc<Server> {
+        &self.placed.server
+    }
+
+    /// Sends the request and waits for the answer.
+    pub(super) async fn run(&self, in_flight: &Cell<bool>) -> AttemptOutcome {
+        let server = self.server();
+        let _in_progress = InProgress::begin(server, self.started);
+        let max_idle = if self.forward.route.repeatable {
+            Duration::MAX
+        } else {
+            UNSAFE_IDLE
+        };
+        let pooled = server.take_connection(max_idle);
+        let was_pooled = pooled.is_some();
+        let Some(connection) = self.connected(pooled).await else {
+            return AttemptOutcome::NotSent;
+        };
+        let progress = ExchangeProgress::default();
+        let result = self.exchange(connection, in_flight, &progress).await;
+        // The server may have closed the connection while it was idle.
+        let is_stale = was_pooled && result.is_err() && !progress.heard.get();
+        if is_stale && self.may_resend(&progress) {
+            server.drop_connections();
+            let Some(connection) = self.connected(None).await else {
+                return self.broken(&ExchangeError::Closed, &progress);
+            };
+            let fresh = ExchangeProgress::default();
+            return match self.exchange(connection, in_flight, &fresh).await {
+                Ok(answer) => self.judge(answer),
+                Err(error) => self.broken(&error, &fresh),
+            };
+        }
+        match result {
+            Ok(answer) => self.judge(answer),
+            Err(error) => self.broken(&error, &progress),
+        }
+    }
+
+    /// Whether the request may be sent again to the same server after a reused
+    /// connection turned out to be closed.
+    fn may_resend(&self, progress: &ExchangeProgress) -> bool {
+        if !progress.sent.get() {
+            return true;
+        }
+        let now = self.instance.now();
+        let sharing = self.instance.peers.borrow().sharing(now);
+        self.forward.route.repeatable
+            && self
+                .instance
+                .repeats
+                .borrow_mut()
+                .take(&self.forward.service, sharing, now)
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: ServerConnection,
+        in_flight: &Cell<bool>,
+        progress: &ExchangeProgress,
+    ) -> Result<ServerAnswer, ExchangeError> {
+        let bytes = self.encode();
+        let id = Some((
+            self.instance.adapter.headers().request_id,
+            self.forward.id.as_str(),
+        ));
+        let method = self.forward.request.head.method.as_str();
+        in_flight.set(true);
+        self.ended.set(false);
+        let result = connection.exchange(method, &bytes, id, progress).await;
+        self.ended.set(true);
+        if result.is_ok() {
+            self.server().return_connection(connection);
+        }
+        result
+    }
+
+    async fn connected(&self, pooled: Option<ServerConnection>) -> Option<ServerConnection> {
+        if pooled.is_some() {
+            return pooled;
+        }
+        let instance = self.instance;
+        let server = self.server();
+        let address = server.entry.borrow().address;
+        let left = self
+            .forward
+            .deadline
+            .saturating_duration_since(instance.now());
+        instance.metrics.connections_opened.inc();
+        match ServerConnection::open(address, CONNECT_LIMIT.min(left)).await {
+            Ok(connection) => Some(connection),
+            Err(error) => {
+                let now = instance.now();
+                server.health.borrow_mut().broke(now);
+                server.health.borrow_mut().suspend(now);
+                server.drop_connections();
+                self.log("not_connected", &json!({"reason": error.to_string()}));
+                None
+            }
+        }
+    }
+
+    /// The request as the server gets it.
+    fn encode(&self) -> Vec<u8> {
+        let forward = self.forward;
+        let server = self.server();
+        let names = self.instance.adapter.headers();
+        let head = &forward.request.head;
+        let named: Vec<String> = head
+            .fields
+            .iter()
+            .filter(|field| field.name.eq_ignore_ascii_case("connection"))
+            .filter_map(|field| std::str::from_utf8(&field.value).ok())
+            .flat_map(|value| value.split(','))
+            .map(|token| token.trim().to_ascii_lowercase())
+            .collect();
+        let replaced = [
+            names.deadline_ms,
+            names.team,
+            names.expected_server,
+            self.instance.adapter.key_header(),
+            "expect",
+        ];
+        let left = forward
+            .deadline
+            .saturating_duration_since(self.instance.now())
+            .as_millis()
+            .max(1);
+        let mut bytes = Vec::with_capacity(512 + forward.request.body.len());
+        bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
+        let mut field = |name: &str, value: &[u8]| {
+            bytes.extend_from_slice(name.as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(value);
+            bytes.extend_from_slice(b"\r\n");
+        };
+        for HeaderField { name, value } in &head.fields {
+            let is = |other: &&str| name.eq_ignore_ascii_case(other);
+            let dropped = HOP_FIELDS.iter().any(|other| is(other))
+                || replaced.iter().any(|other| is(other))
+                || named.iter().any(|other| name.eq_ignore_ascii_case(other));
+            if !dropped {
+                field(name, value);
+            }
+        }
+        field(names.deadline_ms, left.to_string().as_bytes());
+        field(names.expected_server, server.id().as_str().as_bytes());
+        if let Some(team) = &forward.team {
+            field(names.team, team.name.as_str().as_bytes());
+        }
+        let body = &forward.request.body;
+        if !body.is_empty()
+            || !matches!(head.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS")
+        {
+            field("Content-Length", body.len().to_string().as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    fn judge(&self, answer: ServerAnswer) -> AttemptOutcome {
+        let now = self.instance.now();
+        let observed = now.saturating_duration_since(self.started);
+        let names = self.instance.adapter.headers();
+        let server = self.server();
+        let status = answer.head.status;
+        if let Some(load) = answer.head.text(names.load).and_then(reported_load) {
+            server.health.borrow_mut().reported(load, now);
+        }
+        if status == 421 {
+            server.health.borrow_mut().suspend(now);
+            server.drop_connections();
+            self.log("misdirected", &json!({"status": status}));
+            return AttemptOutcome::NotRun;
+        }
+        if answer.head.text(names.not_run).is_some() {
+            server.health.borrow_mut().shed(now);
+            let reported = answer.head.text(names.load);
+            self.log(
+                "shed",
+                &json!({"status": status, "reported_load": reported}),
+            );
+            return AttemptOutcome::NotRun;
+        }
+        let sealed = answer.head.text(names.seal).is_some();
+        let matched = answer
+            .head
+            .text(names.request_id)
+            .is_none_or(|id| id == self.forward.id);
+        let failed = status >= 500 || !sealed || !matched;
+        server
+            .health
+            .borrow_mut()
+            .answered(observed, self.expected, failed, now);
+        self.note_evidence(failed);
+        if !failed {
+            if let Some(object) = self.forward.object {
+                server.learn(object, now);
+            }
+            return AttemptOutcome::Answer(answer);
+        }
+        self.log(
+            if sealed { "server_error" } else { "unsealed" },
+            &json!({"status": status}),
+        );
+        // An answer that is not the server's own must not reach the caller.
+        AttemptOutcome::Failed {
+            answer: (sealed && matched).then_some(answer),
+        }
+    }
+
+    fn broken(&self, error: &ExchangeError, progress: &ExchangeProgress) -> AttemptOutcome {
+        let server = self.server();
+        server.health.borrow_mut().broke(self.instance.now());
+        server.drop_connections();
+        self.note_evidence(true);
+        self.log(
+            "broken",
+            &json!({"reason": error.to_string(), "sent": progress.sent.get(), "heard": progress.heard.get()}),
+        );
+        if !progress.sent.get() {
+            return AttemptOutcome::NotSent;
+        }
+        AttemptOutcome::Failed { answer: None }
+    }
+
+    /// A cold server is slow whatever its version, so it proves nothing.
+    fn note_evidence(&self, failed: bool) {
+        if self.choice.is_trial && !self.placed.view.cold {
+            self.instance
+                .note_trial(&self.forward.service, self.choice.is_new, failed);
+        }
+    }
+
+    /// The inputs of the placement, for the log.
+    pub(super) fn inputs(&self) -> serde_json::Value {
+        let view = &self.placed.view;
+        json!({"rank": self.placed.placement.rank, "known": view.known, "cold": view.cold,
+            "load": view.load, "slots": view.slots, "slowness": view.slowness, "failing": view.failing,
+            "expected_ms": self.expected.as_millis()})
+    }
+
+    fn log(&self, result: &str, details: &serde_json::Value) {
+        let observed = self.instance.now().saturating_duration_since(self.started);
+        self.instance.log.event(
+            "attempt",
+            json!({"request": self.forward.id, "server": self.server().id().as_str(), "result": result,
+                "ms": observed.as_millis(), "details": details, "inputs": self.inputs()}),
+        );
+    }
+}
+
+impl Drop for ServerAttempt<'_> {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        let now = self.instance.now();
+        let observed = now.saturating_duration_since(self.started);
+        let server = self.server();
+        server
+            .health
+            .borrow_mut()
+            .timed_out(observed, self.expected, now);
+        let timed_out = now >= self.forward.deadline;
+        if timed_out {
+            // The connections may have stopped working without a reset.
+            server.drop_connections();
+            self.note_evidence(true);
+        }
+        let left = self
+            .forward
+            .caller_deadline
+            .saturating_duration_since(now)
+            .as_millis();
+        let result = if timed_out {
+            "no_answer"
+        } else {
+            "caller_left"
+        };
+        self.log(result, &json!({"caller_left_ms": left}));
+    }
+}
+
+/// Requests running and waiting, from `running,waiting,slots`.
+fn reported_load(text: &str) -> Option<f64> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse::<f64>());
+    let running = numbers.next()?.ok()?;
+    let waiting = numbers.next()?.ok()?;
+    Some(running + waiting)
+}
--- /dev/null
+++ b/crates/edge/src/forward/place.rs
@@ -0,0 +1,160 @@
+//! Finds the backend server of a request among those that may run it.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit, spread_retry};
+use tarragonpulley_policy::entry::cold::allowance;
+use tarragonpulley_policy::entry::names::RegionName;
+use tarragonpulley_policy::entry::placement::{Placement, ServerView, choose, text_hash};
+
+use super::refusal::Refusal;
+use super::{ELSEWHERE, ForwardRequest};
+use crate::instance::Instance;
+use crate::metrics::PlaceLabel;
+use crate::rollout::VersionChoice;
+use crate::servers::Server;
+
+/// The server chosen for a request, and what was known of it.
+#[derive(Debug)]
+pub(super) struct PlacedServer {
+    pub(super) server: Rc<Server>,
+    pub(super) view: ServerView,
+    pub(super) placement: Placement,
+}
+
+impl ForwardRequest {
+    /// Whether the request may run in a region.
+    fn is_home(&self, region: Option<&RegionName>) -> bool {
+        let within = |homes: &BTreeSet<RegionName>| {
+            homes.is_empty() || region.is_some_and(|region| homes.contains(region))
+        };
+        within(&self.route.homes) && self.team.as_ref().is_none_or(|team| within(&team.homes))
+    }
+}
+
+impl Instance {
+    /// Chooses a server, or says why the request is rejected and when the
+    /// caller may return.
+    pub(super) fn place(
+        &self,
+        forward: &ForwardRequest,
+        choice: &VersionChoice,
+        tried: &[Rc<Server>],
+        now: Instant,
+    ) -> Result<PlacedServer, (Refusal, Duration)> {
+        let target = forward.route.target_latency;
+        let left = forward.deadline.saturating_duration_since(now);
+        let elsewhere = spread_retry(ELSEWHERE, rand::random());
+        let candidates = self.candidates(forward, choice, tried, now);
+        let views: Vec<ServerView> = candidates
+            .iter()
+            .map(|server| self.view(forward, server, now))
+            .collect();
+        let Some(placement) = choose(forward.object, &views, target) else {
+            return Err((Refusal::NoServer, elsewhere));
+        };
+        if placement.saturated {
+            return Err((Refusal::Saturated, spread_retry(target, rand::random())));
+        }
+        if let AdmissionVerdict::Reject { retry_after } =
+            admit(placement.finish, left, rand::random())
+        {
+            return Err((Refusal::NoTime, retry_after));
+        }
+        let server = Rc::clone(&candidates[placement.index]);
+        let view = views[placement.index];
+        let mut gate = self.cold_gate.borrow_mut();
+        if !view.cold {
+            gate.forget(&server.id());
+        } else if !gate.take(
+            &server.id(),
+            self.cold_allowance(forward, &server, now),
+            now,
+        ) {
+            return Err((Refusal::ColdLimit, elsewhere));
+        }
+        let place = match (view.known, placement.rank) {
+            (true, _) => "known",
+            (false, 0) => "owner",
+            (false, _) => "unknown",
+        };
+        self.metrics
+            .placements
+            .get_or_create(&PlaceLabel { place })
+            .inc();
+        Ok(PlacedServer {
+            server,
+            view,
+            placement,
+        })
+    }
+
+    fn candidates(
+        &self,
+        forward: &ForwardRequest,
+        choice: &VersionChoice,
+        tried: &[Rc<Server>],
+        now: Instant,
+    ) -> Vec<Rc<Server>> {
+        let evacuated = self.evacuated.borrow();
+        let servers = self.servers.borrow();
+        let may_run = |server: &&Rc<Server>| {
+            let entry = server.entry.borrow();
+            server.is_open(now)
+                && choice.version.as_ref() == Some(&entry.version)
+                && !evacuated.contains(&entry.centre)
+                && forward.is_home(self.region_of(&entry.centre).as_ref())
+                && !tried.iter().any(|other| Rc::ptr_eq(other, server))
+        };
+        servers
+            .of_service(&forward.service)
+            .iter()
+            .filter(may_run)
+            .cloned()
+            .collect()
+    }
+
+    fn view(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> ServerView {
+        let health = server.health.borrow();
+        let (slowness, failing) = health.averages(now);
+        let entry = server.entry.borrow();
+        let cold = server.is_cold(now);
+        let has_room = !cold
+            || self.cold_gate.borrow().has_room(
+                &entry.id,
+                self.cold_allowance(forward, server, now),
+                now,
+            );
+        ServerView {
+            hash: server.hash,
+            slots: entry.slots,
+            load: health.load(now),
+            slowness,
+            failing,
+            cold,
+            near: self.region_of(&entry.centre).as_ref() == Some(&self.peers.borrow().own().region),
+            suspended: !has_room || health.is_suspended(forward.route.target_latency, now),
+            known: forward
+                .object
+                .is_some_and(|object| server.knows(object, now)),
+        }
+    }
+
+    /// How many requests per second this instance may send to a cold server.
+    fn cold_allowance(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> usize {
+        let Some(rule) = forward.config.services.get(&forward.service) else {
+            return 1;
+        };
+        let bound = self.options.borrow().cold;
+        let peers = self.peers.borrow();
+        let names: Vec<u64> = peers
+            .sharing_names(now)
+            .iter()
+            .map(|name| text_hash(name.as_str()))
+            .collect();
+        let own = text_hash(peers.own().name.as_str());
+        allowance(bound, rule.cold_rate, server.hash, own, &names)
+    }
+}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tarragonpulley_policy::entry::digest::{InstanceDigest, InstanceRecord};
+use tarragonpulley_policy::entry::digest::{InstanceDigest, InstanceRecord, ServerTag};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
@@ -187,6 +187,7 @@
             demands,
             trials: self.rollouts.borrow().evidence(),
             crashes: self.crashes.borrow().report(),
+            loads: self.servers.borrow().loads(),
         }
     }
 
@@ -315,6 +316,14 @@
         let mut quota = self.quota.borrow_mut();
         quota.set_instances(peers.sharing(now));
         let others = peers.other_demands(now);
+        let loads = peers.other_loads(now);
+        for server in self.servers.borrow().all() {
+            let others = loads
+                .get(&ServerTag::new(server.hash))
+                .copied()
+                .unwrap_or(0.0);
+            server.health.borrow_mut().counted(others);
+        }
         let config = self.config.borrow();
         for team in config.iter().flat_map(|config| config.teams.keys()) {
             quota.set_other_demand(team, others.get(team).copied().unwrap_or(0.0));
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::config::ServerEntry;
+use tarragonpulley_policy::entry::digest::ServerTag;
 use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::{ServerId, ServiceName, VersionName};
 use tarragonpulley_policy::entry::placement::text_hash;
@@ -209,6 +210,22 @@
         self.servers.values()
     }
 
+    /// The requests of this instance in progress, for the digest.
+    pub(crate) fn loads(&self) -> Vec<(ServerTag, u8)> {
+        let load = |server: &Rc<Server>| {
+            let count = server.health.borrow().in_progress();
+            (
+                ServerTag::new(server.hash),
+                u8::try_from(count).unwrap_or(u8::MAX),
+            )
+        };
+        self.servers
+            .values()
+            .map(load)
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+
     pub(crate) fn get(&self, id: &ServerId) -> Option<&Rc<Server>> {
         self.servers.get(id)
     }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -55,6 +55,19 @@
     pub peer: SocketAddr,
 }
 
+/// A short name of a backend server in digests: the low bits of the hash of its
+/// id. Two servers with one tag look busier than they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerTag(u16);
+
+impl ServerTag {
+    /// The tag of a server from the hash of its id.
+    #[must_use]
+    pub fn new(hash: u64) -> Self {
+        Self((hash & 0xffff) as u16)
+    }
+}
+
 /// The state that one instance tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct InstanceDigest {
@@ -70,6 +83,8 @@
     pub trials: Vec<(u64, TrialEvidence)>,
     /// Crashes by request fingerprint.
     pub crashes: Vec<(u64, u32)>,
+    /// Requests in progress by server, where there are any.
+    pub loads: Vec<(ServerTag, u8)>,
 }
 
 #[derive(Debug)]
@@ -254,6 +269,16 @@
         sums
     }
 
+    /// Requests in progress at each server from the other instances.
+    #[must_use]
+    pub fn other_loads(&self, now: Instant) -> BTreeMap<ServerTag, f64> {
+        let mut sums = BTreeMap::new();
+        for (tag, count) in self.live(now).flat_map(|member| &member.digest.loads) {
+            *sums.entry(*tag).or_insert(0.0) += f64::from(*count);
+        }
+        sums
+    }
+
     /// The evidence of the other instances on one rollout.
     #[must_use]
     pub fn other_evidence(&self, order: u64) -> TrialEvidence {
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -31,10 +31,7 @@
 
 /// How long a reported load counts. Reports come with answers, which are rare
 /// when the server is slow.
-pub const REPORT_LIFETIME: Duration = Duration::from_millis(4000);
-
-/// Weight of the newest reported load.
-pub const REPORT_WEIGHT: f64 = 0.6;
+pub const REPORT_LIFETIME: Duration = Duration::from_millis(2500);
 
 /// The state of one backend server as seen from one instance.
 #[derive(Debug)]
@@ -49,6 +46,7 @@
     next_ticket: u64,
     reported_others: f64,
     reported_at: Option<Instant>,
+    counted_others: f64,
 }
 
 /// Identifies a request in progress at a server.
@@ -70,6 +68,7 @@
             next_ticket: 0,
             reported_others: 0.0,
             reported_at: None,
+            counted_others: 0.0,
         }
     }
 
@@ -161,10 +160,15 @@
     /// The server reported how many requests it runs and holds.
     pub fn reported(&mut self, load: f64, now: Instant) {
         let others = (load - self.own_load()).max(0.0);
-        self.reported_others += REPORT_WEIGHT * (others - self.reported_others);
+        self.reported_others = others;
         self.reported_at = Some(now);
     }
 
+    /// The other instances told how many requests they have in progress there.
+    pub fn counted(&mut self, others: f64) {
+        self.counted_others = others;
+    }
+
     fn own_load(&self) -> f64 {
         f64::from(u32::try_from(self.waiting.len()).unwrap_or(u32::MAX))
     }
@@ -175,8 +179,8 @@
         self.waiting.len()
     }
 
-    /// Requests running or waiting there: own ones, and those of others as far
-    /// as the last report still counts.
+    /// Requests running or waiting there: own ones, and those of others as the
+    /// server or the other instances last reported them, whichever is more.
     #[must_use]
     pub fn load(&self, now: Instant) -> f64 {
         let others = self.reported_at.map_or(0.0, |at| {
@@ -184,7 +188,7 @@
             let left = 1.0 - age / REPORT_LIFETIME.as_secs_f64();
             self.reported_others * left.max(0.0)
         });
-        self.own_load() + others
+        self.own_load() + others.max(self.counted_others)
     }
 
     /// Observed time divided by expected time, and the share of failures.
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// How many servers of the rendezvous order are compared.
-pub const CANDIDATES: usize = 4;
+pub const CANDIDATES: usize = 3;
 
 /// Work on a known object, as a share of the route's target latency. Both
 /// sites' sheets: mean work 1.3 to 1.5 times the target, 70 % saved when warm.
@@ -74,6 +74,8 @@
     pub finish: Duration,
     /// Whether all servers that come into question have reached [`LOAD_CAP`].
     pub saturated: bool,
+    /// Whether an object that is unknown there would wait for a slot.
+    pub crowds: bool,
 }
 
 impl ServerView {
@@ -155,6 +157,7 @@
             rank: 0,
             finish: expected_finish(&servers[index], true, target),
             saturated: servers[index].is_saturated(),
+            crowds: false,
         };
         return usable
             .into_iter()
@@ -171,6 +174,7 @@
             rank,
             finish: expected_finish(server, rank == 0 || server.known, target),
             saturated: server.is_saturated(),
+            crowds: rank > 0 && !server.known && server.load >= f64::from(server.slots),
         };
         if best.is_none_or(|owner| placement.is_better(&owner)) {
             best = Some(placement);
@@ -183,7 +187,12 @@
     /// Whether this placement is taken in place of one of a lower rank.
     fn is_better(&self, owner: &Self) -> bool {
         if self.saturated != owner.saturated {
-            return owner.saturated;
+            return owner.saturated && !self.crowds;
+        }
+        // Work on an unknown object would take the place of several requests on
+        // known ones.
+        if self.crowds {
+            return false;
         }
         self.finish.as_secs_f64() < owner.finish.as_secs_f64() * (1.0 - LEAVE_OWNER_GAIN)
     }
