--- a/crates/policy/src/entry/cold.rs
+++ b/crates/policy/src/entry/cold.rs
@@ -15,6 +15,11 @@
 /// which instances there are.
 pub const SAFETY: f64 = 0.75;
 
+/// The time in which an instance sends its allowance for one second. The first
+/// request waits for a connection, up to half a second with a lost packet, and
+/// the next one does not, so they arrive closer together than they were sent.
+pub const SPACING: Duration = Duration::from_millis(1600);
+
 /// The bound for one cold server.
 #[derive(Debug, Clone, Copy)]
 pub struct ColdBound {
@@ -61,11 +66,10 @@
     /// Whether [`ColdGate::take`] would succeed.
     #[must_use]
     pub fn has_room(&self, server: &ServerId, allowed: usize, now: Instant) -> bool {
-        const WINDOW: Duration = Duration::from_millis(1100);
         let recent = self.sent.get(server).map_or(0, |times| {
             times
                 .iter()
-                .filter(|time| now.saturating_duration_since(**time) < WINDOW)
+                .filter(|time| now.saturating_duration_since(**time) < SPACING)
                 .count()
         });
         recent < allowed
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -28,7 +28,7 @@
 
 /// The part of the bound's slack that is used, as shares may add up to slightly
 /// more than one while demand moves.
-pub const SLACK_PART: f64 = 0.6;
+pub const SLACK_PART: f64 = 0.45;
 
 /// How far the requests of a team may exceed its limit in a window.
 #[derive(Debug, Clone, Copy)]
