One reader of the store in each data centre

Change: the live instance with the lowest name reads; the others read its copy, which leaves out rows whose meaning did not change.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::instance::Instance;
 use crate::peers::read_from_peer;
-use crate::table::{TableBatch, TableError, TableKind};
+use crate::table::{TableBatch, TableError, TableKind, TableMirror};
 
 /// How long a read of the operator's rows waits for a change. Its start dates
 /// the proof of the configuration, so it must be well below the key limit.
@@ -27,7 +27,7 @@
 
 /// Pause between two reads of the registered instances. Live instances are
 /// known from their digests; this finds those that cannot be heard yet.
-const INSTANCES_PAUSE: Duration = Duration::from_secs(20);
+const INSTANCES_PAUSE: Duration = Duration::from_secs(60);
 
 /// Pause between two looks whether a table is to be read again.
 const IDLE_PAUSE: Duration = Duration::from_millis(300);
@@ -41,6 +41,17 @@
 /// How long a read from another instance waits for a change.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
+/// How long a read from the data centre's reader waits for a change.
+const RELAY_WAIT: Duration = Duration::from_millis(1000);
+
+/// The oldest copy of the reader that is used. It is renewed at least as often
+/// as a waiting read ends; an older one means that the reader has lost the table
+/// service.
+const RELAY_MAX_AGE: Duration = Duration::from_millis(2300);
+
+/// Time in which an instance reads by itself after its reader failed.
+const RELAY_RETRY: Duration = Duration::from_millis(3000);
+
 fn wait_of(table: TableKind) -> Duration {
     if table == TableKind::Orders {
         ORDERS_WAIT
@@ -112,6 +123,7 @@
     /// Whether the changes since the known version cannot be had.
     reread: bool,
     failed_at: Option<Instant>,
+    relay_failed_at: Option<Instant>,
 }
 
 impl TableReads {
@@ -119,6 +131,11 @@
     /// it succeeded.
     async fn once(&mut self, instance: &Instance, table: TableKind) -> bool {
         let now = instance.now();
+        if let Some(delegate) = self.relay(instance, table)
+            && self.from_relay(instance, table, &delegate).await
+        {
+            return true;
+        }
         let service_due = self
             .failed_at
             .is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
@@ -128,13 +145,59 @@
         self.from_peers(instance, table).await
     }
 
+    /// The instance of this data centre that reads the table service for it.
+    fn relay(&self, instance: &Instance, table: TableKind) -> Option<InstanceRecord> {
+        let now = instance.now();
+        let has_failed = self
+            .relay_failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < RELAY_RETRY);
+        if table == TableKind::Instances || has_failed || !self.has_read {
+            return None;
+        }
+        instance.peers.borrow().reader(now).cloned()
+    }
+
+    /// Reads the copy of the data centre's reader, if it is recent.
+    async fn from_relay(
+        &mut self,
+        instance: &Instance,
+        table: TableKind,
+        reader: &InstanceRecord,
+    ) -> bool {
+        let after = instance
+            .mirrors
+            .borrow()
+            .get(&table)
+            .and_then(TableMirror::upto);
+        let wait = if table == TableKind::Orders {
+            RELAY_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let started = instance.proof_now();
+        let reason = match read_from_peer(reader.peer, table, after, wait).await {
+            Ok(Some(batch)) if batch.age <= RELAY_MAX_AGE && Some(batch.upto) >= after => {
+                instance.apply(table, batch, started);
+                return true;
+            }
+            Ok(_) => "its copy is old".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        instance.log.event(
+            "relay_not_used",
+            json!({"reader": reader.name.as_str(), "table": format!("{table:?}"), "reason": reason}),
+        );
+        self.relay_failed_at = Some(instance.now());
+        false
+    }
+
     async fn from_service(&mut self, instance: &Instance, table: TableKind) -> bool {
         let started = instance.proof_now();
         let after = instance
             .mirrors
             .borrow()
             .get(&table)
-            .and_then(crate::table::TableMirror::upto);
+            .and_then(TableMirror::upto);
         let wait = if self.failed_at.is_some() {
             Duration::ZERO
         } else {
@@ -177,7 +240,7 @@
                 .mirrors
                 .borrow()
                 .get(&table)
-                .and_then(crate::table::TableMirror::upto);
+                .and_then(TableMirror::upto);
             let started = instance.proof_now();
             match read_from_peer(peer.peer, table, after, PEER_WAIT).await {
                 Ok(Some(batch)) if is_newer_proof(instance, table, &batch, started) => {
@@ -203,9 +266,7 @@
     started: Instant,
 ) -> bool {
     let mirrors = instance.mirrors.borrow();
-    let known = mirrors
-        .get(&table)
-        .and_then(crate::table::TableMirror::proved);
+    let known = mirrors.get(&table).and_then(TableMirror::proved);
     let proof = started.checked_sub(batch.age);
     known.is_none() || proof > known
 }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -167,10 +167,11 @@
         let now = self.now();
         let changed = {
             let mut mirrors = self.mirrors.borrow_mut();
+            let same = |known: &[u8], new: &[u8]| self.means_the_same(table, known, new);
             mirrors
                 .entry(table)
                 .or_default()
-                .apply(batch, started, self.proof_now())
+                .apply(batch, started, self.proof_now(), &same)
         };
         if changed.is_empty() {
             return;
@@ -190,6 +191,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Whether two values of a row differ in nothing that decisions depend on.
+    fn means_the_same(&self, table: TableKind, known: &[u8], new: &[u8]) -> bool {
+        if known == new {
+            return true;
+        }
+        // The key gives the id only, which is equal.
+        let decode = |value| self.adapter.decode_server("row", value);
+        table == TableKind::Servers
+            && matches!((decode(known), decode(new)), (Ok(known), Ok(new)) if known == new)
+    }
+
     fn value(&self, table: TableKind, key: &str) -> Option<Vec<u8>> {
         self.mirrors
             .borrow()
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::instance::Instance;
-use crate::table::{TableBatch, TableKind};
+use crate::table::{TableBatch, TableKind, TableMirror};
 
 /// Time between two digests to the instances of the data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -148,9 +148,7 @@
         let wait = Duration::from_millis(request.wait_ms.into());
         let is_current = || {
             let mirrors = self.mirrors.borrow();
-            let upto = mirrors
-                .get(&request.table)
-                .and_then(crate::table::TableMirror::upto);
+            let upto = mirrors.get(&request.table).and_then(TableMirror::upto);
             request.after.is_some() && upto <= request.after
         };
         if is_current() && !wait.is_zero() {
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -101,10 +101,20 @@
 /// earlier version.
 const REMOVED_SPAN: Duration = Duration::from_secs(60);
 
+#[derive(Debug)]
+struct MirrorRow {
+    version: u64,
+    /// The version at which the row last changed its meaning. Other instances
+    /// are told of no other changes: servers write a heartbeat number that
+    /// nothing depends on.
+    told: u64,
+    value: Vec<u8>,
+}
+
 /// A copy of a table that follows its changes.
 #[derive(Debug, Default)]
 pub(crate) struct TableMirror {
-    rows: BTreeMap<String, (u64, Vec<u8>)>,
+    rows: BTreeMap<String, MirrorRow>,
     removed: BTreeMap<String, (u64, Instant)>,
     upto: Option<u64>,
     /// The oldest version from which changes can be told.
@@ -125,28 +135,30 @@
 
     /// The version of a row.
     pub(crate) fn version(&self, key: &str) -> Option<u64> {
-        self.rows.get(key).map(|(version, _)| *version)
+        self.rows.get(key).map(|row| row.version)
     }
 
     /// The value of a row.
     pub(crate) fn value(&self, key: &str) -> Option<&[u8]> {
-        self.rows.get(key).map(|(_, value)| value.as_slice())
+        self.rows.get(key).map(|row| row.value.as_slice())
     }
 
     /// The rows with their keys.
     pub(crate) fn rows(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.rows
             .iter()
-            .map(|(key, (_, value))| (key.as_str(), value.as_slice()))
+            .map(|(key, row)| (key.as_str(), row.value.as_slice()))
     }
 
     /// Takes rows read by a call that began at `started`. Returns the keys that
-    /// changed. Rows older than the known ones are ignored.
+    /// changed their meaning, as told by `same`. Rows older than the known ones
+    /// are ignored.
     pub(crate) fn apply(
         &mut self,
         batch: TableBatch,
         started: Instant,
         now: Instant,
+        same: &dyn Fn(&[u8], &[u8]) -> bool,
     ) -> Vec<String> {
         if let Some(proof) = started.checked_sub(batch.age)
             && self.upto.is_none_or(|upto| upto <= batch.upto)
@@ -184,7 +196,23 @@
             match row.value {
                 Some(value) => {
                     self.removed.remove(&row.key);
-                    self.rows.insert(row.key.clone(), (row.version, value));
+                    let known = self.rows.get(&row.key);
+                    let quiet = known
+                        .filter(|known| same(&known.value, &value))
+                        .map(|known| known.told);
+                    let told = quiet.unwrap_or(row.version);
+                    let version = row.version;
+                    self.rows.insert(
+                        row.key.clone(),
+                        MirrorRow {
+                            version,
+                            told,
+                            value,
+                        },
+                    );
+                    if quiet.is_some() {
+                        continue;
+                    }
                 }
                 None => {
                     self.rows.remove(&row.key);
@@ -221,11 +249,11 @@
         let mut rows: Vec<TableRow> = self
             .rows
             .iter()
-            .filter(|(_, (version, _))| changed(*version))
-            .map(|(key, (version, value))| TableRow {
+            .filter(|(_, row)| changed(row.told))
+            .map(|(key, row)| TableRow {
                 key: key.clone(),
-                version: *version,
-                value: Some(value.clone()),
+                version: row.version,
+                value: Some(row.value.clone()),
             })
             .collect();
         if from.is_some() {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -214,6 +214,17 @@
         })
     }
 
+    /// The instance that reads the table service for this data centre, if it is
+    /// another one: the live and ready one with the lowest name.
+    #[must_use]
+    pub fn reader(&self, now: Instant) -> Option<&InstanceRecord> {
+        self.live(now)
+            .filter(|member| member.direct && member.digest.state == InstanceState::Ready)
+            .map(|member| &member.digest.record)
+            .filter(|record| record.centre == self.own.centre && record.name < self.own.name)
+            .min_by(|a, b| a.name.cmp(&b.name))
+    }
+
     /// Registered and heard instances of this data centre, for direct digests.
     pub fn neighbours(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.known
