--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -157,10 +157,7 @@
         let deadline = caller_deadline.min(request.received + route.timeout);
         if let Some(team) = &team
             && let Some(rate) = team.rate
-            && let QuotaVerdict::Beyond { retry_after, share } = self
-                .quota
-                .borrow_mut()
-                .take(&team.name, rate, team.burst, now)
+            && let QuotaVerdict::Beyond { retry_after, share } = self.take_quota(team, rate, now)
         {
             self.log.event(
                 "over_team_limit",
@@ -199,6 +196,12 @@
         })
     }
 
+    fn take_quota(&self, team: &TeamRule, rate: f64, now: Instant) -> QuotaVerdict {
+        let mut quota = self.quota.borrow_mut();
+        quota.set_instances(self.peers.borrow().sharing(now));
+        quota.take(&team.name, rate, team.burst, now)
+    }
+
     fn authenticate(
         &self,
         request: &CallerRequest,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -312,7 +312,6 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let mut quota = self.quota.borrow_mut();
-        quota.set_instances(peers.sharing(now));
         let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         for server in self.servers.borrow().all() {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -150,12 +150,7 @@
     actix_rt::spawn(Rc::clone(instance).serve_peers(peers));
     actix_rt::spawn(Rc::clone(instance).run_rollouts());
     actix_rt::spawn(Rc::clone(instance).register());
-    for table in [
-        TableKind::Orders,
-        TableKind::Servers,
-        TableKind::Records,
-        TableKind::Instances,
-    ] {
+    for table in [TableKind::Orders, TableKind::Servers, TableKind::Records] {
         actix_rt::spawn(Rc::clone(instance).follow(table));
     }
     Ok(())
@@ -198,7 +193,9 @@
 }
 
 impl Instance {
-    /// Writes where this instance is, so that those that start later find it.
+    /// Writes where this instance is, then reads where the others are. In this
+    /// order, of two instances that start together one at least finds the other
+    /// and tells it.
     async fn register(self: Rc<Self>) {
         let record = self.peers.borrow().own().clone();
         let value = match serde_json::to_vec(&record) {
@@ -220,12 +217,14 @@
                 )
                 .await;
             match written {
-                Ok(()) => return self.log.event("registered", json!({"start": record.start})),
+                Ok(()) => break,
                 Err(error) => self
                     .log
                     .event("not_registered", json!({"reason": error.to_string()})),
             }
             actix_rt::time::sleep(REGISTER_PAUSE).await;
         }
+        self.log.event("registered", json!({"start": record.start}));
+        self.follow(TableKind::Instances).await;
     }
 }
