--- a/crates/policy/src/entry/trial.rs
+++ b/crates/policy/src/entry/trial.rs
@@ -38,8 +38,12 @@
 /// Failures needed for a fault.
 pub const MIN_FAILURES: u32 = 4;
 
-/// Share of failures that makes a fault, above twice that of the old version.
-pub const FAULT_SHARE: f64 = 0.2;
+/// By how much the share of failures must exceed that of the old version.
+pub const FAULT_MARGIN: f64 = 0.08;
+
+/// By how many standard deviations of the difference it must exceed it. The
+/// evidence is looked at many times, so two would find faults by chance.
+pub const FAULT_DEVIATIONS: f64 = 3.0;
 
 /// Outcomes of requests at one version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
@@ -96,12 +100,26 @@
         }
     }
 
-    /// Whether the new version is faulty.
+    /// Whether the new version is faulty: its share of failures exceeds that of
+    /// the old version in the same time by more than chance explains.
     #[must_use]
     pub fn is_faulty(self) -> bool {
-        self.fault
-            || (self.new.failures >= MIN_FAILURES
-                && self.new.failure_share() >= FAULT_SHARE + 2.0 * self.old.failure_share())
+        if self.fault {
+            return true;
+        }
+        if self.new.failures < MIN_FAILURES {
+            return false;
+        }
+        let (new, old) = (
+            f64::from(self.new.answers),
+            f64::from(self.old.answers.max(1)),
+        );
+        // One failure and one success more keep the deviation above zero.
+        let failures = f64::from(self.new.failures + self.old.failures) + 1.0;
+        let pooled = failures / (new + old + 2.0);
+        let deviation = (pooled * (1.0 - pooled) * (1.0 / new + 1.0 / old)).sqrt();
+        let excess = self.new.failure_share() - self.old.failure_share();
+        excess > FAULT_MARGIN.max(FAULT_DEVIATIONS * deviation)
     }
 }
 
