Readers hand on only recent copies of their own; find out crashed servers

Change: copies say whether they are the reader's own; a waiting read ends when the copy gets old. A broken connection whose server then refuses one counts as a crash of the request.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -11,12 +11,12 @@
 use tarragonpulley_policy::entry::digest::InstanceRecord;
 
 use crate::instance::Instance;
-use crate::peers::read_from_peer;
+use crate::peers::{RELAY_MAX_AGE, read_from_peer};
 use crate::table::{TableBatch, TableError, TableKind, TableMirror};
 
 /// How long a read of the operator's rows waits for a change. Its start dates
 /// the proof of the configuration, so it must be well below the key limit.
-const ORDERS_WAIT: Duration = Duration::from_millis(1500);
+const ORDERS_WAIT: Duration = Duration::from_millis(1000);
 
 /// Pause between two reads of the servers' rows. Together with one round trip it
 /// stays below half of the shortest drain bound.
@@ -44,10 +44,9 @@
 /// How long a read from the data centre's reader waits for a change.
 const RELAY_WAIT: Duration = Duration::from_millis(1000);
 
-/// The oldest copy of the reader that is used. It is renewed at least as often
-/// as a waiting read ends; an older one means that the reader has lost the table
-/// service.
-const RELAY_MAX_AGE: Duration = Duration::from_millis(2300);
+/// Pause between two reads from the data centre's reader; a read waits there
+/// for the next change.
+const RELAY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time in which an instance reads by itself after its reader failed.
 const RELAY_RETRY: Duration = Duration::from_millis(3000);
@@ -70,15 +69,15 @@
                 actix_rt::time::sleep(IDLE_PAUSE).await;
                 continue;
             }
-            let pause = if reads.once(&self, table).await {
-                match table {
+            let pause = match reads.once(&self, table).await {
+                ReadSource::Service => match table {
                     TableKind::Orders => Duration::ZERO,
                     TableKind::Servers => SERVERS_PAUSE,
                     TableKind::Records => RECORDS_PAUSE,
                     TableKind::Instances => INSTANCES_PAUSE,
-                }
-            } else {
-                FAILURE_PAUSE
+                },
+                ReadSource::Relay => RELAY_PAUSE,
+                ReadSource::Peer | ReadSource::Nowhere => FAILURE_PAUSE,
             };
             if !pause.is_zero() {
                 actix_rt::time::sleep(pause).await;
@@ -116,6 +115,19 @@
     }
 }
 
+/// Where rows were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadSource {
+    /// From the table service.
+    Service,
+    /// From the reader of this data centre.
+    Relay,
+    /// From another instance, as the table service does not answer.
+    Peer,
+    /// Nobody answered.
+    Nowhere,
+}
+
 #[derive(Debug, Default)]
 struct TableReads {
     clock: ServiceClock,
@@ -127,22 +139,24 @@
 }
 
 impl TableReads {
-    /// Reads once, from the table service or another instance. Returns whether
-    /// it succeeded.
-    async fn once(&mut self, instance: &Instance, table: TableKind) -> bool {
-        let now = instance.now();
-        if let Some(delegate) = self.relay(instance, table)
-            && self.from_relay(instance, table, &delegate).await
+    /// Reads once, from the first source that answers.
+    async fn once(&mut self, instance: &Instance, table: TableKind) -> ReadSource {
+        if let Some(reader) = self.relay(instance, table)
+            && self.from_relay(instance, table, &reader).await
         {
-            return true;
+            return ReadSource::Relay;
         }
+        let now = instance.now();
         let service_due = self
             .failed_at
             .is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
         if service_due && self.from_service(instance, table).await {
-            return true;
+            return ReadSource::Service;
         }
-        self.from_peers(instance, table).await
+        if self.from_peers(instance, table).await {
+            return ReadSource::Peer;
+        }
+        ReadSource::Nowhere
     }
 
     /// The instance of this data centre that reads the table service for it.
@@ -169,18 +183,17 @@
             .borrow()
             .get(&table)
             .and_then(TableMirror::upto);
-        let wait = if table == TableKind::Orders {
-            RELAY_WAIT
-        } else {
-            Duration::ZERO
-        };
         let started = instance.proof_now();
-        let reason = match read_from_peer(reader.peer, table, after, wait).await {
-            Ok(Some(batch)) if batch.age <= RELAY_MAX_AGE && Some(batch.upto) >= after => {
-                instance.apply(table, batch, started);
+        let reason = match read_from_peer(reader.peer, table, after, RELAY_WAIT).await {
+            Ok(Some(copy))
+                if copy.is_direct
+                    && copy.batch.age <= RELAY_MAX_AGE
+                    && Some(copy.batch.upto) >= after =>
+            {
+                instance.apply(table, copy.batch, started);
                 return true;
             }
-            Ok(_) => "its copy is old".to_owned(),
+            Ok(_) => "its copy is old or not its own".to_owned(),
             Err(error) => error.to_string(),
         };
         instance.log.event(
@@ -243,8 +256,8 @@
                 .and_then(TableMirror::upto);
             let started = instance.proof_now();
             match read_from_peer(peer.peer, table, after, PEER_WAIT).await {
-                Ok(Some(batch)) if is_newer_proof(instance, table, &batch, started) => {
-                    instance.apply(table, batch, started);
+                Ok(Some(copy)) if is_newer_proof(instance, table, &copy.batch, started) => {
+                    instance.apply(table, copy.batch, started);
                     return true;
                 }
                 // The other instance knows nothing newer, or does not answer.
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 
 use super::place::PlacedServer;
 use super::{ForwardRequest, HOP_FIELDS};
+use crate::crashes::CrashSuspect;
 use crate::http::client::{ExchangeError, ExchangeProgress, ServerAnswer, ServerConnection};
 use crate::http::message::{HeaderField, HeaderLookup};
 use crate::instance::Instance;
@@ -301,6 +302,13 @@
         if !progress.sent.get() {
             return AttemptOutcome::NotSent;
         }
+        if !progress.heard.get() {
+            self.instance.suspect_crash(CrashSuspect {
+                request: self.forward.id.clone(),
+                fingerprint: self.forward.fingerprint,
+                address: server.entry.borrow().address,
+            });
+        }
         AttemptOutcome::Failed { answer: None }
     }
 
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -13,7 +13,6 @@
     NoTime,
     Saturated,
     CrashesServers,
-    Stopping,
     AllShed,
     ColdLimit,
 }
@@ -31,7 +30,6 @@
             | Self::NoTime
             | Self::Saturated
             | Self::CrashesServers
-            | Self::Stopping
             | Self::AllShed
             | Self::ColdLimit => 503,
         }
@@ -49,7 +47,6 @@
             Self::NoTime => "no_time_left",
             Self::Saturated => "servers_saturated",
             Self::CrashesServers => "crashes_servers",
-            Self::Stopping => "stopping",
             Self::AllShed => "all_servers_shed",
             Self::ColdLimit => "only_cold_servers",
         }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -16,8 +16,10 @@
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::quota::{QuotaBound, TeamQuota};
 use tarragonpulley_policy::entry::split::SplitMeter;
+use tokio::sync::mpsc::Sender;
 
 use crate::adapter::{OperatorOrder, PlatformAdapter};
+use crate::crashes::CrashSuspect;
 use crate::events::EventLog;
 use crate::metrics::InstanceMetrics;
 use crate::rollout::RolloutBook;
@@ -76,6 +78,7 @@
     pub(crate) changed: tokio::sync::Notify,
     /// Wakes the sender of digests.
     pub(crate) urgent: tokio::sync::Notify,
+    pub(crate) suspects: Sender<CrashSuspect>,
     unreadable: RefCell<BTreeMap<(TableKind, String), u64>>,
 }
 
@@ -87,6 +90,7 @@
         table: Rc<dyn TableService>,
         options: InstanceOptions,
         log: EventLog,
+        suspects: Sender<CrashSuspect>,
     ) -> Self {
         Self {
             peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
@@ -113,6 +117,7 @@
             table_returned_at: Cell::new(None),
             changed: tokio::sync::Notify::new(),
             urgent: tokio::sync::Notify::new(),
+            suspects,
             unreadable: RefCell::default(),
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod adapter;
 mod clock;
+mod crashes;
 mod events;
 mod follow;
 mod forward;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -30,6 +30,12 @@
 /// round trips between regions, and its pauses.
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(600);
 
+/// The oldest copy that an instance hands on to those that rely on it. A reader
+/// renews its copies every second; an older one means that it has lost the table
+/// service, and the others must read themselves well within the bounds on
+/// configuration and drains.
+pub(crate) const RELAY_MAX_AGE: Duration = Duration::from_millis(1350);
+
 /// How long the connection of another instance may stay open.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(5);
 
@@ -48,6 +54,14 @@
     wait_ms: u32,
 }
 
+/// Another instance's copy of a table.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct TableCopy {
+    pub(crate) batch: TableBatch,
+    /// Whether the instance reads the table service itself and successfully.
+    pub(crate) is_direct: bool,
+}
+
 /// Why an exchange with another instance failed.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PeerError {
@@ -93,7 +107,7 @@
     table: TableKind,
     after: Option<u64>,
     wait: Duration,
-) -> Result<Option<TableBatch>, PeerError> {
+) -> Result<Option<TableCopy>, PeerError> {
     let exchange = async {
         let mut stream = TcpStream::connect(peer).await?;
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
@@ -151,17 +165,27 @@
             let upto = mirrors.get(&request.table).and_then(TableMirror::upto);
             request.after.is_some() && upto <= request.after
         };
+        let age = {
+            let mirrors = self.mirrors.borrow();
+            let proved = mirrors.get(&request.table).and_then(TableMirror::proved);
+            proved.map_or(Duration::MAX, |proved| {
+                self.proof_now().saturating_duration_since(proved)
+            })
+        };
+        let wait = wait.min(RELAY_MAX_AGE.saturating_sub(age));
         if is_current() && !wait.is_zero() {
             // Answered either way when the time is over.
             drop(tokio::time::timeout(wait, self.changed.notified()).await);
         }
-        let batch: Option<TableBatch> = {
+        let is_direct = self.table_failed_at.get().is_none();
+        let copy: Option<TableCopy> = {
             let mirrors = self.mirrors.borrow();
-            mirrors
+            let batch = mirrors
                 .get(&request.table)
-                .and_then(|mirror| mirror.batch(request.after, self.proof_now()))
+                .and_then(|mirror| mirror.batch(request.after, self.proof_now()));
+            batch.map(|batch| TableCopy { batch, is_direct })
         };
-        write_message(&mut stream, &encode(&batch)?).await?;
+        write_message(&mut stream, &encode(&copy)?).await?;
         Ok(())
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -9,9 +9,10 @@
 use tarragonpulley_policy::clock::TimeSource;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::adapter::PlatformAdapter;
+use crate::crashes::MAX_SUSPECTS;
 use crate::events::EventLog;
 use crate::http::server::{RequestHandler, StopPhase, bind, serve};
 use crate::instance::{Instance, InstanceOptions};
@@ -96,6 +97,7 @@
     } = parts;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
+    let (suspects, suspected) = mpsc::channel(MAX_SUSPECTS);
     let instance = Rc::new(Instance::new(
         clock,
         proof_clock,
@@ -103,7 +105,9 @@
         table,
         options,
         log,
+        suspects,
     ));
+    actix_rt::spawn(Rc::clone(&instance).watch_crashes(suspected));
     let (stop, phase) = watch::channel(StopPhase::Running);
     start_listeners(&instance, &listen, &phase).await?;
     start_tasks(&instance, &listen).await?;
--- a/crates/policy/src/entry/cold.rs
+++ b/crates/policy/src/entry/cold.rs
@@ -59,7 +59,9 @@
         if !self.has_room(server, allowed, now) {
             return false;
         }
-        self.sent.entry(server.clone()).or_default().push(now);
+        let times = self.sent.entry(server.clone()).or_default();
+        times.retain(|time| now.saturating_duration_since(*time) < SPACING);
+        times.push(now);
         true
     }
 
