--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -16,18 +16,18 @@
 
 /// How long a read of the operator's rows waits for a change. Its start dates
 /// the proof of the configuration, so it must be well below the key limit.
-const ORDERS_WAIT: Duration = Duration::from_millis(1000);
+const ORDERS_WAIT: Duration = Duration::from_secs(1);
 
 /// Pause between two reads of the servers' rows. Together with one round trip it
 /// stays below half of the shortest drain bound.
-const SERVERS_PAUSE: Duration = Duration::from_millis(1000);
+const SERVERS_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause between two reads of the rollout records while a rollout is active.
-const RECORDS_PAUSE: Duration = Duration::from_millis(1000);
+const RECORDS_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause between two reads of the registered instances. Live instances are
 /// known from their digests; this finds those that cannot be heard yet.
-const INSTANCES_PAUSE: Duration = Duration::from_secs(60);
+const INSTANCES_PAUSE: Duration = Duration::from_mins(1);
 
 /// Pause between two looks whether a table is to be read again.
 const IDLE_PAUSE: Duration = Duration::from_millis(300);
@@ -42,14 +42,14 @@
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
 /// How long a read from the data centre's reader waits for a change.
-const RELAY_WAIT: Duration = Duration::from_millis(1000);
+const RELAY_WAIT: Duration = Duration::from_secs(1);
 
 /// Pause between two reads from the data centre's reader; a read waits there
 /// for the next change.
 const RELAY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time in which an instance reads by itself after its reader failed.
-const RELAY_RETRY: Duration = Duration::from_millis(3000);
+const RELAY_RETRY: Duration = Duration::from_secs(3);
 
 fn wait_of(table: TableKind) -> Duration {
     if table == TableKind::Orders {
@@ -142,7 +142,7 @@
     /// Reads once, from the first source that answers.
     async fn once(&mut self, instance: &Instance, table: TableKind) -> ReadSource {
         if let Some(reader) = self.relay(instance, table)
-            && self.from_relay(instance, table, &reader).await
+            && self.read_relay(instance, table, &reader).await
         {
             return ReadSource::Relay;
         }
@@ -150,10 +150,10 @@
         let service_due = self
             .failed_at
             .is_none_or(|at| now.saturating_duration_since(at) >= SERVICE_RETRY);
-        if service_due && self.from_service(instance, table).await {
+        if service_due && self.read_service(instance, table).await {
             return ReadSource::Service;
         }
-        if self.from_peers(instance, table).await {
+        if self.read_peers(instance, table).await {
             return ReadSource::Peer;
         }
         ReadSource::Nowhere
@@ -172,7 +172,7 @@
     }
 
     /// Reads the copy of the data centre's reader, if it is recent.
-    async fn from_relay(
+    async fn read_relay(
         &mut self,
         instance: &Instance,
         table: TableKind,
@@ -204,7 +204,7 @@
         false
     }
 
-    async fn from_service(&mut self, instance: &Instance, table: TableKind) -> bool {
+    async fn read_service(&mut self, instance: &Instance, table: TableKind) -> bool {
         let started = instance.proof_now();
         let after = instance
             .mirrors
@@ -247,7 +247,7 @@
         }
     }
 
-    async fn from_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
+    async fn read_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
         for peer in nearest_peers(instance) {
             let after = instance
                 .mirrors
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -70,7 +70,7 @@
             .to_owned();
         let mut reply = match self.admit_request(request, id.clone()) {
             Ok(forward) => self.run(&forward).await,
-            Err((refusal, retry_after)) => self.refuse(&id, refusal, retry_after, json!({})),
+            Err((refusal, retry_after)) => self.refuse(&id, refusal, retry_after, &json!({})),
         };
         if !id.is_empty()
             && reply
@@ -91,7 +91,7 @@
         id: &str,
         refusal: Refusal,
         retry_after: Option<Duration>,
-        inputs: serde_json::Value,
+        inputs: &serde_json::Value,
     ) -> CallerReply {
         let proof_age = self.proof_age().map(|age| age.as_millis());
         let version = self.config.borrow().as_ref().map(|config| config.version.0);
@@ -258,7 +258,7 @@
                 Err((refusal, after)) => {
                     let inputs = json!({"service": forward.service.as_str(), "route": forward.route.name,
                         "left_ms": forward.deadline.saturating_duration_since(now).as_millis()});
-                    return self.refuse(&forward.id, refusal, Some(after), inputs);
+                    return self.refuse(&forward.id, refusal, Some(after), &inputs);
                 }
             };
             let attempt = ServerAttempt::new(self, forward, &placed, &choice);
@@ -333,7 +333,7 @@
                 &forward.id,
                 Refusal::AllShed,
                 Some(after),
-                json!({"service": forward.service.as_str()}),
+                &json!({"service": forward.service.as_str()}),
             );
         }
         self.log.event(
@@ -377,7 +377,7 @@
             .into_iter()
             .filter(|field| {
                 let is = |name: &&str| field.name.eq_ignore_ascii_case(name);
-                !HOP_FIELDS.iter().any(|name| is(name)) && !own.iter().any(|name| is(name))
+                !HOP_FIELDS.iter().any(&is) && !own.iter().any(is)
             })
             .collect();
         CallerReply {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -186,7 +186,7 @@
         let server = self.server();
         let names = self.instance.adapter.headers();
         let head = &forward.request.head;
-        let named: Vec<String> = head
+        let listed: Vec<String> = head
             .fields
             .iter()
             .filter(|field| field.name.eq_ignore_ascii_case("connection"))
@@ -216,9 +216,9 @@
         };
         for HeaderField { name, value } in &head.fields {
             let is = |other: &&str| name.eq_ignore_ascii_case(other);
-            let dropped = HOP_FIELDS.iter().any(|other| is(other))
-                || replaced.iter().any(|other| is(other))
-                || named.iter().any(|other| name.eq_ignore_ascii_case(other));
+            let dropped = HOP_FIELDS.iter().any(&is)
+                || replaced.iter().any(is)
+                || listed.iter().any(|other| name.eq_ignore_ascii_case(other));
             if !dropped {
                 field(name, value);
             }
--- a/crates/edge/src/rollout.rs
+++ b/crates/edge/src/rollout.rs
@@ -11,7 +11,7 @@
 
 use crate::instance::Instance;
 use crate::servers::Server;
-use crate::table::{TableError, TableKind};
+use crate::table::TableKind;
 
 /// Time between two evaluations of the evidence.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
@@ -268,16 +268,13 @@
                 "state": format!("{:?}", record.state),
                 "result": written.as_ref().err().map_or("ok".to_owned(), ToString::to_string)}),
         );
-        match written {
-            Ok(()) => {
-                self.records
-                    .borrow_mut()
-                    .insert(service.clone(), record.clone());
-                self.follow_rollouts(self.now());
-            }
-            // Another instance wrote first, or the answer is unknown: the next
-            // read of the records tells.
-            Err(TableError::Conflict | _) => {}
+        // After a conflict or without an answer the next read of the records tells
+        // what stands.
+        if written.is_ok() {
+            self.records
+                .borrow_mut()
+                .insert(service.clone(), record.clone());
+            self.follow_rollouts(self.now());
         }
     }
 }
--- a/crates/edge/src/service_client.rs
+++ b/crates/edge/src/service_client.rs
@@ -81,13 +81,17 @@
         target: &str,
         body: Option<&[u8]>,
     ) -> Result<ServiceAnswer, ExchangeError> {
-        let mut request = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
-        if let Some(body) = body {
-            request.push_str("Content-Type: application/json\r\n");
-            request.push_str(&format!("Content-Length: {}\r\n", body.len()));
-        }
-        request.push_str("\r\n");
-        let mut bytes = request.into_bytes();
+        let entity = body.map_or_else(String::new, |body| {
+            format!(
+                "Content-Type: application/json\r\nContent-Length: {}\r\n",
+                body.len()
+            )
+        });
+        let head = format!(
+            "{method} {target} HTTP/1.1\r\nHost: {}\r\n{entity}\r\n",
+            self.address
+        );
+        let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body.unwrap_or_default());
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -99,7 +99,7 @@
 
 /// How long removed rows are remembered for readers that continue from an
 /// earlier version.
-const REMOVED_SPAN: Duration = Duration::from_secs(60);
+const REMOVED_SPAN: Duration = Duration::from_mins(1);
 
 #[derive(Debug)]
 struct MirrorRow {
@@ -193,31 +193,28 @@
             {
                 continue;
             }
-            match row.value {
-                Some(value) => {
-                    self.removed.remove(&row.key);
-                    let known = self.rows.get(&row.key);
-                    let quiet = known
-                        .filter(|known| same(&known.value, &value))
-                        .map(|known| known.told);
-                    let told = quiet.unwrap_or(row.version);
-                    let version = row.version;
-                    self.rows.insert(
-                        row.key.clone(),
-                        MirrorRow {
-                            version,
-                            told,
-                            value,
-                        },
-                    );
-                    if quiet.is_some() {
-                        continue;
-                    }
-                }
-                None => {
-                    self.rows.remove(&row.key);
-                    self.removed.insert(row.key.clone(), (row.version, now));
+            if let Some(value) = row.value {
+                self.removed.remove(&row.key);
+                let known = self.rows.get(&row.key);
+                let quiet = known
+                    .filter(|known| same(&known.value, &value))
+                    .map(|known| known.told);
+                let version = row.version;
+                let told = quiet.unwrap_or(version);
+                self.rows.insert(
+                    row.key.clone(),
+                    MirrorRow {
+                        version,
+                        told,
+                        value,
+                    },
+                );
+                if quiet.is_some() {
+                    continue;
                 }
+            } else {
+                self.rows.remove(&row.key);
+                self.removed.insert(row.key.clone(), (row.version, now));
             }
             changed.push(row.key);
         }
--- a/crates/policy/src/entry/crash.rs
+++ b/crates/policy/src/entry/crash.rs
@@ -11,7 +11,7 @@
 pub const CRASH_LIMIT: u32 = 2;
 
 /// How long a crash is remembered.
-pub const MEMORY: Duration = Duration::from_secs(60);
+pub const MEMORY: Duration = Duration::from_mins(1);
 
 /// The most fingerprints that are remembered and reported.
 pub const MAX_FINGERPRINTS: usize = 64;
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -16,7 +16,7 @@
 use super::trial::TrialEvidence;
 
 /// How long an instance that is not heard from counts as live.
-pub const LIVE_SPAN: Duration = Duration::from_millis(3000);
+pub const LIVE_SPAN: Duration = Duration::from_secs(3);
 
 /// How long its last digest still counts in sums of demand and evidence. Longer
 /// than [`LIVE_SPAN`], because an instance that cannot be heard may still serve.
@@ -24,7 +24,7 @@
 
 /// Time after a start in which registered instances that were not heard yet are
 /// assumed to share the fleet's limits.
-pub const START_SPAN: Duration = Duration::from_millis(3000);
+pub const START_SPAN: Duration = Duration::from_secs(3);
 
 /// Whether callers may be sent to an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -187,6 +187,7 @@
     }
 
     /// The names of the instances that share the fleet's limits.
+    #[must_use]
     pub fn sharing_names(&self, now: Instant) -> Vec<InstanceName> {
         let mut names: Vec<InstanceName> = self
             .remembered(now)
@@ -261,6 +262,7 @@
     }
 
     /// The digests of this data centre that a delegate sends, without its own.
+    #[must_use]
     pub fn centre_digests(&self, now: Instant) -> Vec<InstanceDigest> {
         self.live(now)
             .filter(|member| member.direct && member.digest.record.centre == self.own.centre)
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -42,6 +42,10 @@
 
 /// What placement knows of one server.
 #[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent observations of one server"
+)]
 pub struct ServerView {
     /// Hash of the server's id.
     pub hash: u64,
@@ -84,7 +88,7 @@
     }
 }
 
-/// Mixes the bits of a 64-bit value (the finaliser of SplitMix64).
+/// Mixes the bits of a 64-bit value (the finaliser of `SplitMix64`).
 #[must_use]
 pub fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/policy/src/entry/trial.rs
+++ b/crates/policy/src/entry/trial.rs
@@ -26,7 +26,7 @@
 
 /// Time between the promotion and the record of completion, in which requests
 /// at the old version end and every instance hears of the promotion.
-pub const SETTLE_TIME: Duration = Duration::from_millis(3000);
+pub const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time after a promotion decided by the clock until instances that saw the
 /// order later are sure to have followed.
