One keeper of team limits in each data centre

Change: the instance with the lowest name keeps the data centre's part, the others ask it for each request, with a part of their own while it is silent.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -13,7 +13,6 @@
 use tarragonpulley_policy::entry::config::{RouteRule, TeamRule, TrafficConfig};
 use tarragonpulley_policy::entry::names::ServiceName;
 use tarragonpulley_policy::entry::placement::{CANDIDATES, text_hash};
-use tarragonpulley_policy::entry::quota::QuotaVerdict;
 
 use self::attempt::{AttemptOutcome, ServerAttempt};
 use self::refusal::Refusal;
@@ -69,7 +68,7 @@
             .unwrap_or_default()
             .to_owned();
         let mut reply = match self.admit_request(request, id.clone()) {
-            Ok(forward) => self.run(&forward).await,
+            Ok(forward) => self.run_within_limit(&forward).await,
             Err((refusal, retry_after)) => self.refuse(&id, refusal, retry_after, &json!({})),
         };
         if !id.is_empty()
@@ -155,19 +154,6 @@
             .map_or(route.timeout, Duration::from_millis);
         let caller_deadline = request.received + caller_wait;
         let deadline = caller_deadline.min(request.received + route.timeout);
-        if let Some(team) = &team
-            && let Some(rate) = team.rate
-            && let QuotaVerdict::Beyond { retry_after, share } = self.take_quota(team, rate, now)
-        {
-            self.log.event(
-                "over_team_limit",
-                json!({"request": id, "team": team.name.as_str(), "rate": rate, "burst": team.burst, "share": share}),
-            );
-            return Err((
-                Refusal::OverLimit,
-                Some(spread_retry(retry_after, rand::random())),
-            ));
-        }
         let object = object_of(&request, names.object_cookie).filter(|_| route.sticky);
         let object_hash = object.map(|object| text_hash(&object));
         let part = {
@@ -196,12 +182,6 @@
         })
     }
 
-    fn take_quota(&self, team: &TeamRule, rate: f64, now: Instant) -> QuotaVerdict {
-        let mut quota = self.quota.borrow_mut();
-        quota.set_instances(self.peers.borrow().sharing(now));
-        quota.take(&team.name, rate, team.burst, now)
-    }
-
     fn authenticate(
         &self,
         request: &CallerRequest,
@@ -219,6 +199,24 @@
             .ok_or((Refusal::NoKey, None))
     }
 
+    async fn run_within_limit(&self, forward: &ForwardRequest) -> CallerReply {
+        let wait = match &forward.team {
+            Some(team) => self.take_token(team).await,
+            None => None,
+        };
+        if let Some(wait) = wait {
+            let team = forward.team.as_ref().map(|team| team.name.as_str());
+            let after = spread_retry(wait, rand::random());
+            return self.refuse(
+                &forward.id,
+                Refusal::OverLimit,
+                Some(after),
+                &json!({"team": team}),
+            );
+        }
+        self.run(forward).await
+    }
+
     /// Sends the request until an answer is final or the time is over.
     async fn run(&self, forward: &ForwardRequest) -> CallerReply {
         let in_flight = Rc::new(Cell::new(false));
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -1,6 +1,6 @@
 //! The state of one instance and the events that change it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,8 +14,9 @@
 use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::text_hash;
-use tarragonpulley_policy::entry::quota::{QuotaBound, TeamQuota};
+use tarragonpulley_policy::entry::quota::QuotaBound;
 use tarragonpulley_policy::entry::split::SplitMeter;
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
 
 use crate::adapter::{OperatorOrder, PlatformAdapter};
@@ -25,6 +26,7 @@
 use crate::rollout::RolloutBook;
 use crate::servers::ServerSet;
 use crate::table::{TableBatch, TableKind, TableMirror, TableService};
+use crate::team_limits::TeamLimits;
 
 /// Time after the table's return in which entries that lapsed during its outage
 /// are written again.
@@ -66,7 +68,7 @@
     pub(crate) records: RefCell<BTreeMap<ServiceName, RolloutRecord>>,
     pub(crate) rollouts: RefCell<RolloutBook>,
     pub(crate) peers: RefCell<InstanceTable>,
-    pub(crate) quota: RefCell<TeamQuota>,
+    pub(crate) limits: TeamLimits,
     pub(crate) repeats: RefCell<RepeatBudget>,
     pub(crate) cold_gate: RefCell<ColdGate>,
     pub(crate) crashes: RefCell<CrashLedger>,
@@ -79,6 +81,8 @@
     /// Wakes the sender of digests.
     pub(crate) urgent: tokio::sync::Notify,
     pub(crate) suspects: Sender<CrashSuspect>,
+    /// Sends datagrams to other instances, once bound.
+    pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     unreadable: RefCell<BTreeMap<(TableKind, String), u64>>,
 }
 
@@ -94,7 +98,7 @@
     ) -> Self {
         Self {
             peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
-            quota: RefCell::new(TeamQuota::new(options.quota)),
+            limits: TeamLimits::new(options.quota),
             repeats: RefCell::new(RepeatBudget::new(options.repeats)),
             clock,
             proof_clock,
@@ -118,6 +122,7 @@
             changed: tokio::sync::Notify::new(),
             urgent: tokio::sync::Notify::new(),
             suspects,
+            socket: OnceCell::new(),
             unreadable: RefCell::default(),
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod servers;
 mod service_client;
 mod table;
+mod team_limits;
 
 pub use adapter::{HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -35,7 +35,7 @@
     pub(crate) table_failures: Counter,
     pub(crate) unreadable_rows: Counter,
     pub(crate) proof_age_ms: Gauge,
-    pub(crate) digest_bytes: Counter,
+    pub(crate) datagram_bytes: Counter,
 }
 
 impl InstanceMetrics {
@@ -51,7 +51,7 @@
             table_failures: Counter::default(),
             unreadable_rows: Counter::default(),
             proof_age_ms: Gauge::default(),
-            digest_bytes: Counter::default(),
+            datagram_bytes: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -100,9 +100,9 @@
             metrics.proof_age_ms.clone(),
         );
         registry.register(
-            "digest_bytes",
-            "Bytes of digests sent",
-            metrics.digest_bytes.clone(),
+            "datagram_bytes",
+            "Bytes sent to other instances",
+            metrics.datagram_bytes.clone(),
         );
         metrics
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::instance::Instance;
 use crate::table::{TableBatch, TableKind, TableMirror};
+use crate::team_limits::{TokenAsk, TokenGrant};
 
 /// Time between two digests to the instances of the data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -39,12 +40,19 @@
 /// How long the connection of another instance may stay open.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(5);
 
+/// A datagram between instances.
 #[derive(Debug, Serialize, Deserialize)]
-struct PeerDatagram {
-    /// Whether the receiver hands the digests on in its data centre.
-    relay: bool,
-    /// Whether the first digest is the sender's own.
-    digests: Vec<InstanceDigest>,
+pub(crate) enum PeerMessage {
+    /// Digests of the sender or of instances that it heard.
+    Digests {
+        /// Whether the receiver hands the digests on in its data centre.
+        relay: bool,
+        digests: Vec<InstanceDigest>,
+    },
+    /// Asks the keeper of the data centre for a token of a team's limit.
+    Ask(TokenAsk),
+    /// The keeper's answer.
+    Grant(TokenGrant),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -196,7 +204,8 @@
             reason = "rates of a few thousand at most"
         )]
         let demands = self
-            .quota
+            .limits
+            .kept
             .borrow_mut()
             .report(now)
             .into_iter()
@@ -214,7 +223,7 @@
     }
 
     /// Sends digests until the process ends.
-    pub(crate) async fn send_digests(self: Rc<Self>, socket: Rc<UdpSocket>) {
+    pub(crate) async fn send_digests(self: Rc<Self>) {
         let mut sequence = 0;
         loop {
             sequence += 1;
@@ -223,8 +232,7 @@
             let neighbours: Vec<InstanceRecord> =
                 self.peers.borrow().neighbours().cloned().collect();
             for neighbour in &neighbours {
-                self.send(&socket, neighbour.peer, false, vec![own.clone()])
-                    .await;
+                self.send(neighbour.peer, false, vec![own.clone()]).await;
             }
             let is_urgent = tokio::select! {
                 () = self.urgent.notified() => true,
@@ -244,33 +252,27 @@
                     .map(|record| record.peer)
                     .collect();
                 for target in targets {
-                    self.send(&socket, target, true, digests.clone()).await;
+                    self.send(target, true, digests.clone()).await;
                 }
             }
             self.refresh_limits();
         }
     }
 
-    async fn send(
-        &self,
-        socket: &UdpSocket,
-        target: SocketAddr,
-        relay: bool,
-        digests: Vec<InstanceDigest>,
-    ) {
+    async fn send(&self, target: SocketAddr, relay: bool, digests: Vec<InstanceDigest>) {
         let mut part: Vec<InstanceDigest> = Vec::new();
         let mut parts: Vec<Vec<u8>> = Vec::new();
         let mut last: Option<Vec<u8>> = None;
         for digest in digests {
             part.push(digest);
-            match encode(&PeerDatagram {
+            match encode(&PeerMessage::Digests {
                 relay,
                 digests: part.clone(),
             }) {
                 Ok(bytes) if bytes.len() > MAX_DATAGRAM && part.len() > 1 => {
                     parts.extend(last.take());
                     part.drain(..part.len() - 1);
-                    last = encode(&PeerDatagram {
+                    last = encode(&PeerMessage::Digests {
                         relay,
                         digests: part.clone(),
                     })
@@ -286,11 +288,7 @@
         }
         parts.extend(last);
         for bytes in parts {
-            self.metrics
-                .digest_bytes
-                .inc_by(u64::try_from(bytes.len()).unwrap_or(0));
-            // Digests are repeated, so a lost one needs no handling.
-            drop(socket.send_to(&bytes, target).await);
+            self.send_datagram(target, &bytes).await;
         }
     }
 
@@ -302,40 +300,69 @@
                 actix_rt::time::sleep(Duration::from_millis(50)).await;
                 continue;
             };
-            let datagram: PeerDatagram = match decode(&buffer[..count]) {
-                Ok(datagram) => datagram,
-                Err(error) => {
-                    self.log.event(
-                        "digest_ignored",
-                        json!({"sender": sender.to_string(), "reason": error.to_string()}),
-                    );
-                    continue;
+            match decode(&buffer[..count]) {
+                Ok(PeerMessage::Digests { relay, digests }) => {
+                    self.receive_bundle(relay, digests, sender).await;
                 }
-            };
-            let now = self.now();
-            let mut fresh = Vec::new();
-            for digest in datagram.digests {
-                let direct = digest.record.peer == sender;
-                if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
-                    fresh.push(digest);
-                }
-            }
-            if datagram.relay && !fresh.is_empty() {
-                let neighbours: Vec<InstanceRecord> =
-                    self.peers.borrow().neighbours().cloned().collect();
-                for neighbour in neighbours {
-                    self.send(&socket, neighbour.peer, false, fresh.clone())
+                Ok(PeerMessage::Ask(ask)) => {
+                    let wait = self.take_kept(&ask.team, ask.rate, ask.burst);
+                    self.tell(sender, &PeerMessage::Grant(TokenGrant { id: ask.id, wait }))
                         .await;
                 }
+                Ok(PeerMessage::Grant(grant)) => self.limits.granted(grant),
+                Err(error) => self.log.event(
+                    "datagram_ignored",
+                    json!({"sender": sender.to_string(), "reason": error.to_string()}),
+                ),
             }
         }
     }
 
+    async fn receive_bundle(&self, relay: bool, digests: Vec<InstanceDigest>, sender: SocketAddr) {
+        let now = self.now();
+        let mut fresh = Vec::new();
+        for digest in digests {
+            let direct = digest.record.peer == sender;
+            if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
+                fresh.push(digest);
+            }
+        }
+        if relay && !fresh.is_empty() {
+            let neighbours: Vec<InstanceRecord> =
+                self.peers.borrow().neighbours().cloned().collect();
+            for neighbour in neighbours {
+                self.send(neighbour.peer, false, fresh.clone()).await;
+            }
+        }
+    }
+
+    /// Sends one datagram. It may be lost; whoever needs an answer waits for it.
+    pub(crate) async fn tell(&self, target: SocketAddr, message: &PeerMessage) {
+        match encode(message) {
+            Ok(bytes) => self.send_datagram(target, &bytes).await,
+            Err(error) => self
+                .log
+                .event("datagram_not_sent", json!({"reason": error.to_string()})),
+        }
+    }
+
+    async fn send_datagram(&self, target: SocketAddr, bytes: &[u8]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        self.metrics
+            .datagram_bytes
+            .inc_by(u64::try_from(bytes.len()).unwrap_or(0));
+        // Lost datagrams need no handling: digests are repeated, and askers
+        // wait for a limited time.
+        drop(socket.send_to(bytes, target).await);
+    }
+
     /// Adjusts this instance's part of the fleet's limits to the others' reports.
     fn refresh_limits(&self) {
         let now = self.now();
         let peers = self.peers.borrow();
-        let mut quota = self.quota.borrow_mut();
+        let mut quota = self.limits.kept.borrow_mut();
         let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         for server in self.servers.borrow().all() {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -149,8 +149,9 @@
 async fn start_tasks(instance: &Rc<Instance>, listen: &ListenAddresses) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(listen.peer).await?);
     let peers = bind(listen.peer).await?;
+    instance.socket.get_or_init(|| Rc::clone(&socket));
     actix_rt::spawn(Rc::clone(instance).receive_digests(Rc::clone(&socket)));
-    actix_rt::spawn(Rc::clone(instance).send_digests(socket));
+    actix_rt::spawn(Rc::clone(instance).send_digests());
     actix_rt::spawn(Rc::clone(instance).serve_peers(peers));
     actix_rt::spawn(Rc::clone(instance).run_rollouts());
     actix_rt::spawn(Rc::clone(instance).register());
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -6,7 +6,7 @@
 //! between data centres thus grows with their number, not with that of the
 //! instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -226,6 +226,36 @@
             .min_by(|a, b| a.name.cmp(&b.name))
     }
 
+    /// The instance that holds this data centre's part of the teams' limits, if
+    /// it is another one: the live one with the lowest name, or right after a
+    /// start the registered one.
+    #[must_use]
+    pub fn keeper(&self, now: Instant) -> Option<&InstanceRecord> {
+        let starting = now.saturating_duration_since(self.started) < START_SPAN;
+        let live = self
+            .live(now)
+            .filter(|member| member.direct && member.digest.state != InstanceState::Leaving)
+            .map(|member| &member.digest.record);
+        let registered = self.known.values().filter(|_| starting);
+        live.chain(registered)
+            .filter(|record| record.centre == self.own.centre && record.name < self.own.name)
+            .min_by(|a, b| a.name.cmp(&b.name))
+    }
+
+    /// How many data centres have instances, this one included.
+    #[must_use]
+    pub fn centres(&self, now: Instant) -> usize {
+        let starting = now.saturating_duration_since(self.started) < START_SPAN;
+        let heard = self.remembered(now).map(|member| &member.digest.record);
+        let registered = self.known.values().filter(|_| starting);
+        let mut centres: BTreeSet<&CentreName> = heard
+            .chain(registered)
+            .map(|record| &record.centre)
+            .collect();
+        centres.insert(&self.own.centre);
+        centres.len()
+    }
+
     /// Registered and heard instances of this data centre, for direct digests.
     pub fn neighbours(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.known
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -1,11 +1,11 @@
 //! Team limits over the whole fleet, kept locally.
 //!
-//! Each instance holds a token bucket per team whose rate and depth are its
-//! share of the team's limit. The share follows the demand that the instance
-//! sees compared with the demand that the others report, so that a team whose
-//! callers are in one place can use its whole limit there. Shares of all
-//! instances add up to one as far as their reports agree; the reports lag by
-//! about a second.
+//! Each holder, one instance of a data centre, has a token bucket per team whose
+//! rate and depth are its share of the team's limit. The share follows the
+//! demand that the holder sees compared with the demand that the others report,
+//! so that a team whose callers are in one place can use its whole limit there.
+//! Shares of all holders add up to one as far as their reports agree; the
+//! reports lag by about a second.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 /// The time over which demand is averaged.
 pub const DEMAND_WINDOW: Duration = Duration::from_secs(3);
 
-/// Demand that each instance is assumed to have at least, as a part of an equal
+/// Demand that each holder is assumed to have at least, as a part of an equal
 /// division of the team's rate. Steadies the shares of teams with few requests.
 pub const BASE_PART: f64 = 0.5;
 
@@ -99,17 +99,15 @@
     Beyond {
         /// The time until the next token.
         retry_after: Duration,
-        /// The part of the team's limit that this instance had.
-        share: f64,
     },
 }
 
-/// The limits of all teams at one instance.
+/// The limits of all teams at one holder.
 #[derive(Debug)]
 pub struct TeamQuota {
     bound: QuotaBound,
     buckets: BTreeMap<TeamName, TeamBucket>,
-    instances: f64,
+    holders: f64,
 }
 
 impl TeamQuota {
@@ -119,23 +117,23 @@
         Self {
             bound,
             buckets: BTreeMap::new(),
-            instances: 1.0,
+            holders: 1.0,
         }
     }
 
-    /// Sets how many instances share the limits, this one included.
-    pub fn set_instances(&mut self, instances: usize) {
-        self.instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+    /// Sets how many holders share the limits, this one included.
+    pub fn set_holders(&mut self, holders: usize) {
+        self.holders = f64::from(u32::try_from(holders.max(1)).unwrap_or(u32::MAX));
     }
 
-    /// Sets the demand of a team at all other instances.
+    /// Sets the demand of a team at all other holders.
     pub fn set_other_demand(&mut self, team: &TeamName, demand: f64) {
         if let Some(bucket) = self.buckets.get_mut(team) {
             bucket.others = demand;
         }
     }
 
-    /// The demand of each team at this instance, to be reported to the others.
+    /// The demand of each team at this holder, to be reported to the others.
     pub fn report(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
         self.buckets
             .iter_mut()
@@ -151,7 +149,7 @@
 
     /// Takes a token for one request of a team with this rate and burst.
     pub fn take(&mut self, team: &TeamName, rate: f64, burst: f64, now: Instant) -> QuotaVerdict {
-        let instances = self.instances;
+        let holders = self.holders;
         let bucket = self
             .buckets
             .entry(team.clone())
@@ -163,16 +161,16 @@
                 updated: now,
             });
         bucket.demand.note(now);
-        let base = rate * BASE_PART / instances;
+        let base = rate * BASE_PART / holders;
         let own = bucket.reported[REPORT_LAG - 1] + base;
-        let others = bucket.others + base * (instances - 1.0);
+        let others = bucket.others + base * (holders - 1.0);
         let share = own / (own + others);
         // Few tokens a second make a small team's requests fail by chance at one
-        // instance while others have tokens left; an equal part of the slack as
+        // holder while others have tokens left; an equal part of the slack as
         // depth evens that out.
         let window = self.bound.window.as_secs_f64();
         let slack = (rate * window + burst) * self.bound.excess + self.bound.slack;
-        let depth = (burst * share + slack * SLACK_PART / instances).max(1.0);
+        let depth = (burst * share + slack * SLACK_PART / holders).max(1.0);
         if bucket.level.is_nan() {
             bucket.level = (depth * INITIAL_LEVEL).max(1.0);
         }
@@ -186,7 +184,6 @@
         let wait = (1.0 - bucket.level) / (rate * share).max(0.01);
         QuotaVerdict::Beyond {
             retry_after: Duration::from_secs_f64(wait.min(60.0)),
-            share,
         }
     }
 }
