--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -5,9 +5,7 @@
 
 use actix_http::Method;
 use bytes::Bytes;
-use tarragonpulley_backing::{
-    CommitOutcome, ObjectKey, RowChange, RowCondition, TableTransaction,
-};
+use tarragonpulley_backing::{CommitOutcome, ObjectKey, RowChange, RowCondition, TableTransaction};
 use tarragonpulley_policy::quarantine::RequestFingerprint;
 use tarragonpulley_policy::retry::RequestDeadline;
 use tarragonpulley_policy::routing::{RouteMatch, match_route};
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tarragonpulley_daemon::test_support::{FleetNode, NodeOptions};
 use tarragonpulley_backing::{ListedInstance, ListedState};
+use tarragonpulley_daemon::test_support::{FleetNode, NodeOptions};
 use tarragonpulley_policy::clock::{SystemClock, TimeSource};
 use tarragonpulley_policy::ids::TeamKey;
 use tarragonpulley_policy::snapshot::KeyDigest;
--- a/crates/policy/tests/entry/load_player.rs
+++ b/crates/policy/tests/entry/load_player.rs
@@ -22,7 +22,7 @@
 const OBJECTS: u64 = 72;
 const KNOWN_OBJECTS: usize = 20;
 const TARGET: Duration = Duration::from_millis(500);
-const TIMEOUT: Duration = Duration::from_millis(1000);
+const TIMEOUT: Duration = Duration::from_secs(1);
 const WORK_MS: f64 = 640.0;
 const WARM_PART: f64 = 0.3;
 const STEP_MS: u64 = 5;
@@ -68,9 +68,9 @@
         for mut job in self.running.drain(..) {
             job.left_ms -= f64::from(u32::try_from(STEP_MS).expect("small"));
             if job.left_ms <= 0.0 {
-                finished.push(now - job.arrived)
+                finished.push(now - job.arrived);
             } else {
-                still.push(job)
+                still.push(job);
             }
         }
         self.running = still;
@@ -123,9 +123,9 @@
         for server in &mut servers {
             for latency in server.step(now, &mut random) {
                 if latency <= 500 {
-                    played.in_target += 1
+                    played.in_target += 1;
                 } else if latency <= 1000 {
-                    played.late += 1
+                    played.late += 1;
                 }
             }
         }
--- a/crates/policy/tests/entry/placement.rs
+++ b/crates/policy/tests/entry/placement.rs
@@ -119,9 +119,9 @@
 #[test]
 fn uses_suspended_servers_when_no_other_is_left() {
     let mut servers = servers(2);
-    servers
-        .iter_mut()
-        .for_each(|server| server.suspended = true);
+    for server in &mut servers {
+        server.suspended = true;
+    }
     assert!(choose(Some(1), &servers, TARGET).is_some());
     assert!(choose(None, &servers, TARGET).is_some());
     assert_eq!(choose(Some(1), &[], TARGET), None);
