Keep room for more urgent requests at a full service

Cause: the ranks of teams and routes were read and not used. Change: each step of a less urgent rank leaves a tenth of the queue free.

--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -123,9 +123,6 @@
     /// Encodes a row of [`super::table::TableKind::Records`]: key and value.
     fn encode_record(&self, service: &ServiceName, record: &RolloutRecord) -> (String, Vec<u8>);
 
-    /// The key of the configuration among the operator's rows.
-    fn config_key(&self) -> &'static str;
-
     /// The id of a server from the key of its row, for rows that were removed.
     fn server_id(&self, key: &str) -> Option<ServerId>;
 }
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -25,6 +25,12 @@
 }
 
 impl ForwardRequest {
+    /// The rank of the request: the team's goes before the route's.
+    fn urgency(&self) -> u32 {
+        let team = self.team.as_ref().and_then(|team| team.priority);
+        team.unwrap_or(self.route.priority)
+    }
+
     /// Whether the request may run in a region.
     fn is_home(&self, region: Option<&RegionName>) -> bool {
         let within = |homes: &BTreeSet<RegionName>| {
@@ -52,7 +58,7 @@
             .iter()
             .map(|server| self.view(forward, server, now))
             .collect();
-        let Some(placement) = choose(forward.object, &views, target) else {
+        let Some(placement) = choose(forward.object, &views, target, forward.urgency()) else {
             return Err((Refusal::NoServer, elsewhere));
         };
         if placement.saturated {
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -220,7 +220,7 @@
             .map(<[u8]>::to_vec)
     }
 
-    /// Logs a row that is not used, once for each version of it.
+    /// Counts a row that is not used, and logs the first version of it.
     fn unreadable(&self, table: TableKind, key: &str, reason: &str) {
         let version = self
             .mirrors
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -109,7 +109,8 @@
     ));
     actix_rt::spawn(Rc::clone(&instance).watch_crashes(suspected));
     let (stop, phase) = watch::channel(StopPhase::Running);
-    start_listeners(&instance, &listen, &phase).await?;
+    // Dropping it would stop the listeners that answer until the end.
+    let _always_running = start_listeners(&instance, &listen, &phase).await?;
     start_tasks(&instance, &listen).await?;
     instance
         .log
@@ -124,11 +125,13 @@
     Ok(())
 }
 
+/// Starts all listeners. Those for readiness, look-ups and metrics serve until
+/// the value returned is dropped.
 async fn start_listeners(
     instance: &Rc<Instance>,
     listen: &ListenAddresses,
     phase: &watch::Receiver<StopPhase>,
-) -> io::Result<()> {
+) -> io::Result<watch::Sender<StopPhase>> {
     let front = bind(listen.front).await?;
     actix_rt::spawn(serve(
         front,
@@ -142,8 +145,7 @@
         let listener = bind(address).await?;
         actix_rt::spawn(serve(listener, Rc::clone(&service), always.clone()));
     }
-    std::mem::forget(running);
-    Ok(())
+    Ok(running)
 }
 
 async fn start_tasks(instance: &Rc<Instance>, listen: &ListenAddresses) -> io::Result<()> {
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -40,6 +40,13 @@
 /// with a shorter one.
 pub const LOAD_CAP: f64 = 3.0;
 
+/// The part of the cap that each step of a less urgent rank leaves free, so that
+/// more urgent requests still find room at a full service.
+pub const RANK_RESERVE: f64 = 0.1;
+
+/// The largest rank that makes a difference.
+pub const MAX_RANK: u32 = 3;
+
 /// What placement knows of one server.
 #[derive(Debug, Clone, Copy)]
 #[expect(
@@ -83,8 +90,9 @@
 }
 
 impl ServerView {
-    fn is_saturated(&self) -> bool {
-        self.load >= f64::from(self.slots) * LOAD_CAP
+    fn is_saturated(&self, urgency: u32) -> bool {
+        let reserve = f64::from(urgency.min(MAX_RANK)) * RANK_RESERVE;
+        self.load >= f64::from(self.slots) * LOAD_CAP * (1.0 - reserve)
     }
 }
 
@@ -142,9 +150,15 @@
 }
 
 /// Chooses a server for an object, or without one the server that is expected
-/// to finish first. `None` if the list is empty.
+/// to finish first. `None` if the list is empty. An `urgency` of 0 is the most
+/// urgent rank.
 #[must_use]
-pub fn choose(object: Option<u64>, servers: &[ServerView], target: Duration) -> Option<Placement> {
+pub fn choose(
+    object: Option<u64>,
+    servers: &[ServerView],
+    target: Duration,
+    urgency: u32,
+) -> Option<Placement> {
     let usable: Vec<usize> = {
         let fit: Vec<usize> = (0..servers.len())
             .filter(|i| !servers[*i].suspended)
@@ -160,7 +174,7 @@
             index,
             rank: 0,
             finish: expected_finish(&servers[index], true, target),
-            saturated: servers[index].is_saturated(),
+            saturated: servers[index].is_saturated(urgency),
             crowds: false,
         };
         return usable
@@ -177,7 +191,7 @@
             index: usable[position],
             rank,
             finish: expected_finish(server, rank == 0 || server.known, target),
-            saturated: server.is_saturated(),
+            saturated: server.is_saturated(urgency),
             crowds: rank > 0 && !server.known && server.load >= f64::from(server.slots),
         };
         if best.is_none_or(|owner| placement.is_better(&owner)) {
--- a/crates/policy/tests/entry/load_player.rs
+++ b/crates/policy/tests/entry/load_player.rs
@@ -153,9 +153,9 @@
                 .map(|(index, _)| index),
             Placer::OwnerOnly => rendezvous(mix(object), &views, 1).first().copied(),
             Placer::Choice => {
-                choose(Some(mix(object)), &views, TARGET).map(|placement| placement.index)
+                choose(Some(mix(object)), &views, TARGET, 0).map(|placement| placement.index)
             }
-            Placer::Admission => choose(Some(mix(object)), &views, TARGET)
+            Placer::Admission => choose(Some(mix(object)), &views, TARGET, 0)
                 .filter(|placement| {
                     !placement.saturated
                         && admit(placement.finish, TIMEOUT, 0.0) == AdmissionVerdict::Admit
--- a/crates/policy/tests/entry/placement.rs
+++ b/crates/policy/tests/entry/placement.rs
@@ -81,7 +81,7 @@
     let object = mix(77);
     let owner = owner(object, &servers);
     change(&mut servers[owner]);
-    let placement = choose(Some(object), &servers, TARGET).expect("a server");
+    let placement = choose(Some(object), &servers, TARGET, 0).expect("a server");
     assert_eq!(placement.index == owner, keeps, "{placement:?}");
 }
 
@@ -93,7 +93,7 @@
     servers[order[0]].load = 5.0;
     servers[order[1]].known = true;
     assert_eq!(
-        choose(Some(object), &servers, TARGET)
+        choose(Some(object), &servers, TARGET, 0)
             .expect("a server")
             .index,
         order[1]
@@ -109,7 +109,7 @@
         servers[*index].load = 3.0;
     }
     servers[order[0]].load = 9.0;
-    let placement = choose(Some(object), &servers, TARGET).expect("a server");
+    let placement = choose(Some(object), &servers, TARGET, 0).expect("a server");
     assert!(
         placement.saturated && placement.index == order[0],
         "{placement:?}"
@@ -122,9 +122,9 @@
     for server in &mut servers {
         server.suspended = true;
     }
-    assert!(choose(Some(1), &servers, TARGET).is_some());
-    assert!(choose(None, &servers, TARGET).is_some());
-    assert_eq!(choose(Some(1), &[], TARGET), None);
+    assert!(choose(Some(1), &servers, TARGET, 0).is_some());
+    assert!(choose(None, &servers, TARGET, 0).is_some());
+    assert_eq!(choose(Some(1), &[], TARGET, 0), None);
 }
 
 #[parameterized(
@@ -152,3 +152,20 @@
         assert!(deviation.abs() < 0.1, "{counts:?} for {weights:?}");
     }
 }
+
+#[test]
+fn a_full_service_keeps_room_for_more_urgent_requests() {
+    let mut servers = servers(6);
+    for server in &mut servers {
+        server.load = 8.5;
+    }
+    let saturated = |urgency| {
+        choose(Some(mix(77)), &servers, TARGET, urgency)
+            .expect("a server")
+            .saturated
+    };
+    assert_eq!(
+        [saturated(0), saturated(1), saturated(9)],
+        [false, true, true]
+    );
+}
