--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 use tarragonpulley_policy::entry::digest::InstanceRecord;
+use tarragonpulley_policy::entry::placement::{mix, text_hash};
 
 use crate::instance::Instance;
 use crate::peers::read_from_peer;
@@ -182,11 +183,7 @@
         table: TableKind,
         reader: &InstanceRecord,
     ) -> bool {
-        let after = instance
-            .mirrors
-            .borrow()
-            .get(&table)
-            .and_then(TableMirror::upto);
+        let after = instance.upto(table);
         let started = instance.proof_now();
         let reason = match read_from_peer(reader.peer, table, after, RELAY_WAIT).await {
             Ok(Some(copy))
@@ -210,11 +207,7 @@
 
     async fn read_service(&mut self, instance: &Instance, table: TableKind) -> bool {
         let started = instance.proof_now();
-        let after = instance
-            .mirrors
-            .borrow()
-            .get(&table)
-            .and_then(TableMirror::upto);
+        let after = instance.upto(table);
         let wait = if self.failed_at.is_some() {
             Duration::ZERO
         } else {
@@ -253,11 +246,7 @@
 
     async fn read_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
         for peer in nearest_peers(instance) {
-            let after = instance
-                .mirrors
-                .borrow()
-                .get(&table)
-                .and_then(TableMirror::upto);
+            let after = instance.upto(table);
             let started = instance.proof_now();
             match read_from_peer(peer.peer, table, after, PEER_WAIT).await {
                 Ok(Some(copy)) if is_newer_proof(instance, table, &copy.batch, started) => {
@@ -295,14 +284,12 @@
     let now = instance.now();
     let peers = instance.peers.borrow();
     let own = peers.own();
-    let own_hash = tarragonpulley_policy::entry::placement::text_hash(own.name.as_str());
+    let own_hash = text_hash(own.name.as_str());
     let mut found: Vec<&InstanceRecord> = peers.ready(now).collect();
     found.sort_by_key(|record| {
         let distance =
             u8::from(record.centre != own.centre) + u8::from(record.region != own.region);
-        let order = tarragonpulley_policy::entry::placement::mix(
-            own_hash ^ tarragonpulley_policy::entry::placement::text_hash(record.name.as_str()),
-        );
+        let order = mix(own_hash ^ text_hash(record.name.as_str()));
         (distance, order)
     });
     found.into_iter().take(MOST).cloned().collect()
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -144,6 +144,14 @@
         Some(now.saturating_duration_since(proved))
     }
 
+    /// The version up to which the copy of a table includes all changes.
+    pub(crate) fn upto(&self, table: TableKind) -> Option<u64> {
+        self.mirrors
+            .borrow()
+            .get(&table)
+            .and_then(TableMirror::upto)
+    }
+
     /// Whether keys may be used, and unknown routes and keys be refused.
     pub(crate) fn is_proved(&self) -> bool {
         let limit = self.options.borrow().key_proof_limit;
@@ -155,11 +163,7 @@
         if self.leaving.get() {
             return InstanceState::Leaving;
         }
-        let has_servers = self
-            .mirrors
-            .borrow()
-            .get(&TableKind::Servers)
-            .is_some_and(|m| m.upto().is_some());
+        let has_servers = self.upto(TableKind::Servers).is_some();
         if self.config.borrow().is_some() && has_servers && self.is_proved() {
             InstanceState::Ready
         } else {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -21,6 +21,10 @@
 /// How many digests are sent in the data centre for one to the others.
 const BUNDLE_EVERY: u64 = 2;
 
+/// How many digests are sent in the data centre between two looks for idle
+/// connections that servers have closed.
+const POOL_CHECK_EVERY: u64 = 10;
+
 /// The largest datagram in bytes; stays below the usual path limit.
 const MAX_DATAGRAM: usize = 1300;
 
@@ -168,11 +172,7 @@
     async fn serve_peer(&self, mut stream: TcpStream) -> Result<(), PeerError> {
         let request: ReadRequest = decode(&read_message(&mut stream).await?)?;
         let wait = Duration::from_millis(request.wait_ms.into());
-        let is_current = || {
-            let mirrors = self.mirrors.borrow();
-            let upto = mirrors.get(&request.table).and_then(TableMirror::upto);
-            request.after.is_some() && upto <= request.after
-        };
+        let is_current = || request.after.is_some() && self.upto(request.table) <= request.after;
         let age = {
             let mirrors = self.mirrors.borrow();
             let proved = mirrors.get(&request.table).and_then(TableMirror::proved);
@@ -256,6 +256,9 @@
                 }
             }
             self.refresh_limits();
+            if sequence.is_multiple_of(POOL_CHECK_EVERY) {
+                self.servers.borrow().close_stale_connections();
+            }
         }
     }
 
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// Closes idle connections that are not in order any more, which would
+    /// otherwise hold descriptors until the server is used again.
+    fn close_stale_connections(&self) {
+        self.pool
+            .borrow_mut()
+            .retain(|connection| connection.is_usable(Duration::MAX));
+    }
+
     /// Closes idle connections; they may have stopped working with the one that
     /// gave no answer.
     pub(crate) fn drop_connections(&self) {
@@ -176,6 +184,13 @@
         }
     }
 
+    /// Closes idle connections that are not in order any more, of all servers.
+    pub(crate) fn close_stale_connections(&self) {
+        for server in self.servers.values() {
+            server.close_stale_connections();
+        }
+    }
+
     /// Forgets servers that have been gone for a while.
     pub(crate) fn prune(&mut self, now: Instant) {
         const KEEP: Duration = Duration::from_secs(5);
