--- a/crates/backing/tests/clients/list.rs
+++ b/crates/backing/tests/clients/list.rs
@@ -84,16 +84,21 @@
 /// Guards against a list that loses an instance because its entry cannot be
 /// read, or because the list is down.
 #[parameterized(
-    unreadable_entry = { Some(record("i2", "unheard-of")), ServiceMode::Up, "invalid answer" },
-    too_long = { Some(long_record()), ServiceMode::Up, "invalid answer" },
-    refused = { None, ServiceMode::Refuse, "no answer" },
-    closed = { None, ServiceMode::Close, "no answer" },
-    hanging = { None, ServiceMode::Hang, "no answer" },
+    unreadable_entry = { Some(record("i2", "unheard-of")), ServiceMode::Up, PATIENCE, "invalid answer" },
+    too_long = { Some(long_record()), ServiceMode::Up, PATIENCE, "invalid answer" },
+    refused = { None, ServiceMode::Refuse, DEADLINE, "no answer" },
+    closed = { None, ServiceMode::Close, DEADLINE, "no answer" },
+    hanging = { None, ServiceMode::Hang, DEADLINE, "no answer" },
 )]
-fn a_fault_is_not_a_shorter_list(entry: Option<CatalogRecord>, mode: ServiceMode, expected: &str) {
+fn a_fault_is_not_a_shorter_list(
+    entry: Option<CatalogRecord>,
+    mode: ServiceMode,
+    deadline: Duration,
+    expected: &str,
+) {
     block_on(async {
         let platform = TestPlatform::start().await;
-        let list = HttpList::new(platform.url(), DEADLINE);
+        let list = HttpList::new(platform.url(), deadline);
         platform.control(register("i1", "live")).await;
         platform
             .control(PlatformControl {
