Let requests without homes make room in regions that homed requests fill

Requests with a home in the north, where 10 % of the servers stand, were 15 % of all. The others were spread evenly over all servers, so a tenth of them went north too, where 42 % of their attempts failed, and 61 % of those with homes.

Change: each instance measures where its requests may run and tells it with its digest; the regions' weights in rendezvous hashing fill all regions to one level.

Not kept, from the player: admission by an observed pace of a region, and shorter queues.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -214,6 +214,8 @@
                 &json!({"team": team}),
             );
         }
+        self.regions
+            .note(&forward.service, &forward.homes(), self.now());
         self.run(forward).await
     }
 
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -323,7 +323,7 @@
     /// The inputs of the placement, for the log.
     pub(super) fn inputs(&self) -> serde_json::Value {
         let view = &self.placed.view;
-        json!({"rank": self.placed.placement.rank, "known": view.known, "cold": view.cold,
+        json!({"rank": self.placed.placement.rank, "allowed": self.placed.allowed, "known": view.known, "cold": view.cold,
             "load": view.load, "slots": view.slots, "slowness": view.slowness, "failing": view.failing,
             "expected_ms": self.expected.as_millis()})
     }
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -22,6 +22,8 @@
     pub(super) server: Rc<Server>,
     pub(super) view: ServerView,
     pub(super) placement: Placement,
+    /// How many servers were allowed to run the request.
+    pub(super) allowed: usize,
 }
 
 impl ForwardRequest {
@@ -38,6 +40,18 @@
         };
         within(&self.route.homes) && self.team.as_ref().is_none_or(|team| within(&team.homes))
     }
+
+    /// The regions in which the request must run; empty if it may run anywhere.
+    pub(super) fn homes(&self) -> BTreeSet<RegionName> {
+        let route = &self.route.homes;
+        match self.team.as_ref().map(|team| &team.homes) {
+            Some(team) if !team.is_empty() && !route.is_empty() => {
+                route.intersection(team).cloned().collect()
+            }
+            Some(team) if route.is_empty() => team.clone(),
+            _ => route.clone(),
+        }
+    }
 }
 
 impl Instance {
@@ -54,9 +68,10 @@
         let left = forward.deadline.saturating_duration_since(now);
         let elsewhere = spread_retry(ELSEWHERE, rand::random());
         let candidates = self.candidates(forward, choice, tried, now);
+        let is_free = forward.homes().is_empty();
         let views: Vec<ServerView> = candidates
             .iter()
-            .map(|server| self.view(forward, server, now))
+            .map(|server| self.view(forward, server, is_free, now))
             .collect();
         let Some(placement) = choose(forward.object, &views, target, forward.urgency()) else {
             return Err((Refusal::NoServer, elsewhere));
@@ -94,6 +109,7 @@
             server,
             view,
             placement,
+            allowed: candidates.len(),
         })
     }
 
@@ -122,10 +138,21 @@
             .collect()
     }
 
-    fn view(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> ServerView {
+    fn view(
+        &self,
+        forward: &ForwardRequest,
+        server: &Server,
+        is_free: bool,
+        now: Instant,
+    ) -> ServerView {
         let health = server.health.borrow();
         let (slowness, failing) = health.averages(now);
         let entry = server.entry.borrow();
+        let region = self.region_of(&entry.centre);
+        let weight = match &region {
+            Some(region) if is_free => self.regions.weight(&forward.service, region),
+            _ => 1.0,
+        };
         let cold = server.is_cold(now);
         let has_room = !cold
             || self.cold_gate.borrow().has_room(
@@ -140,11 +167,12 @@
             slowness,
             failing,
             cold,
-            near: self.region_of(&entry.centre).as_ref() == Some(&self.peers.borrow().own().region),
+            near: region.as_ref() == Some(&self.peers.borrow().own().region),
             suspended: !has_room || health.is_suspended(forward.route.target_latency, now),
             known: forward
                 .object
                 .is_some_and(|object| server.knows(object, now)),
+            weight,
         }
     }
 
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::crashes::CrashSuspect;
 use crate::events::EventLog;
 use crate::metrics::InstanceMetrics;
+use crate::regions::RegionBook;
 use crate::rollout::RolloutBook;
 use crate::servers::ServerSet;
 use crate::table::{TableBatch, TableKind, TableMirror, TableService};
@@ -69,6 +70,7 @@
     pub(crate) rollouts: RefCell<RolloutBook>,
     pub(crate) peers: RefCell<InstanceTable>,
     pub(crate) limits: TeamLimits,
+    pub(crate) regions: RegionBook,
     pub(crate) repeats: RefCell<RepeatBudget>,
     pub(crate) cold_gate: RefCell<ColdGate>,
     pub(crate) crashes: RefCell<CrashLedger>,
@@ -99,6 +101,7 @@
         Self {
             peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
             limits: TeamLimits::new(options.quota),
+            regions: RegionBook::default(),
             repeats: RefCell::new(RepeatBudget::new(options.repeats)),
             clock,
             proof_clock,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -219,6 +219,7 @@
             trials: self.rollouts.borrow().evidence(),
             crashes: self.crashes.borrow().report(),
             loads: self.servers.borrow().loads(),
+            regions: self.regions.report(now),
         }
     }
 
@@ -256,6 +257,7 @@
                 }
             }
             self.refresh_limits();
+            self.refresh_regions();
             if sequence.is_multiple_of(POOL_CHECK_EVERY) {
                 self.servers.borrow().close_stale_connections();
             }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -16,5 +16,6 @@
 pub mod names;
 pub mod placement;
 pub mod quota;
+pub mod region_share;
 pub mod split;
 pub mod trial;
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -12,7 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::names::{CentreName, InstanceName, RegionName, TeamName};
+use super::names::{CentreName, InstanceName, RegionName, ServiceName, TeamName};
+use super::region_share::ServiceDemand;
 use super::trial::TrialEvidence;
 
 /// How long an instance that is not heard from counts as live.
@@ -85,6 +86,8 @@
     pub crashes: Vec<(u64, u32)>,
     /// Requests in progress by server, where there are any.
     pub loads: Vec<(ServerTag, u8)>,
+    /// Where its requests may run, by service.
+    pub regions: Vec<ServiceDemand>,
 }
 
 #[derive(Debug)]
@@ -313,6 +316,24 @@
         sums
     }
 
+    /// The other instances' requests per second that may run anywhere, and those
+    /// that may only run in a region, by service.
+    #[must_use]
+    pub fn other_regions(
+        &self,
+        now: Instant,
+    ) -> BTreeMap<ServiceName, (f64, BTreeMap<RegionName, f64>)> {
+        let mut sums: BTreeMap<ServiceName, (f64, BTreeMap<RegionName, f64>)> = BTreeMap::new();
+        for demand in self.live(now).flat_map(|member| &member.digest.regions) {
+            let (free, homed) = sums.entry(demand.service.clone()).or_default();
+            *free += f64::from(demand.free);
+            for (region, rate) in &demand.homed {
+                *homed.entry(region.clone()).or_insert(0.0) += f64::from(*rate);
+            }
+        }
+        sums
+    }
+
     /// Requests in progress at each server from the other instances.
     #[must_use]
     pub fn other_loads(&self, now: Instant) -> BTreeMap<ServerTag, f64> {
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -44,6 +44,10 @@
 /// more urgent requests still find room at a full service.
 pub const RANK_RESERVE: f64 = 0.1;
 
+/// The weight below which weights make no difference, so that a server without
+/// objects of its own is still used when there is no other.
+pub const MIN_WEIGHT: f64 = 0.001;
+
 /// The largest rank that makes a difference.
 pub const MAX_RANK: u32 = 3;
 
@@ -72,6 +76,8 @@
     pub suspended: bool,
     /// Whether this instance sent the object there recently.
     pub known: bool,
+    /// How many objects it is to own, compared with the others; 0 to 1.
+    pub weight: f64,
 }
 
 /// The choice for a request.
@@ -113,13 +119,25 @@
     mix(hash)
 }
 
+/// The score of a server for an object in weighted rendezvous hashing. A server
+/// has the highest of all scores for a part of the objects that is proportional
+/// to its weight.
+fn score(object: u64, server: &ServerView) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "the low bits of the hash make no difference"
+    )]
+    let part = (mix(object ^ server.hash) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    server.weight.max(MIN_WEIGHT) / -part.ln().min(-f64::MIN_POSITIVE)
+}
+
 /// The indices of the servers with the highest scores for the object, highest
 /// first, at most `most` of them.
 #[must_use]
 pub fn rendezvous(object: u64, servers: &[ServerView], most: usize) -> Vec<usize> {
-    let mut best: Vec<(u64, usize)> = Vec::with_capacity(most + 1);
+    let mut best: Vec<(f64, usize)> = Vec::with_capacity(most + 1);
     for (index, server) in servers.iter().enumerate() {
-        let score = mix(object ^ server.hash);
+        let score = score(object, server);
         if best.len() == most && best.last().is_some_and(|last| last.0 >= score) {
             continue;
         }
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -66,8 +66,13 @@
 
     /// Counts one request.
     pub fn note(&mut self, now: Instant) {
+        self.note_part(1.0, now);
+    }
+
+    /// Counts a part of a request.
+    pub fn note_part(&mut self, part: f64, now: Instant) {
         self.decay(now);
-        self.rate += 1.0 / DEMAND_WINDOW.as_secs_f64();
+        self.rate += part / DEMAND_WINDOW.as_secs_f64();
     }
 
     /// The demand in requests per second.
--- /dev/null
+++ b/crates/policy/tests/entry/fleet_player.rs
@@ -0,0 +1,369 @@
+//! Plays load over the placement decisions of a whole fleet: many instances, each
+//! of which knows its own requests in progress exactly, those of the others from
+//! digests that are up to a second old, and a server's load from its answers.
+//!
+//! Load answered: a service at the size of the grown sites, where requests with
+//! home regions concentrate on a region with few servers. Left out, and so better
+//! here than on the bench: the network, cold starts, lost digests. Run with
+//! `--nocapture` for the table.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit};
+use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
+use tarragonpulley_policy::entry::names::RegionName;
+use tarragonpulley_policy::entry::placement::{ServerView, choose, mix};
+use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionMeter, RegionShare};
+
+use crate::placement::server;
+
+const INSTANCES: usize = 79;
+const SLOTS: usize = 4;
+const QUEUE: usize = 12;
+const KNOWN_OBJECTS: usize = 20;
+const TARGET: Duration = Duration::from_millis(600);
+const TIMEOUT: Duration = Duration::from_millis(1200);
+const WORK_MS: f64 = 880.0;
+const WARM_PART: f64 = 0.3;
+const STEP: Duration = Duration::from_millis(10);
+const DIGEST_EVERY: usize = 100;
+/// The time before credit is counted: objects become known.
+const WARM_UP: Duration = Duration::from_secs(5);
+const SPAN: Duration = Duration::from_secs(25);
+
+/// Servers outside the region with few servers.
+const OTHERS: usize = 120;
+
+/// Objects of requests without a home region.
+const OBJECTS: u64 = 1000;
+
+#[derive(Debug, Clone, Copy)]
+struct PlayedLoad {
+    /// Requests a second that may run anywhere.
+    free: f64,
+    /// Requests a second that must run in the region with few servers.
+    homed: f64,
+    /// Servers of that region.
+    few: usize,
+    /// Objects of the requests that must run there.
+    home_objects: u64,
+}
+
+#[derive(Debug)]
+struct Job {
+    object: u64,
+    instance: usize,
+    ticket: SendTicket,
+    arrived: Instant,
+    left_ms: f64,
+}
+
+#[derive(Debug, Default)]
+struct PlayedServer {
+    running: Vec<Job>,
+    queue: VecDeque<Job>,
+    known: VecDeque<u64>,
+}
+
+impl PlayedServer {
+    fn load(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    fn start_queued(&mut self, random: &mut StdRng) {
+        while self.running.len() < SLOTS {
+            let Some(mut job) = self.queue.pop_front() else {
+                return;
+            };
+            let warm = self.known.contains(&job.object);
+            self.known.retain(|object| *object != job.object);
+            self.known.push_back(job.object);
+            if self.known.len() > KNOWN_OBJECTS {
+                self.known.pop_front();
+            }
+            job.left_ms =
+                WORK_MS * random.random_range(0.85..1.15) * if warm { WARM_PART } else { 1.0 };
+            self.running.push(job);
+        }
+    }
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Played {
+    asked: u32,
+    in_target: u32,
+    late: u32,
+    rejected: u32,
+    shed: u32,
+    timed_out: u32,
+}
+
+impl Played {
+    /// Credit per request: one within the target, a fifth when late.
+    fn credit(self) -> f64 {
+        (f64::from(self.in_target) + 0.2 * f64::from(self.late)) / f64::from(self.asked.max(1))
+    }
+}
+
+struct Fleet {
+    random: StdRng,
+    servers: Vec<PlayedServer>,
+    health: Vec<Vec<ServerHealth>>,
+    known: BTreeMap<(usize, usize, u64), Instant>,
+    counts: Vec<Vec<u8>>,
+    load: PlayedLoad,
+    /// The demand as measured, and the weights that follow from it.
+    meter: RegionMeter,
+    share: RegionShare,
+    played: Played,
+}
+
+impl Fleet {
+    fn new(start: Instant, load: PlayedLoad, seed: u64) -> Self {
+        let count = load.few + OTHERS;
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            servers: (0..count).map(|_| PlayedServer::default()).collect(),
+            health: (0..INSTANCES)
+                .map(|_| (0..count).map(|_| ServerHealth::new(start)).collect())
+                .collect(),
+            known: BTreeMap::new(),
+            load,
+            meter: RegionMeter::default(),
+            share: RegionShare::new(start),
+            counts: vec![vec![0; count]; INSTANCES],
+            played: Played::default(),
+        }
+    }
+
+    /// Ends what finished or ran out of time, and starts what waits.
+    fn serve(&mut self, now: Instant, counted: bool) {
+        for index in 0..self.servers.len() {
+            let mut ended = Vec::new();
+            let server = &mut self.servers[index];
+            for mut job in std::mem::take(&mut server.running) {
+                job.left_ms -= STEP.as_secs_f64() * 1000.0;
+                if job.left_ms <= 0.0 {
+                    ended.push((job, true));
+                } else if now.duration_since(job.arrived) >= TIMEOUT {
+                    ended.push((job, false));
+                } else {
+                    server.running.push(job);
+                }
+            }
+            for job in std::mem::take(&mut server.queue) {
+                if now.duration_since(job.arrived) >= TIMEOUT {
+                    ended.push((job, false));
+                } else {
+                    server.queue.push_back(job);
+                }
+            }
+            server.start_queued(&mut self.random);
+            let load = f64::from(u32::try_from(server.load()).expect("small"));
+            for (job, done) in ended {
+                let health = &mut self.health[job.instance][index];
+                health.ended(job.ticket);
+                if done {
+                    health.reported(load, now);
+                    self.known.insert((job.instance, index, job.object), now);
+                }
+                if !counted {
+                    continue;
+                }
+                if !done {
+                    self.played.timed_out += 1;
+                } else if now.duration_since(job.arrived) <= TARGET {
+                    self.played.in_target += 1;
+                } else {
+                    self.played.late += 1;
+                }
+            }
+        }
+    }
+
+    /// Each instance takes the digests of the others at its own time.
+    fn digest(&mut self, step: usize) {
+        for instance in 0..INSTANCES {
+            if step % DIGEST_EVERY != instance * DIGEST_EVERY / INSTANCES {
+                continue;
+            }
+            for server in 0..self.servers.len() {
+                let own = self.health[instance][server].in_progress();
+                self.counts[instance][server] = u8::try_from(own).expect("small");
+            }
+        }
+        if !step.is_multiple_of(DIGEST_EVERY / 2) {
+            return;
+        }
+        for server in 0..self.servers.len() {
+            let sum: u32 = self
+                .counts
+                .iter()
+                .map(|counts| u32::from(counts[server]))
+                .sum();
+            for instance in 0..INSTANCES {
+                let others = sum - u32::from(self.counts[instance][server]);
+                self.health[instance][server].counted(f64::from(others));
+            }
+        }
+    }
+
+    /// Adjusts the weights of the regions to the demand.
+    fn weigh(&mut self, now: Instant) {
+        let slots = |servers: usize| f64::from(u32::try_from(servers * SLOTS).expect("small"));
+        let mut loads = BTreeMap::from([
+            (
+                region(true),
+                RegionLoad {
+                    slots: slots(self.load.few),
+                    homed: 0.0,
+                },
+            ),
+            (
+                region(false),
+                RegionLoad {
+                    slots: slots(OTHERS),
+                    homed: 0.0,
+                },
+            ),
+        ]);
+        let mut free = 0.0;
+        for demand in self.meter.report(now) {
+            free += f64::from(demand.free);
+            for (region, rate) in demand.homed {
+                loads.get_mut(&region).expect("known").homed += f64::from(rate);
+            }
+        }
+        self.share.follow(&loads, free, now);
+    }
+
+    fn place(&mut self, homed: bool, object: u64, now: Instant, counted: bool) {
+        let instance = self.random.random_range(0..INSTANCES);
+        self.played.asked += u32::from(counted);
+        let regions = if homed {
+            BTreeSet::from([region(true)])
+        } else {
+            BTreeSet::new()
+        };
+        self.meter
+            .note(&"lookup".parse().expect("valid"), &regions, now);
+        let mut tried: Vec<usize> = Vec::new();
+        for _attempt in 0..3 {
+            let allowed: Vec<usize> = (0..self.load.few + if homed { 0 } else { OTHERS })
+                .filter(|index| !tried.contains(index))
+                .collect();
+            let views: Vec<ServerView> = allowed
+                .iter()
+                .map(|&index| {
+                    let health = &self.health[instance][index];
+                    let (slowness, failing) = health.averages(now);
+                    let known = self.known.get(&(instance, index, object));
+                    ServerView {
+                        slots: u32::try_from(SLOTS).expect("small"),
+                        load: health.load(now),
+                        slowness,
+                        failing,
+                        known: known
+                            .is_some_and(|at| now.duration_since(*at) < Duration::from_secs(30)),
+                        suspended: health.is_suspended(TARGET, now),
+                        weight: if homed {
+                            1.0
+                        } else {
+                            self.share.weight(&region(index < self.load.few))
+                        },
+                        ..server(u64::try_from(index).expect("small"))
+                    }
+                })
+                .collect();
+            let placement = choose(Some(mix(object)), &views, TARGET, 0)
+                .filter(|placement| !placement.saturated)
+                .filter(|placement| {
+                    admit(placement.finish, TIMEOUT, 0.0) == AdmissionVerdict::Admit
+                });
+            let Some(placement) = placement else {
+                break;
+            };
+            let index = allowed[placement.index];
+            let server = &mut self.servers[index];
+            let health = &mut self.health[instance][index];
+            if server.queue.len() >= QUEUE {
+                health.shed(now);
+                health.reported(f64::from(u32::try_from(server.load()).expect("small")), now);
+                self.played.shed += u32::from(counted);
+                tried.push(index);
+                continue;
+            }
+            let ticket = health.sent(now);
+            server.queue.push_back(Job {
+                object,
+                instance,
+                ticket,
+                arrived: now,
+                left_ms: 0.0,
+            });
+            return;
+        }
+        self.played.rejected += u32::from(counted);
+    }
+}
+
+fn play(load: PlayedLoad, weighted: bool, seed: u64) -> Played {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, load, seed);
+    let steps = usize::try_from(SPAN.as_millis() / STEP.as_millis()).expect("small");
+    for step in 0..steps {
+        let passed = STEP * u32::try_from(step).expect("small");
+        let now = start + passed;
+        let counted = passed >= WARM_UP;
+        fleet.serve(now, counted);
+        fleet.digest(step);
+        if weighted && step % (DIGEST_EVERY / 2) == 0 {
+            fleet.weigh(now);
+        }
+        for (rate, homed) in [(load.free, false), (load.homed, true)] {
+            let mean = rate * STEP.as_secs_f64();
+            // Arrivals of one step: a binomial that is close to Poisson.
+            let arrivals = (0..64)
+                .filter(|_| fleet.random.random_bool(mean / 64.0))
+                .count();
+            for _ in 0..arrivals {
+                let object = if homed {
+                    OBJECTS + fleet.random.random_range(0..load.home_objects)
+                } else {
+                    fleet.random.random_range(0..OBJECTS)
+                };
+                fleet.place(homed, object, now, counted);
+            }
+        }
+    }
+    fleet.played
+}
+
+fn region(few: bool) -> RegionName {
+    let name = if few { "north" } else { "south" };
+    name.parse().expect("valid")
+}
+
+#[test]
+fn requests_with_homes_are_served_in_a_region_with_few_servers() {
+    let load = PlayedLoad {
+        free: 700.0,
+        homed: 90.0,
+        few: 14,
+        home_objects: 214,
+    };
+    for seed in [1, 2, 3] {
+        for weighted in [false, true] {
+            let played = play(load, weighted, seed);
+            let lost = f64::from(played.rejected + played.timed_out) / f64::from(played.asked);
+            println!(
+                "weighted {weighted}, seed {seed}: credit {:.3}, lost {lost:.4}, {played:?}",
+                played.credit()
+            );
+            assert!(!weighted || lost < 0.01, "seed {seed}: {lost}");
+        }
+    }
+}
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -34,6 +34,7 @@
         trials: vec![(5, TrialEvidence::default())],
         crashes: vec![(9, 1)],
         loads: Vec::new(),
+        regions: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -2,9 +2,11 @@
 
 mod admission;
 mod fleet_limits;
+mod fleet_player;
 mod instances;
 mod load_player;
 mod placement;
+mod regions;
 mod servers;
 mod trial;
 
--- a/crates/policy/tests/entry/placement.rs
+++ b/crates/policy/tests/entry/placement.rs
@@ -20,6 +20,7 @@
         near: true,
         suspended: false,
         known: false,
+        weight: 1.0,
     }
 }
 
