Run requests in the region where they arrive, as far as it has room

All servers of a service are filled to one level; a region takes the requests with homes there first, then those that arrive there; the rest goes where there is room. What ran on lost servers moves at once, other changes at 5 % a second.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -203,6 +203,7 @@
         }
         if table == TableKind::Servers {
             self.servers.borrow_mut().prune(now);
+            self.refresh_regions();
         }
         self.follow_rollouts(now);
         self.changed.notify_waiters();
--- a/crates/edge/src/regions.rs
+++ b/crates/edge/src/regions.rs
@@ -40,56 +40,59 @@
 }
 
 impl Instance {
-    /// Moves the regions' weights towards those that fit the fleet's demand.
+    /// Moves the division of requests over the regions towards the one that fits
+    /// the fleet's demand.
     pub(crate) fn refresh_regions(&self) {
         let now = self.now();
-        let mut demands = self.peers.borrow().other_regions(now);
-        for own in self.regions.report(now) {
-            let (free, homed) = demands.entry(own.service).or_default();
-            *free += f64::from(own.free);
-            for (region, rate) in own.homed {
-                *homed.entry(region).or_insert(0.0) += f64::from(rate);
+        let mut loads = self.region_slots(now);
+        let own = self.regions.report(now);
+        let peers = self.peers.borrow();
+        let origin = &peers.own().region;
+        let reports = peers
+            .other_regions(now)
+            .chain(own.iter().map(|demand| (origin, demand)));
+        for (region, demand) in reports {
+            let service = loads.entry(demand.service.clone()).or_default();
+            service.entry(region.clone()).or_default().free += f64::from(demand.free);
+            for (home, rate) in &demand.homed {
+                service.entry(home.clone()).or_default().homed += f64::from(*rate);
             }
         }
-        for (service, (free, homed)) in demands {
-            let mut loads = self.region_slots(&service, now);
-            for (region, rate) in homed {
-                loads.entry(region).or_default().homed += rate;
-            }
+        for (service, loads) in loads {
+            let is_idle = !own.iter().any(|demand| demand.service == service);
             let mut shares = self.regions.shares.borrow_mut();
-            let share = shares
-                .entry(service.clone())
-                .or_insert_with(|| RegionShare::new(now));
-            if share.follow(&loads, free, now) {
-                let weights: BTreeMap<&str, f64> = share
-                    .weights()
-                    .map(|(region, weight)| (region.as_str(), weight))
+            let share = shares.entry(service.clone()).or_default();
+            if share.follow(origin, &loads, is_idle, now) {
+                let parts: BTreeMap<&str, f64> = share
+                    .parts()
+                    .iter()
+                    .map(|(region, part)| (region.as_str(), *part))
                     .collect();
                 self.log.event(
-                    "regions_weighted",
-                    json!({"service": service.as_str(), "weights": weights, "free_per_s": free}),
+                    "regions_divided",
+                    json!({"service": service.as_str(), "parts": parts}),
                 );
             }
         }
     }
 
-    /// The slots of the servers in use, by region.
+    /// The slots of the servers in use, by service and region.
     fn region_slots(
         &self,
-        service: &ServiceName,
         now: Instant,
-    ) -> BTreeMap<RegionName, RegionLoad> {
+    ) -> BTreeMap<ServiceName, BTreeMap<RegionName, RegionLoad>> {
         let evacuated = self.evacuated.borrow();
-        let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
-        for server in self.servers.borrow().of_service(service) {
+        let mut slots: BTreeMap<ServiceName, BTreeMap<RegionName, RegionLoad>> = BTreeMap::new();
+        for server in self.servers.borrow().all() {
             let entry = server.entry.borrow();
             if !server.is_open(now) || evacuated.contains(&entry.centre) {
                 continue;
             }
             if let Some(region) = self.region_of(&entry.centre) {
+                let loads = slots.entry(entry.service.clone()).or_default();
                 loads.entry(region).or_default().slots += f64::from(entry.slots);
             }
         }
-        loads
+        slots
     }
 }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::names::{CentreName, InstanceName, RegionName, ServiceName, TeamName};
+use super::names::{CentreName, InstanceName, RegionName, TeamName};
 use super::region_share::ServiceDemand;
 use super::trial::TrialEvidence;
 
@@ -316,22 +316,16 @@
         sums
     }
 
-    /// The other instances' requests per second that may run anywhere, and those
-    /// that may only run in a region, by service.
-    #[must_use]
+    /// What the live instances report of where requests may run, each with its
+    /// region.
     pub fn other_regions(
         &self,
         now: Instant,
-    ) -> BTreeMap<ServiceName, (f64, BTreeMap<RegionName, f64>)> {
-        let mut sums: BTreeMap<ServiceName, (f64, BTreeMap<RegionName, f64>)> = BTreeMap::new();
-        for demand in self.live(now).flat_map(|member| &member.digest.regions) {
-            let (free, homed) = sums.entry(demand.service.clone()).or_default();
-            *free += f64::from(demand.free);
-            for (region, rate) in &demand.homed {
-                *homed.entry(region.clone()).or_insert(0.0) += f64::from(*rate);
-            }
-        }
-        sums
+    ) -> impl Iterator<Item = (&RegionName, &ServiceDemand)> {
+        self.live(now).flat_map(|member| {
+            let demands = member.digest.regions.iter();
+            demands.map(|demand| (&member.digest.record.region, demand))
+        })
     }
 
     /// Requests in progress at each server from the other instances.
--- a/crates/policy/src/entry/region_share.rs
+++ b/crates/policy/src/entry/region_share.rs
@@ -1,9 +1,12 @@
-//! How work that may run in any region is divided over the regions.
+//! In which regions requests run that may run in any.
 //!
-//! Load answered: requests with home regions concentrate on a region that has few
-//! servers. If the other requests were spread evenly over all servers, this
-//! region would be overloaded while the rest has room. The other requests get a
-//! smaller part there, so that all servers of a service are loaded alike.
+//! Load answered: objects that are asked for in one region only. Their owners
+//! are best in that region, as long as it has room: the answer comes sooner, and
+//! no bytes cross between regions. Regions have unequal parts of the servers and
+//! of the callers, and some requests have home regions. So all servers of a
+//! service are filled to one level: each region first with the requests that
+//! must run there, then with the others that arrive there; what is left runs
+//! where there is room.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -13,24 +16,24 @@
 use super::names::{RegionName, ServiceName};
 use super::quota::DemandMeter;
 
-/// The part of a service's requests that may move to another region in a second.
-/// Well below the sites' bound of 0.15 in two seconds, as the parts of a few
-/// hundred requests vary by chance.
-pub const MAX_MOVED_PER_S: f64 = 0.04;
+/// The part of a region's requests that may move to other regions in a second.
+/// Leaves a margin to the sites' bound of 0.15 in two seconds, as the parts of a
+/// few hundred requests vary by chance.
+pub const MAX_MOVED_PER_S: f64 = 0.05;
 
-/// Weights keep their goal until the computed one is farther away than this.
+/// The part of a region's requests that must be misplaced before any moves.
 /// Small movements would give objects new owners without relief.
-pub const DEAD_BAND: f64 = 0.1;
+pub const DEAD_BAND: f64 = 0.05;
 
-/// The demand in requests per second below which weights stay as they are. The
-/// parts of a few requests are chance.
+/// The demand in requests per second below which all regions are assumed to ask
+/// alike. The parts of a few requests are chance.
 pub const MIN_DEMAND: f64 = 5.0;
 
 /// Rates below this are left out of reports.
 const MIN_REPORTED: f32 = 0.05;
 
-/// The time after which the weights move as if no more had passed, so that an
-/// instance that stood still does not move everything at once.
+/// The longest time for which requests move at once, so that an instance that
+/// stood still does not move everything.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// What one region has and must do for a service.
@@ -40,6 +43,8 @@
     pub slots: f64,
     /// Requests per second that may only run there.
     pub homed: f64,
+    /// Requests per second that arrive there and may run anywhere.
+    pub free: f64,
 }
 
 /// Requests per second for one service, as one instance tells the others.
@@ -114,23 +119,17 @@
     }
 }
 
-/// The weight of each region that has servers, for requests that may run
-/// anywhere: between 0 and 1, and 1 for the least loaded region. `free` is the
-/// rate of these requests per second.
-///
-/// The weights fill the regions up to one level of requests per slot; a region
-/// whose own requests exceed this level gets nothing.
-#[must_use]
-pub fn fill_level(
-    loads: &BTreeMap<RegionName, RegionLoad>,
-    free: f64,
-) -> BTreeMap<RegionName, f64> {
-    let mut filled: Vec<&RegionLoad> = loads.values().filter(|load| load.slots > 0.0).collect();
+/// The requests per second without homes that each region takes when all servers
+/// are filled to one level. A region whose own requests exceed it takes none.
+fn rooms(loads: &BTreeMap<RegionName, RegionLoad>) -> BTreeMap<&RegionName, f64> {
+    let mut usable: Vec<(&RegionName, &RegionLoad)> =
+        loads.iter().filter(|(_, load)| load.slots > 0.0).collect();
     let density = |load: &RegionLoad| load.homed / load.slots;
-    filled.sort_by(|a, b| density(a).total_cmp(&density(b)));
+    usable.sort_by(|a, b| density(a.1).total_cmp(&density(b.1)));
+    let mut demand: f64 = loads.values().map(|load| load.free).sum();
+    let mut slots = 0.0;
     // Takes regions in while their own requests stay below the level.
-    let (mut slots, mut demand) = (0.0, free);
-    for load in filled {
+    for (_, load) in &usable {
         if slots > 0.0 && density(load) >= demand / slots {
             break;
         }
@@ -138,86 +137,178 @@
         demand += load.homed;
     }
     let level = if slots > 0.0 { demand / slots } else { 0.0 };
-    let room = |load: &RegionLoad| (level - density(load)).max(0.0);
-    let usable = || loads.iter().filter(|(_, load)| load.slots > 0.0);
-    let most = usable().map(|(_, load)| room(load)).fold(0.0, f64::max);
-    usable()
-        .map(|(region, load)| {
-            let weight = if most > 0.0 { room(load) / most } else { 1.0 };
-            (region.clone(), weight)
+    usable
+        .into_iter()
+        .map(|(region, load)| (region, (level * load.slots - load.homed).max(0.0)))
+        .collect()
+}
+
+/// The part of the requests arriving at `origin` without homes that runs in each
+/// region with servers. The parts add up to 1 if there is any.
+#[must_use]
+pub fn divide(
+    origin: &RegionName,
+    loads: &BTreeMap<RegionName, RegionLoad>,
+) -> BTreeMap<RegionName, f64> {
+    let asked: f64 = loads.values().map(|load| load.free + load.homed).sum();
+    let assumed;
+    let loads = if asked < MIN_DEMAND {
+        let alike = |load: &RegionLoad| RegionLoad {
+            free: 1.0,
+            homed: 0.0,
+            ..*load
+        };
+        assumed = loads
+            .iter()
+            .map(|(region, load)| (region.clone(), alike(load)))
+            .collect();
+        &assumed
+    } else {
+        loads
+    };
+    let rooms = rooms(loads);
+    let local = |region: &RegionName| -> f64 {
+        let room = rooms.get(region).copied().unwrap_or(0.0);
+        loads.get(region).map_or(0.0, |load| load.free.min(room))
+    };
+    let free = loads.get(origin).map_or(0.0, |load| load.free);
+    let here = if free > 0.0 {
+        local(origin) / free
+    } else {
+        f64::from(u8::from(rooms.contains_key(origin)))
+    };
+    let spare = |region: &RegionName| rooms[region] - local(region);
+    let spares: f64 = rooms.keys().map(|region| spare(region)).sum();
+    let slots: f64 = loads.values().map(|load| load.slots).sum();
+    rooms
+        .keys()
+        .map(|&region| {
+            // Without room anywhere all servers are used alike.
+            let away = if spares > 0.0 {
+                spare(region) / spares
+            } else {
+                loads[region].slots / slots
+            };
+            let stays = if region == origin { here } else { 0.0 };
+            (region.clone(), stays + (1.0 - here) * away)
         })
         .collect()
 }
 
-#[derive(Debug, Clone, Copy)]
-struct RegionWeight {
-    value: f64,
-    goal: f64,
+/// Half of the sum of differences: the part that has to move from one division
+/// to reach the other.
+fn distance(a: &BTreeMap<RegionName, f64>, b: &BTreeMap<RegionName, f64>) -> f64 {
+    let part =
+        |parts: &BTreeMap<RegionName, f64>, region| parts.get(region).copied().unwrap_or(0.0);
+    let regions: BTreeSet<&RegionName> = a.keys().chain(b.keys()).collect();
+    regions
+        .into_iter()
+        .map(|region| (part(a, region) - part(b, region)).abs() / 2.0)
+        .sum()
 }
 
-/// The weights in force for one service. They follow the computed ones slowly.
-#[derive(Debug)]
+/// The division in force at one instance for one service. It follows the computed
+/// one slowly, so that a change of traffic does not move many requests at once.
+#[derive(Debug, Default)]
 pub struct RegionShare {
-    weights: BTreeMap<RegionName, RegionWeight>,
-    updated: Instant,
+    parts: BTreeMap<RegionName, f64>,
+    goal: BTreeMap<RegionName, f64>,
+    slots: BTreeMap<RegionName, f64>,
+    updated: Option<Instant>,
 }
 
 impl RegionShare {
-    /// Creates equal weights.
+    /// The weight of a server with one slot in a region, between 0 and 1; 1
+    /// everywhere before the first division.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self {
-            weights: BTreeMap::new(),
-            updated: now,
+    pub fn weight(&self, region: &RegionName) -> f64 {
+        let density = |region: &RegionName| {
+            let slots = self.slots.get(region).copied().unwrap_or(0.0);
+            let part = self.parts.get(region).copied().unwrap_or(0.0);
+            if slots > 0.0 { part / slots } else { 0.0 }
+        };
+        let most = self.parts.keys().map(density).fold(0.0, f64::max);
+        if most > 0.0 {
+            density(region) / most
+        } else {
+            1.0
         }
     }
 
-    /// The weight of a region.
+    /// The part of the requests that runs in each region.
     #[must_use]
-    pub fn weight(&self, region: &RegionName) -> f64 {
-        self.weights.get(region).map_or(1.0, |weight| weight.value)
-    }
-
-    /// The weights that were ever set.
-    pub fn weights(&self) -> impl Iterator<Item = (&RegionName, f64)> {
-        self.weights
-            .iter()
-            .map(|(region, weight)| (region, weight.value))
+    pub fn parts(&self) -> &BTreeMap<RegionName, f64> {
+        &self.parts
     }
 
-    /// Moves the weights towards those that fit the load. Returns whether one
+    /// Moves the division towards the one that fits the load; at once if
+    /// `is_idle`, when no requests are there that would move. Returns whether it
     /// moved.
     pub fn follow(
         &mut self,
+        origin: &RegionName,
         loads: &BTreeMap<RegionName, RegionLoad>,
-        free: f64,
+        is_idle: bool,
         now: Instant,
     ) -> bool {
-        let passed = now.saturating_duration_since(self.updated);
-        self.updated = now;
-        let homed: f64 = loads.values().map(|load| load.homed).sum();
-        if free + homed < MIN_DEMAND {
-            return false;
+        let passed = self
+            .updated
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.updated = Some(now);
+        let fitting = divide(origin, loads);
+        if distance(&self.goal, &fitting) > DEAD_BAND {
+            self.goal = fitting;
         }
-        let slots: f64 = loads.values().map(|load| load.slots).sum();
-        let moved = MAX_MOVED_PER_S * passed.min(MAX_PAUSE).as_secs_f64();
-        let mut has_moved = false;
-        for (region, goal) in fill_level(loads, free) {
-            let step = moved * slots / loads[&region].slots;
-            let weight = self.weights.entry(region).or_insert(RegionWeight {
-                value: 1.0,
-                goal: 1.0,
-            });
-            // The ends of the range are always goals, or a region would never be
-            // left or used in full again.
-            let is_end = goal <= 0.0 || goal >= 1.0;
-            if is_end || (goal - weight.goal).abs() > DEAD_BAND {
-                weight.goal = goal;
+        let before = std::mem::replace(
+            &mut self.slots,
+            loads
+                .iter()
+                .map(|(region, load)| (region.clone(), load.slots))
+                .collect(),
+        );
+        if is_idle || self.parts.is_empty() {
+            let moved = self.parts != self.goal;
+            self.parts.clone_from(&self.goal);
+            return moved;
+        }
+        let lost = self.leave_lost(&before);
+        let step = MAX_MOVED_PER_S * passed.min(MAX_PAUSE).as_secs_f64();
+        let far = distance(&self.parts, &self.goal);
+        if far <= 0.0 {
+            return lost;
+        }
+        let ratio = (step / far).min(1.0);
+        self.approach(ratio);
+        true
+    }
+
+    /// What ran on servers that are gone moves at once.
+    fn leave_lost(&mut self, before: &BTreeMap<RegionName, f64>) -> bool {
+        let mut lost = 0.0;
+        for (region, part) in &mut self.parts {
+            let (old, new) = (
+                before.get(region).copied().unwrap_or(0.0),
+                self.slots.get(region).copied().unwrap_or(0.0),
+            );
+            if new < old {
+                let leaving = *part * (1.0 - new / old);
+                *part -= leaving;
+                lost += leaving;
             }
-            let distance = weight.goal - weight.value;
-            weight.value += distance.clamp(-step, step);
-            has_moved |= distance != 0.0;
         }
-        has_moved
+        for (region, part) in &self.goal {
+            *self.parts.entry(region.clone()).or_insert(0.0) += lost * part;
+        }
+        lost > 0.0
+    }
+
+    fn approach(&mut self, ratio: f64) {
+        let regions: BTreeSet<RegionName> =
+            self.parts.keys().chain(self.goal.keys()).cloned().collect();
+        for region in regions {
+            let goal = self.goal.get(&region).copied().unwrap_or(0.0);
+            let part = self.parts.entry(region).or_insert(0.0);
+            *part += (goal - *part) * ratio;
+        }
     }
 }
--- a/crates/policy/tests/entry/fleet_player.rs
+++ b/crates/policy/tests/entry/fleet_player.rs
@@ -2,12 +2,12 @@
 //! of which knows its own requests in progress exactly, those of the others from
 //! digests that are up to a second old, and a server's load from its answers.
 //!
-//! Load answered: a service at the size of the grown sites, where requests with
-//! home regions concentrate on a region with few servers. Left out, and so better
+//! Load answered: a service at the size of the grown sites, where many requests
+//! arrive in a region with few servers, and some have their home there. Left out, and so better
 //! here than on the bench: the network, cold starts, lost digests. Run with
 //! `--nocapture` for the table.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -16,7 +16,7 @@
 use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::RegionName;
 use tarragonpulley_policy::entry::placement::{ServerView, choose, mix};
-use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionMeter, RegionShare};
+use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionShare};
 
 use crate::placement::server;
 
@@ -37,6 +37,13 @@
 /// Servers outside the region with few servers.
 const OTHERS: usize = 120;
 
+/// The part of the requests without a home that arrives in the region with few
+/// servers.
+const FEW_PART: f64 = 1.0 / 3.0;
+
+/// Added to an answer from another region.
+const ROUND_TRIP: Duration = Duration::from_millis(70);
+
 /// Objects of requests without a home region.
 const OBJECTS: u64 = 1000;
 
@@ -59,6 +66,7 @@
     ticket: SendTicket,
     arrived: Instant,
     left_ms: f64,
+    is_away: bool,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +107,7 @@
     rejected: u32,
     shed: u32,
     timed_out: u32,
+    away: u32,
 }
 
 impl Played {
@@ -115,9 +124,8 @@
     known: BTreeMap<(usize, usize, u64), Instant>,
     counts: Vec<Vec<u8>>,
     load: PlayedLoad,
-    /// The demand as measured, and the weights that follow from it.
-    meter: RegionMeter,
-    share: RegionShare,
+    /// By region of arrival: the one with few servers, the others.
+    shares: [RegionShare; 2],
     played: Played,
 }
 
@@ -132,8 +140,7 @@
                 .collect(),
             known: BTreeMap::new(),
             load,
-            meter: RegionMeter::default(),
-            share: RegionShare::new(start),
+            shares: <[RegionShare; 2]>::default(),
             counts: vec![vec![0; count]; INSTANCES],
             played: Played::default(),
         }
@@ -175,7 +182,15 @@
                 }
                 if !done {
                     self.played.timed_out += 1;
-                } else if now.duration_since(job.arrived) <= TARGET {
+                    continue;
+                }
+                let travel = if job.is_away {
+                    ROUND_TRIP
+                } else {
+                    Duration::ZERO
+                };
+                self.played.away += u32::from(job.is_away);
+                if now.duration_since(job.arrived) + travel <= TARGET {
                     self.played.in_target += 1;
                 } else {
                     self.played.late += 1;
@@ -211,45 +226,29 @@
         }
     }
 
-    /// Adjusts the weights of the regions to the demand.
-    fn weigh(&mut self, now: Instant) {
+    /// Adjusts the division over the regions to the demand.
+    fn divide(&mut self, now: Instant) {
         let slots = |servers: usize| f64::from(u32::try_from(servers * SLOTS).expect("small"));
-        let mut loads = BTreeMap::from([
-            (
-                region(true),
-                RegionLoad {
-                    slots: slots(self.load.few),
-                    homed: 0.0,
-                },
-            ),
-            (
-                region(false),
-                RegionLoad {
-                    slots: slots(OTHERS),
-                    homed: 0.0,
-                },
-            ),
+        let load = |servers, homed, part| RegionLoad {
+            slots: slots(servers),
+            homed,
+            free: self.load.free * part,
+        };
+        let loads = BTreeMap::from([
+            (region(true), load(self.load.few, self.load.homed, FEW_PART)),
+            (region(false), load(OTHERS, 0.0, 1.0 - FEW_PART)),
         ]);
-        let mut free = 0.0;
-        for demand in self.meter.report(now) {
-            free += f64::from(demand.free);
-            for (region, rate) in demand.homed {
-                loads.get_mut(&region).expect("known").homed += f64::from(rate);
-            }
+        for (share, few) in self.shares.iter_mut().zip([true, false]) {
+            share.follow(&region(few), &loads, false, now);
         }
-        self.share.follow(&loads, free, now);
     }
 
     fn place(&mut self, homed: bool, object: u64, now: Instant, counted: bool) {
         let instance = self.random.random_range(0..INSTANCES);
         self.played.asked += u32::from(counted);
-        let regions = if homed {
-            BTreeSet::from([region(true)])
-        } else {
-            BTreeSet::new()
-        };
-        self.meter
-            .note(&"lookup".parse().expect("valid"), &regions, now);
+        // Each object is asked for in one region.
+        let in_few = homed || mix(object ^ 1).is_multiple_of(3);
+        let origin = usize::from(!in_few);
         let mut tried: Vec<usize> = Vec::new();
         for _attempt in 0..3 {
             let allowed: Vec<usize> = (0..self.load.few + if homed { 0 } else { OTHERS })
@@ -272,7 +271,7 @@
                         weight: if homed {
                             1.0
                         } else {
-                            self.share.weight(&region(index < self.load.few))
+                            self.shares[origin].weight(&region(index < self.load.few))
                         },
                         ..server(u64::try_from(index).expect("small"))
                     }
@@ -303,6 +302,7 @@
                 ticket,
                 arrived: now,
                 left_ms: 0.0,
+                is_away: in_few != (index < self.load.few),
             });
             return;
         }
@@ -310,7 +310,7 @@
     }
 }
 
-fn play(load: PlayedLoad, weighted: bool, seed: u64) -> Played {
+fn play(load: PlayedLoad, divided: bool, seed: u64) -> Played {
     let start = Instant::now();
     let mut fleet = Fleet::new(start, load, seed);
     let steps = usize::try_from(SPAN.as_millis() / STEP.as_millis()).expect("small");
@@ -320,8 +320,8 @@
         let counted = passed >= WARM_UP;
         fleet.serve(now, counted);
         fleet.digest(step);
-        if weighted && step % (DIGEST_EVERY / 2) == 0 {
-            fleet.weigh(now);
+        if divided && step % (DIGEST_EVERY / 2) == 0 {
+            fleet.divide(now);
         }
         for (rate, homed) in [(load.free, false), (load.homed, true)] {
             let mean = rate * STEP.as_secs_f64();
@@ -356,14 +356,31 @@
         home_objects: 214,
     };
     for seed in [1, 2, 3] {
-        for weighted in [false, true] {
-            let played = play(load, weighted, seed);
-            let lost = f64::from(played.rejected + played.timed_out) / f64::from(played.asked);
+        for divided in [false, true] {
+            let played = play(load, divided, seed);
+            let part = |count: u32| f64::from(count) / f64::from(played.asked);
+            let (lost, away) = (part(played.rejected + played.timed_out), part(played.away));
             println!(
-                "weighted {weighted}, seed {seed}: credit {:.3}, lost {lost:.4}, {played:?}",
+                "divided {divided}, seed {seed}: credit {:.3}, lost {lost:.4}, away {away:.3}, {played:?}",
                 played.credit()
             );
-            assert!(!weighted || lost < 0.01, "seed {seed}: {lost}");
+            assert!(!divided || lost < 0.01, "seed {seed}: {lost}");
         }
     }
 }
+
+#[test]
+fn most_requests_run_where_they_arrive() {
+    // A third of the requests arrives in a region with a tenth of the servers: a
+    // quarter has to run elsewhere.
+    let load = PlayedLoad {
+        free: 700.0,
+        homed: 0.0,
+        few: 14,
+        home_objects: 1,
+    };
+    let (even, divided) = (play(load, false, 4), play(load, true, 4));
+    println!("{even:?}, {divided:?}");
+    assert!(divided.away * 10 < divided.asked * 3);
+    assert!(divided.credit() >= even.credit() - 0.005);
+}
--- a/crates/policy/tests/entry/regions.rs
+++ b/crates/policy/tests/entry/regions.rs
@@ -1,4 +1,4 @@
-//! How requests that may run anywhere are divided over the regions.
+//! In which regions requests run that may run in any.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -6,7 +6,7 @@
 use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::{ServerView, mix, rendezvous};
 use tarragonpulley_policy::entry::region_share::{
-    MAX_MOVED_PER_S, RegionLoad, RegionMeter, RegionShare, fill_level,
+    DEAD_BAND, MAX_MOVED_PER_S, RegionLoad, RegionMeter, RegionShare, divide,
 };
 use yare::parameterized;
 
@@ -16,84 +16,173 @@
     name.parse().expect("valid")
 }
 
-fn loads(entries: &[(&str, f64, f64)]) -> BTreeMap<RegionName, RegionLoad> {
+type Loads = BTreeMap<RegionName, RegionLoad>;
+
+/// Slots, requests with this home, and other requests by region.
+fn loads(entries: &[(&str, f64, f64, f64)]) -> Loads {
     entries
         .iter()
-        .map(|&(name, slots, homed)| (region(name), RegionLoad { slots, homed }))
+        .map(|&(name, slots, homed, free)| (region(name), RegionLoad { slots, homed, free }))
         .collect()
 }
 
+fn part(parts: &BTreeMap<RegionName, f64>, name: &str) -> f64 {
+    parts.get(&region(name)).copied().unwrap_or(0.0)
+}
+
 #[parameterized(
-    nothing_homed = { &[("a", 10.0, 0.0), ("b", 30.0, 0.0)], 80.0, &[1.0, 1.0] },
-    // The level is (60 + 20) / 40 = 2 a slot; half of it is left in a.
-    one_region_partly_taken = { &[("a", 20.0, 20.0), ("b", 20.0, 0.0)], 60.0, &[0.5, 1.0] },
-    one_region_beyond_the_level = { &[("a", 10.0, 90.0), ("b", 30.0, 0.0)], 60.0, &[0.0, 1.0] },
-    all_homed_alike = { &[("a", 10.0, 10.0), ("b", 30.0, 30.0)], 40.0, &[1.0, 1.0] },
-    nothing_to_divide = { &[("a", 10.0, 10.0), ("b", 10.0, 0.0)], 0.0, &[1.0, 1.0] },
+    enough_room_here = { &[("a", 20.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)], &[1.0, 0.0] },
+    // 90 requests on 30 slots: 3 a slot, so that a takes 30 of its 45.
+    few_servers_here = { &[("a", 10.0, 0.0, 45.0), ("b", 20.0, 0.0, 45.0)], &[2.0 / 3.0, 1.0 / 3.0] },
+    // The same, but a third of the room here is taken.
+    homed_requests_here = { &[("a", 10.0, 10.0, 40.0), ("b", 20.0, 0.0, 40.0)], &[0.5, 0.5] },
+    homed_requests_fill_it = { &[("a", 10.0, 90.0, 40.0), ("b", 20.0, 0.0, 40.0)], &[0.0, 1.0] },
+    no_servers_here = { &[("a", 0.0, 0.0, 40.0), ("b", 20.0, 0.0, 40.0)], &[0.0, 1.0] },
+    what_is_left_goes_where_there_is_room = {
+        &[("a", 10.0, 0.0, 60.0), ("b", 30.0, 0.0, 30.0), ("c", 20.0, 0.0, 30.0)],
+        &[1.0 / 3.0, 0.5, 1.0 / 6.0]
+    },
+    no_demand_yet = { &[("a", 10.0, 0.0, 0.0), ("b", 20.0, 0.0, 0.0)], &[2.0 / 3.0, 1.0 / 3.0] },
+    no_demand_here = { &[("a", 10.0, 0.0, 0.0), ("b", 20.0, 0.0, 90.0)], &[1.0, 0.0] },
 )]
-fn free_requests_fill_the_regions_to_one_level(
-    entries: &[(&str, f64, f64)],
-    free: f64,
+fn requests_run_where_they_arrive_as_far_as_there_is_room(
+    entries: &[(&str, f64, f64, f64)],
     expected: &[f64],
 ) {
-    let weights: Vec<f64> = fill_level(&loads(entries), free).into_values().collect();
-    assert_eq!(weights.len(), expected.len());
-    for (weight, expected) in weights.iter().zip(expected) {
-        assert!((weight - expected).abs() < 1e-9, "{weights:?}");
+    let parts = divide(&region("a"), &loads(entries));
+    for ((name, ..), expected) in entries.iter().zip(expected) {
+        assert!((part(&parts, name) - expected).abs() < 1e-9, "{parts:?}");
     }
 }
 
 #[test]
-fn a_region_without_servers_keeps_its_weight() {
-    let start = Instant::now();
-    let mut share = RegionShare::new(start);
-    let without = loads(&[("a", 0.0, 50.0), ("b", 30.0, 0.0)]);
-    for second in 1..20 {
-        share.follow(&without, 100.0, start + Duration::from_secs(second));
+fn all_servers_are_filled_to_one_level() {
+    let loads = loads(&[
+        ("a", 14.0, 10.0, 120.0),
+        ("b", 54.0, 0.0, 90.0),
+        ("c", 66.0, 20.0, 160.0),
+    ]);
+    let mut filled: BTreeMap<RegionName, f64> = BTreeMap::new();
+    for (origin, load) in &loads {
+        for (target, part) in divide(origin, &loads) {
+            *filled.entry(target).or_insert(0.0) += part * load.free;
+        }
+    }
+    let level = 400.0 / 134.0;
+    for (name, load) in &loads {
+        let density = (filled[name] + load.homed) / load.slots;
+        assert!(
+            (density - level).abs() < 1e-9,
+            "{name}: {density} of {level}"
+        );
     }
-    assert!((share.weight(&region("a")) - 1.0).abs() < 1e-9);
+}
+
+/// A share that has requests and has reached the division of the loads.
+fn settled(loads: &Loads, start: Instant) -> RegionShare {
+    let mut share = RegionShare::default();
+    share.follow(&region("a"), loads, true, start);
+    share
 }
 
 #[test]
-fn weights_move_no_more_requests_than_allowed() {
-    // `a` has a quarter of the slots and is filled by its own requests.
+fn a_change_of_traffic_moves_requests_slowly() {
     let start = Instant::now();
-    let mut share = RegionShare::new(start);
-    let load = loads(&[("a", 10.0, 100.0), ("b", 30.0, 0.0)]);
-    let mut before = 1.0;
-    let mut elapsed = 0;
-    while share.follow(&load, 100.0, start + Duration::from_millis(500 * elapsed)) || elapsed == 0 {
-        let weight = share.weight(&region("a"));
-        assert!((before - weight) * 0.25 <= MAX_MOVED_PER_S * 0.5 + 1e-9);
-        before = weight;
-        elapsed += 1;
+    let calm = loads(&[("a", 20.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)]);
+    let surge = loads(&[("a", 20.0, 0.0, 150.0), ("b", 20.0, 0.0, 50.0)]);
+    let mut share = settled(&calm, start);
+    let (mut before, mut now) = (1.0, start);
+    for _ in 0..40 {
+        now += Duration::from_millis(500);
+        share.follow(&region("a"), &surge, false, now);
+        let here = part(share.parts(), "a");
+        assert!(
+            before - here <= MAX_MOVED_PER_S * 0.5 + 1e-9,
+            "{before} to {here}"
+        );
+        before = here;
     }
-    assert!(before.abs() < 1e-9, "{before}");
+    assert!((before - 2.0 / 3.0).abs() < 1e-6, "{before}");
+}
+
+#[test]
+fn a_pause_of_the_instance_does_not_move_everything_at_once() {
+    let start = Instant::now();
+    let calm = loads(&[("a", 20.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)]);
+    let surge = loads(&[("a", 20.0, 0.0, 150.0), ("b", 20.0, 0.0, 50.0)]);
+    let mut share = settled(&calm, start);
+    share.follow(&region("a"), &surge, false, start + Duration::from_secs(30));
+    assert!(part(share.parts(), "a") >= 1.0 - MAX_MOVED_PER_S);
 }
 
 #[test]
 fn small_changes_of_demand_move_nothing() {
     let start = Instant::now();
-    let mut share = RegionShare::new(start);
-    let mut now = start;
-    for _ in 0..40 {
-        now += Duration::from_millis(500);
-        share.follow(&loads(&[("a", 20.0, 20.0), ("b", 20.0, 0.0)]), 60.0, now);
+    let mut share = settled(
+        &loads(&[("a", 10.0, 0.0, 45.0), ("b", 20.0, 0.0, 45.0)]),
+        start,
+    );
+    let before = share.parts().clone();
+    for (step, free) in [44.0, 46.0, 43.0, 47.0].into_iter().enumerate() {
+        let now = start + Duration::from_secs(u64::try_from(step).expect("small") + 1);
+        let loads = loads(&[("a", 10.0, 0.0, free), ("b", 20.0, 0.0, 45.0)]);
+        share.follow(&region("a"), &loads, false, now);
+        assert_eq!(share.parts(), &before, "free {free}, band {DEAD_BAND}");
     }
-    for homed in [18.0, 22.0, 19.0, 21.0] {
+}
+
+#[test]
+fn what_ran_on_lost_servers_moves_at_once_and_returns_slowly() {
+    let start = Instant::now();
+    let whole = loads(&[("a", 20.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)]);
+    let half = loads(&[("a", 10.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)]);
+    let mut share = settled(&whole, start);
+    let mut now = start + Duration::from_millis(500);
+    share.follow(&region("a"), &half, false, now);
+    // 100 requests on 30 slots: 33 of 50 fit here. Half left with the servers,
+    // of which two thirds go to the ten slots here again.
+    let here = part(share.parts(), "a");
+    assert!((0.6..0.9).contains(&here), "{here}");
+    let sum: f64 = share.parts().values().sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+    let mut before = here;
+    for _ in 0..60 {
         now += Duration::from_millis(500);
-        let load = loads(&[("a", 20.0, homed), ("b", 20.0, 0.0)]);
-        assert!(!share.follow(&load, 60.0, now), "homed {homed}");
+        share.follow(&region("a"), &whole, false, now);
+        let here = part(share.parts(), "a");
+        assert!(here - before <= MAX_MOVED_PER_S * 0.5 + 1e-9);
+        before = here;
     }
+    assert!((before - 1.0).abs() < 1e-6, "{before}");
 }
 
 #[test]
-fn a_pause_of_the_instance_does_not_move_everything_at_once() {
+fn an_instance_without_requests_takes_the_division_at_once() {
+    // One that starts again agrees with the others before it serves.
     let start = Instant::now();
-    let mut share = RegionShare::new(start);
-    let load = loads(&[("a", 20.0, 100.0), ("b", 20.0, 0.0)]);
-    share.follow(&load, 50.0, start + Duration::from_secs(30));
-    assert!(share.weight(&region("a")) > 0.9);
+    let calm = loads(&[("a", 20.0, 0.0, 50.0), ("b", 20.0, 0.0, 50.0)]);
+    let surge = loads(&[("a", 20.0, 0.0, 150.0), ("b", 20.0, 0.0, 50.0)]);
+    let mut share = settled(&calm, start);
+    share.follow(
+        &region("a"),
+        &surge,
+        true,
+        start + Duration::from_millis(500),
+    );
+    assert!((part(share.parts(), "a") - 2.0 / 3.0).abs() < 1e-9);
+}
+
+#[test]
+fn weights_are_parts_by_slot() {
+    let start = Instant::now();
+    let share = settled(
+        &loads(&[("a", 10.0, 0.0, 45.0), ("b", 20.0, 0.0, 45.0)]),
+        start,
+    );
+    // Two thirds on 10 slots, one third on 20.
+    assert!((share.weight(&region("a")) - 1.0).abs() < 1e-9);
+    assert!((share.weight(&region("b")) - 0.25).abs() < 1e-9);
+    assert!((RegionShare::default().weight(&region("a")) - 1.0).abs() < 1e-9);
 }
 
 #[test]
