Encode digests once; one search for the lowest name; names and questions tidied

From the last reading of the change: peers.rs encoded a growing prefix of each bundle for every target and dropped a second error; cold_allowance hashed all instance names for each cold candidate; four searches for the lowest live name; two name macros; one long connection loop; an entry of TeamLimits::asked leaked when a caller left. A guard, a cached hash, one search, one macro and named steps replace them.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -7,7 +7,7 @@
 use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit, spread_retry};
 use tarragonpulley_policy::entry::cold::allowance;
 use tarragonpulley_policy::entry::names::RegionName;
-use tarragonpulley_policy::entry::placement::{Placement, ServerView, choose, text_hash};
+use tarragonpulley_policy::entry::placement::{Placement, ServerView, choose};
 
 use super::refusal::Refusal;
 use super::{ELSEWHERE, ForwardRequest};
@@ -183,12 +183,7 @@
         };
         let bound = self.options.borrow().cold;
         let peers = self.peers.borrow();
-        let names: Vec<u64> = peers
-            .sharing_names(now)
-            .iter()
-            .map(|name| text_hash(name.as_str()))
-            .collect();
-        let own = text_hash(peers.own().name.as_str());
-        allowance(bound, rule.cold_rate, server.hash, own, &names)
+        let (own, all) = (peers.own_hash(), peers.sharing_hashes(now));
+        allowance(bound, rule.cold_rate, server.hash, own, &all)
     }
 }
--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -12,7 +12,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -204,6 +204,113 @@
     }
 }
 
+/// One connection of a caller.
+struct CallerConnection {
+    reader: RequestReader,
+    writer: OwnedWriteHalf,
+    pending: VecDeque<PendingRequest>,
+    /// No request is taken after one that ends the connection.
+    ends: bool,
+}
+
+/// What becomes of a connection after an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionState {
+    Open,
+    /// The last answer is sent.
+    Ended,
+    /// Nothing more can be sent, or nothing is expected.
+    Dropped,
+}
+
+impl CallerConnection {
+    fn new(stream: TcpStream) -> Self {
+        let (read_half, writer) = stream.into_split();
+        Self {
+            reader: RequestReader {
+                stream: read_half,
+                buffer: BytesMut::new(),
+                head: None,
+                last_byte: Instant::now(),
+                partial_since: None,
+                expects_continue: false,
+            },
+            writer,
+            pending: VecDeque::new(),
+            ends: false,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && !self.reader.is_partial()
+    }
+
+    /// Tells the caller to send the body, once all earlier answers are out.
+    async fn send_continue(&mut self) -> io::Result<()> {
+        if self.reader.expects_continue && self.pending.is_empty() {
+            self.reader.expects_continue = false;
+            self.writer
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Sends the answer of the first pending request.
+    async fn send_reply(&mut self, reply: &CallerReply, phase: StopPhase) -> ConnectionState {
+        let Some(request) = self.pending.pop_front() else {
+            return ConnectionState::Dropped;
+        };
+        let close = reply.close
+            || !request.keeps_alive
+            || (self.ends && self.pending.is_empty())
+            || (self.is_idle() && phase >= StopPhase::Draining);
+        let bytes = encode_reply(reply, request.is_head, close);
+        let written = tokio::time::timeout(WRITE_TIMEOUT, self.writer.write_all(&bytes)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return ConnectionState::Dropped;
+        }
+        self.reader.last_byte = self.reader.last_byte.max(Instant::now());
+        if close {
+            ConnectionState::Ended
+        } else {
+            ConnectionState::Open
+        }
+    }
+
+    fn take_event(&mut self, event: ReadEvent, handler: &dyn RequestHandler) -> ConnectionState {
+        match event {
+            ReadEvent::Request(request) => {
+                let is_head = request.head.method == "HEAD";
+                let keeps_alive = request.head.keeps_alive();
+                self.ends |= !keeps_alive;
+                let task = actix_rt::spawn(handler.handle(request));
+                self.pending.push_back(PendingRequest {
+                    reply: PendingReply::Task(ReplyTask(task)),
+                    is_head,
+                    keeps_alive,
+                });
+            }
+            ReadEvent::Refused(error) => self.refuse(refusal_status(error)),
+            ReadEvent::TimedOut { partial: true } => self.refuse(408),
+            ReadEvent::TimedOut { partial: false } | ReadEvent::Gone => {
+                return ConnectionState::Dropped;
+            }
+        }
+        ConnectionState::Open
+    }
+
+    /// Answers what cannot be read as a request, and takes no more.
+    fn refuse(&mut self, status: u16) {
+        self.pending.push_back(PendingRequest {
+            reply: PendingReply::Ready(CallerReply::empty(status).closing()),
+            is_head: false,
+            keeps_alive: false,
+        });
+        self.ends = true;
+    }
+}
+
 async fn serve_connection(
     stream: TcpStream,
     handler: Rc<dyn RequestHandler>,
@@ -213,94 +320,42 @@
         // The caller has reset the connection.
         return;
     }
-    let (read_half, mut write_half) = stream.into_split();
-    let mut reader = RequestReader {
-        stream: read_half,
-        buffer: BytesMut::new(),
-        head: None,
-        last_byte: Instant::now(),
-        partial_since: None,
-        expects_continue: false,
-    };
-    let mut pending: VecDeque<PendingRequest> = VecDeque::new();
-    let mut ends = false;
+    let mut connection = CallerConnection::new(stream);
     loop {
         let limits = handler.limits();
         let phase = *stop.borrow_and_update();
-        if phase == StopPhase::Closing && pending.is_empty() && !reader.is_partial() {
+        if phase == StopPhase::Closing && connection.is_idle() {
             return;
         }
-        if reader.expects_continue && pending.is_empty() {
-            reader.expects_continue = false;
-            if write_half
-                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await
-                .is_err()
-            {
-                return;
-            }
+        if connection.send_continue().await.is_err() {
+            return;
         }
-        let accepts = !ends && pending.len() < MAX_PIPELINED;
-        let is_idle = pending.is_empty();
-        tokio::select! {
+        let accepts = !connection.ends && connection.pending.len() < MAX_PIPELINED;
+        let waits = connection.pending.is_empty();
+        let CallerConnection {
+            reader, pending, ..
+        } = &mut connection;
+        let state = tokio::select! {
             biased;
             reply = async { match pending.front_mut() {
                 Some(first) => first.reply.wait().await,
                 None => std::future::pending().await,
-            }} => {
-                let Some(request) = pending.pop_front() else { return };
-                let last = pending.is_empty() && !reader.is_partial();
-                let close = reply.close
-                    || !request.keeps_alive
-                    || (ends && pending.is_empty())
-                    || (last && phase >= StopPhase::Draining);
-                let bytes = encode_reply(&reply, request.is_head, close);
-                let written = tokio::time::timeout(WRITE_TIMEOUT, write_half.write_all(&bytes)).await;
-                if !matches!(written, Ok(Ok(()))) {
-                    return;
-                }
-                reader.last_byte = reader.last_byte.max(Instant::now());
-                if close {
-                    linger(write_half, reader.stream).await;
-                    return;
-                }
+            }} => connection.send_reply(&reply, phase).await,
+            event = reader.next(&limits, accepts, waits) => {
+                connection.take_event(event, &*handler)
             }
-            event = reader.next(&limits, accepts, is_idle) => match event {
-                ReadEvent::Request(request) => {
-                    let is_head = request.head.method == "HEAD";
-                    let keeps_alive = request.head.keeps_alive();
-                    ends |= !keeps_alive;
-                    let task = actix_rt::spawn(handler.handle(request));
-                    pending.push_back(PendingRequest {
-                        reply: PendingReply::Task(ReplyTask(task)),
-                        is_head,
-                        keeps_alive,
-                    });
-                }
-                ReadEvent::Refused(error) => {
-                    let reply = CallerReply::empty(refusal_status(error)).closing();
-                    pending.push_back(PendingRequest {
-                        reply: PendingReply::Ready(reply),
-                        is_head: false,
-                        keeps_alive: false,
-                    });
-                    ends = true;
-                }
-                ReadEvent::TimedOut { partial: true } => {
-                    pending.push_back(PendingRequest {
-                        reply: PendingReply::Ready(CallerReply::empty(408).closing()),
-                        is_head: false,
-                        keeps_alive: false,
-                    });
-                    ends = true;
-                }
-                ReadEvent::TimedOut { partial: false } | ReadEvent::Gone => return,
-            },
-            changed = stop.changed() => {
-                if changed.is_err() {
-                    return;
-                }
+            changed = stop.changed() => match changed {
+                Ok(()) => ConnectionState::Open,
+                Err(_closed) => ConnectionState::Dropped,
+            }
+        };
+        match state {
+            ConnectionState::Open => {}
+            ConnectionState::Ended => {
+                linger(connection.writer, connection.reader.stream).await;
+                return;
             }
+            ConnectionState::Dropped => return,
         }
     }
 }
@@ -316,7 +371,7 @@
 /// Sends the end of the stream and discards what still arrives for a moment:
 /// closing with unread bytes would reset the connection and could destroy the
 /// answer on its way.
-async fn linger(mut write_half: tokio::net::tcp::OwnedWriteHalf, mut read_half: OwnedReadHalf) {
+async fn linger(mut write_half: OwnedWriteHalf, mut read_half: OwnedReadHalf) {
     const LINGER: Duration = Duration::from_millis(500);
     if write_half.shutdown().await.is_err() {
         return;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tarragonpulley_policy::entry::digest::{InstanceDigest, InstanceRecord, ServerTag};
+use tarragonpulley_policy::entry::digest::{InstanceDigest, ServerTag, split_by_size};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
@@ -25,8 +25,12 @@
 /// connections that servers have closed.
 const POOL_CHECK_EVERY: u64 = 10;
 
-/// The largest datagram in bytes; stays below the usual path limit.
-const MAX_DATAGRAM: usize = 1300;
+/// The most bytes of digests in a datagram, which stays below the usual path
+/// limit with its other fields.
+const MAX_DATAGRAM: usize = 1290;
+
+/// Bytes that tell the length of a digest in a datagram.
+const LENGTH_BYTES: usize = 3;
 
 /// The largest message over TCP in bytes.
 const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
@@ -51,7 +55,9 @@
     Digests {
         /// Whether the receiver hands the digests on in its data centre.
         relay: bool,
-        digests: Vec<InstanceDigest>,
+        /// Each encoded by itself, so that they are encoded once for all
+        /// datagrams and receivers.
+        digests: Vec<Vec<u8>>,
     },
     /// Asks the keeper of the data centre for a token of a team's limit.
     Ask(TokenAsk),
@@ -229,12 +235,8 @@
         loop {
             sequence += 1;
             let now = self.now();
-            let own = self.digest(sequence);
-            let neighbours: Vec<InstanceRecord> =
-                self.peers.borrow().neighbours().cloned().collect();
-            for neighbour in &neighbours {
-                self.send(neighbour.peer, false, vec![own.clone()]).await;
-            }
+            let own = self.datagrams(false, &[self.digest(sequence)]);
+            self.send_all(&self.neighbour_addresses(), &own).await;
             let is_urgent = tokio::select! {
                 () = self.urgent.notified() => true,
                 () = actix_rt::time::sleep(DIGEST_INTERVAL) => false,
@@ -252,9 +254,8 @@
                     .iter()
                     .map(|record| record.peer)
                     .collect();
-                for target in targets {
-                    self.send(target, true, digests.clone()).await;
-                }
+                self.send_all(&targets, &self.datagrams(true, &digests))
+                    .await;
             }
             self.refresh_limits();
             self.refresh_regions();
@@ -264,37 +265,33 @@
         }
     }
 
-    async fn send(&self, target: SocketAddr, relay: bool, digests: Vec<InstanceDigest>) {
-        let mut part: Vec<InstanceDigest> = Vec::new();
-        let mut parts: Vec<Vec<u8>> = Vec::new();
-        let mut last: Option<Vec<u8>> = None;
-        for digest in digests {
-            part.push(digest);
-            match encode(&PeerMessage::Digests {
-                relay,
-                digests: part.clone(),
-            }) {
-                Ok(bytes) if bytes.len() > MAX_DATAGRAM && part.len() > 1 => {
-                    parts.extend(last.take());
-                    part.drain(..part.len() - 1);
-                    last = encode(&PeerMessage::Digests {
-                        relay,
-                        digests: part.clone(),
-                    })
-                    .ok();
-                }
-                Ok(bytes) => last = Some(bytes),
-                Err(error) => {
-                    self.log
-                        .event("digest_not_sent", json!({"reason": error.to_string()}));
-                    return;
-                }
+    /// The datagrams that carry some digests.
+    fn datagrams(&self, relay: bool, digests: &[InstanceDigest]) -> Vec<Vec<u8>> {
+        let bundled = || -> Result<Vec<Vec<u8>>, bincode::error::EncodeError> {
+            let encoded: Vec<Vec<u8>> = digests.iter().map(encode).collect::<Result<_, _>>()?;
+            split_by_size(encoded, LENGTH_BYTES, MAX_DATAGRAM)
+                .into_iter()
+                .map(|digests| encode(&PeerMessage::Digests { relay, digests }))
+                .collect()
+        };
+        bundled().unwrap_or_else(|error| {
+            self.log
+                .event("digest_not_sent", json!({"reason": error.to_string()}));
+            Vec::new()
+        })
+    }
+
+    async fn send_all(&self, targets: &[SocketAddr], datagrams: &[Vec<u8>]) {
+        for target in targets {
+            for bytes in datagrams {
+                self.send_datagram(*target, bytes).await;
             }
         }
-        parts.extend(last);
-        for bytes in parts {
-            self.send_datagram(target, &bytes).await;
-        }
+    }
+
+    fn neighbour_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        peers.neighbours().map(|record| record.peer).collect()
     }
 
     /// Receives digests until the process ends.
@@ -315,32 +312,40 @@
                         .await;
                 }
                 Ok(PeerMessage::Grant(grant)) => self.limits.granted(grant),
-                Err(error) => self.log.event(
-                    "datagram_ignored",
-                    json!({"sender": sender.to_string(), "reason": error.to_string()}),
-                ),
+                Err(error) => self.ignore_datagram(sender, &error),
             }
         }
     }
 
-    async fn receive_bundle(&self, relay: bool, digests: Vec<InstanceDigest>, sender: SocketAddr) {
+    async fn receive_bundle(&self, relay: bool, digests: Vec<Vec<u8>>, sender: SocketAddr) {
         let now = self.now();
         let mut fresh = Vec::new();
-        for digest in digests {
+        for bytes in digests {
+            let digest: InstanceDigest = match decode(&bytes) {
+                Ok(digest) => digest,
+                Err(error) => {
+                    self.ignore_datagram(sender, &error);
+                    continue;
+                }
+            };
             let direct = digest.record.peer == sender;
             if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
                 fresh.push(digest);
             }
         }
         if relay && !fresh.is_empty() {
-            let neighbours: Vec<InstanceRecord> =
-                self.peers.borrow().neighbours().cloned().collect();
-            for neighbour in neighbours {
-                self.send(neighbour.peer, false, fresh.clone()).await;
-            }
+            let datagrams = self.datagrams(false, &fresh);
+            self.send_all(&self.neighbour_addresses(), &datagrams).await;
         }
     }
 
+    fn ignore_datagram(&self, sender: SocketAddr, error: &bincode::error::DecodeError) {
+        self.log.event(
+            "datagram_ignored",
+            json!({"sender": sender.to_string(), "reason": error.to_string()}),
+        );
+    }
+
     /// Sends one datagram. It may be lost; whoever needs an answer waits for it.
     pub(crate) async fn tell(&self, target: SocketAddr, message: &PeerMessage) {
         match encode(message) {
--- a/crates/edge/src/team_limits.rs
+++ b/crates/edge/src/team_limits.rs
@@ -84,6 +84,30 @@
     }
 }
 
+/// A question to the keeper that is not answered yet. Forgotten when dropped,
+/// also when the caller leaves meanwhile.
+struct OpenQuestion<'a> {
+    limits: &'a TeamLimits,
+    id: u64,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        self.limits.asked.borrow_mut().remove(&self.id);
+    }
+}
+
+impl TeamLimits {
+    /// Opens a question under a new id.
+    fn open(&self) -> (OpenQuestion<'_>, oneshot::Receiver<TokenGrant>) {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.asked.borrow_mut().insert(id, sender);
+        (OpenQuestion { limits: self, id }, receiver)
+    }
+}
+
 impl Instance {
     /// Takes a token for a request of a team; `Some` is the time until the next
     /// token, if there is none.
@@ -99,19 +123,16 @@
             .get()
             .is_some_and(|until| now < until);
         if !is_silent {
-            let id = self.limits.next_id.get();
-            self.limits.next_id.set(id + 1);
-            let (sender, receiver) = oneshot::channel();
-            self.limits.asked.borrow_mut().insert(id, sender);
+            let (question, receiver) = self.limits.open();
             let ask = TokenAsk {
-                id,
+                id: question.id,
                 team: team.name.clone(),
                 rate,
                 burst: team.burst,
             };
             self.tell(keeper.peer, &PeerMessage::Ask(ask)).await;
             let answer = tokio::time::timeout(KEEPER_LIMIT, receiver).await;
-            self.limits.asked.borrow_mut().remove(&id);
+            drop(question);
             if let Ok(Ok(grant)) = answer {
                 return grant.wait;
             }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::names::{CentreName, InstanceName, RegionName, TeamName};
+use super::placement::text_hash;
 use super::region_share::ServiceDemand;
 use super::trial::TrialEvidence;
 
@@ -90,9 +91,31 @@
     pub regions: Vec<ServiceDemand>,
 }
 
+/// Divides encoded digests over datagrams, in order. Each counts `overhead` bytes
+/// more than its length; one that exceeds `most` by itself gets its own datagram.
+#[must_use]
+pub fn split_by_size(encoded: Vec<Vec<u8>>, overhead: usize, most: usize) -> Vec<Vec<Vec<u8>>> {
+    let mut groups: Vec<Vec<Vec<u8>>> = Vec::new();
+    let mut left = 0;
+    for bytes in encoded {
+        let size = bytes.len() + overhead;
+        match groups.last_mut() {
+            Some(group) if size <= left => group.push(bytes),
+            _ => {
+                groups.push(vec![bytes]);
+                left = most;
+            }
+        }
+        left = left.saturating_sub(size);
+    }
+    groups
+}
+
 #[derive(Debug)]
 struct Member {
     digest: InstanceDigest,
+    /// Of its name.
+    hash: u64,
     heard: Instant,
     direct: bool,
 }
@@ -101,6 +124,7 @@
 #[derive(Debug)]
 pub struct InstanceTable {
     own: InstanceRecord,
+    own_hash: u64,
     started: Instant,
     members: BTreeMap<InstanceName, Member>,
     known: BTreeMap<InstanceName, InstanceRecord>,
@@ -111,6 +135,7 @@
     #[must_use]
     pub fn new(own: InstanceRecord, now: Instant) -> Self {
         Self {
+            own_hash: text_hash(own.name.as_str()),
             own,
             started: now,
             members: BTreeMap::new(),
@@ -149,6 +174,7 @@
         self.members.insert(
             name,
             Member {
+                hash: text_hash(digest.record.name.as_str()),
                 digest,
                 heard: now,
                 direct,
@@ -189,44 +215,61 @@
         }
     }
 
-    /// The names of the instances that share the fleet's limits.
+    /// The hashes of the names of the instances that share the fleet's limits.
     #[must_use]
-    pub fn sharing_names(&self, now: Instant) -> Vec<InstanceName> {
-        let mut names: Vec<InstanceName> = self
-            .remembered(now)
-            .map(|member| member.digest.record.name.clone())
-            .collect();
-        names.push(self.own.name.clone());
-        names
+    pub fn sharing_hashes(&self, now: Instant) -> Vec<u64> {
+        let mut hashes: Vec<u64> = self.remembered(now).map(|member| member.hash).collect();
+        hashes.push(self.own_hash);
+        hashes
+    }
+
+    /// The hash of this instance's name.
+    #[must_use]
+    pub fn own_hash(&self) -> u64 {
+        self.own_hash
+    }
+
+    /// The instance with the lowest name among those that fit, if it is below
+    /// this one's.
+    fn first<'a>(
+        &self,
+        fitting: impl Iterator<Item = &'a InstanceRecord>,
+    ) -> Option<&'a InstanceRecord> {
+        fitting
+            .filter(|record| record.name < self.own.name)
+            .min_by(|a, b| a.name.cmp(&b.name))
+    }
+
+    /// Instances of this data centre that were heard themselves, in a state.
+    fn near(
+        &self,
+        now: Instant,
+        fits: impl Fn(InstanceState) -> bool,
+    ) -> impl Iterator<Item = &InstanceRecord> {
+        self.live(now)
+            .filter(move |member| member.direct && fits(member.digest.state))
+            .map(|member| &member.digest.record)
+            .filter(|record| record.centre == self.own.centre)
     }
 
     /// Whether this instance speaks for its data centre.
     #[must_use]
     pub fn is_delegate(&self, now: Instant) -> bool {
-        !self.live(now).any(|member| {
-            let record = &member.digest.record;
-            member.direct && record.centre == self.own.centre && record.name < self.own.name
-        })
+        self.first(self.near(now, |_any| true)).is_none()
     }
 
     /// Whether this instance has the lowest name of all live ones, so that it
     /// writes records on behalf of the fleet.
     #[must_use]
     pub fn is_first(&self, now: Instant) -> bool {
-        !self.live(now).any(|member| {
-            member.digest.state == InstanceState::Ready && member.digest.record.name < self.own.name
-        })
+        self.first(self.ready(now)).is_none()
     }
 
     /// The instance that reads the table service for this data centre, if it is
     /// another one: the live and ready one with the lowest name.
     #[must_use]
     pub fn reader(&self, now: Instant) -> Option<&InstanceRecord> {
-        self.live(now)
-            .filter(|member| member.direct && member.digest.state == InstanceState::Ready)
-            .map(|member| &member.digest.record)
-            .filter(|record| record.centre == self.own.centre && record.name < self.own.name)
-            .min_by(|a, b| a.name.cmp(&b.name))
+        self.first(self.near(now, |state| state == InstanceState::Ready))
     }
 
     /// The instance that holds this data centre's part of the teams' limits, if
@@ -235,15 +278,11 @@
     #[must_use]
     pub fn keeper(&self, now: Instant) -> Option<&InstanceRecord> {
         let starting = now.saturating_duration_since(self.started) < START_SPAN;
-        let live = self
-            .live(now)
-            .filter(|member| member.direct && member.digest.state != InstanceState::Leaving)
-            .map(|member| &member.digest.record);
-        let unheard =
-            |record: &&InstanceRecord| starting && !self.members.contains_key(&record.name);
-        live.chain(self.known.values().filter(unheard))
-            .filter(|record| record.centre == self.own.centre && record.name < self.own.name)
-            .min_by(|a, b| a.name.cmp(&b.name))
+        let unheard = self.known.values().filter(|record| {
+            starting && record.centre == self.own.centre && !self.members.contains_key(&record.name)
+        });
+        let live = self.near(now, |state| state != InstanceState::Leaving);
+        self.first(live.chain(unheard))
     }
 
     /// How many data centres have instances, this one included.
--- a/crates/policy/src/entry/names.rs
+++ b/crates/policy/src/entry/names.rs
@@ -10,94 +10,60 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::name_type::name_type;
+
 /// The longest name in bytes.
 pub const MAX_NAME_BYTES: usize = 200;
 
 /// Why a text is not a name.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("a name must have 1 to {MAX_NAME_BYTES} bytes, this one has {length}")]
+#[error("a {kind} must have 1 to {MAX_NAME_BYTES} bytes, this one has {length}")]
 pub struct NameError {
+    /// What was parsed.
+    pub kind: &'static str,
     /// The length of the text in bytes.
     pub length: usize,
 }
 
-macro_rules! shared_name {
-    ($(#[$doc:meta])* $type:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $type(Rc<str>);
-
-        impl $type {
-            /// The name as text.
-            #[must_use]
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $type {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $type {
-            type Err = NameError;
-
-            fn from_str(text: &str) -> Result<Self, NameError> {
-                if text.is_empty() || text.len() > MAX_NAME_BYTES {
-                    return Err(NameError { length: text.len() });
-                }
-                Ok(Self(Rc::from(text)))
-            }
-        }
-
-        impl TryFrom<String> for $type {
-            type Error = NameError;
-
-            fn try_from(text: String) -> Result<Self, NameError> {
-                text.parse()
-            }
-        }
-
-        impl From<$type> for String {
-            fn from(name: $type) -> Self {
-                name.0.as_ref().to_owned()
-            }
-        }
-    };
+fn check_length(kind: &'static str, text: &str) -> Result<(), NameError> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(NameError {
+            kind,
+            length: text.len(),
+        });
+    }
+    Ok(())
 }
 
-shared_name!(
+name_type!(
     /// A backend server, one start of a program.
-    ServerId
+    ServerId(Rc<str>), "server id", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A service: the set of backend servers that run the same program.
-    ServiceName
+    ServiceName(Rc<str>), "service name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A version of a service's program.
-    VersionName
+    VersionName(Rc<str>), "version name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A team: the holder of keys and of a request limit.
-    TeamName
+    TeamName(Rc<str>), "team name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A data centre.
-    CentreName
+    CentreName(Rc<str>), "data centre name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A region: a set of data centres.
-    RegionName
+    RegionName(Rc<str>), "region name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// An entry instance.
-    InstanceName
+    InstanceName(Rc<str>), "instance name", check_length => NameError
 );
-shared_name!(
+name_type!(
     /// A key that a caller shows.
-    CallerKey
+    CallerKey(Rc<str>), "caller key", check_length => NameError
 );
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -8,6 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::name_type::name_type;
+
 /// The longest name in bytes. Names travel in heartbeats, so they stay short.
 pub const MAX_NAME_BYTES: usize = 64;
 
@@ -76,87 +78,41 @@
     }
 }
 
-macro_rules! name_type {
-    ($(#[$doc:meta])* $type:ident, $kind:literal) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $type(String);
-
-        impl $type {
-            /// The name as text.
-            #[must_use]
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $type {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $type {
-            type Err = IdError;
-
-            fn from_str(text: &str) -> Result<Self, IdError> {
-                check_name($kind, text)?;
-                Ok(Self(text.to_owned()))
-            }
-        }
-
-        impl TryFrom<String> for $type {
-            type Error = IdError;
-
-            fn try_from(text: String) -> Result<Self, IdError> {
-                text.parse()
-            }
-        }
-
-        impl From<$type> for String {
-            fn from(name: $type) -> Self {
-                name.0
-            }
-        }
-    };
-}
-
 name_type!(
     /// A region: data centres close to each other.
-    RegionName, "region name"
+    RegionName(String), "region name", check_name => IdError
 );
 name_type!(
     /// A data centre.
-    CentreName, "data centre name"
+    CentreName(String), "data centre name", check_name => IdError
 );
 name_type!(
     /// A customer: the owner of one contract.
-    CustomerName, "customer name"
+    CustomerName(String), "customer name", check_name => IdError
 );
 name_type!(
     /// A team of a customer: the tenant that a key belongs to.
-    TeamName, "team name"
+    TeamName(String), "team name", check_name => IdError
 );
 name_type!(
     /// A service of a customer.
-    ServiceName, "service name"
+    ServiceName(String), "service name", check_name => IdError
 );
 name_type!(
     /// A backend server, unique within its service.
-    ServerName, "server name"
+    ServerName(String), "server name", check_name => IdError
 );
 name_type!(
     /// A version of a service's backend servers.
-    VersionName, "version name"
+    VersionName(String), "version name", check_name => IdError
 );
 name_type!(
     /// An entry instance.
-    InstanceName, "instance name"
+    InstanceName(String), "instance name", check_name => IdError
 );
 name_type!(
     /// A move, drain or rollout that an operator ordered.
-    MoveName, "move name"
+    MoveName(String), "move name", check_name => IdError
 );
 
 /// A team within its customer. Written `customer/team`.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod membership;
 pub mod movement;
+mod name_type;
 pub mod probing;
 pub mod quarantine;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/name_type.rs
@@ -0,0 +1,51 @@
+//! Newtypes of names: text that is checked once, when it is read.
+
+/// Defines a name type over `$storage`. `$check` takes the kind of name for its
+/// error and the text.
+macro_rules! name_type {
+    ($(#[$doc:meta])* $type:ident($storage:ty), $kind:literal, $check:path => $error:ty) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $type($storage);
+
+        impl $type {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = $error;
+
+            fn from_str(text: &str) -> Result<Self, $error> {
+                $check($kind, text)?;
+                Ok(Self(<$storage>::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $type {
+            type Error = $error;
+
+            fn try_from(text: String) -> Result<Self, $error> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(name: $type) -> Self {
+                name.as_str().to_owned()
+            }
+        }
+    };
+}
+
+pub(crate) use name_type;
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, InstanceState, InstanceTable,
+    InstanceDigest, InstanceRecord, InstanceState, InstanceTable, split_by_size,
 };
 use tarragonpulley_policy::entry::directory::instances_for;
 use tarragonpulley_policy::entry::trial::TrialEvidence;
@@ -152,3 +152,18 @@
     let named = instances_for(&region, &caller.parse().expect("a name"), records.iter());
     assert_eq!(named.len(), count);
 }
+
+#[parameterized(
+    nothing = { &[], &[] },
+    all_in_one = { &[400, 400], &[2] },
+    one_byte_too_many = { &[497, 498, 1], &[1, 2] },
+    exactly_full = { &[497, 497], &[2] },
+    one_too_large_goes_alone = { &[10, 2000, 10], &[1, 1, 1] },
+)]
+fn digests_are_divided_over_datagrams(lengths: &[usize], expected: &[usize]) {
+    let encoded: Vec<Vec<u8>> = lengths.iter().map(|length| vec![0; *length]).collect();
+    let groups = split_by_size(encoded.clone(), 3, 1000);
+    let counts: Vec<usize> = groups.iter().map(Vec::len).collect();
+    assert_eq!(counts, expected);
+    assert_eq!(groups.concat(), encoded);
+}
