Let callers return at once when servers with room rejected them, and repeat at the owner

Repeats are bounded, so most callers were sent away, for 300 to 600 ms as if a queue had to drain; the repeats went to servers that did not know the object.

Change: a rejection by a server with free slots asks the caller to return after 50 to 100 ms, and its repeat may go to the same server.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use tarragonpulley_policy::entry::admission::spread_retry;
+use tarragonpulley_policy::entry::admission::{RejectionLoad, spread_retry};
 use tarragonpulley_policy::entry::config::{RouteRule, TeamRule, TrafficConfig};
 use tarragonpulley_policy::entry::names::ServiceName;
 use tarragonpulley_policy::entry::placement::{CANDIDATES, text_hash};
@@ -242,18 +242,19 @@
         let mut tried: Vec<Rc<Server>> = Vec::new();
         let mut last_failure: Option<ServerAnswer> = None;
         let mut maybe_ran = false;
-        let mut sent = 0;
+        let mut rejection = RejectionLoad::Full;
+        let (mut placements, mut sent) = (0, 0);
         loop {
             let now = self.now();
-            let choice = if tried.is_empty() {
+            let choice = if placements == 0 {
                 self.choose_version(&forward.service, now)
             } else {
                 self.fallback_version(&forward.service)
             };
             let placed = match self.place(forward, &choice, &tried, now) {
                 Ok(placed) => placed,
-                Err(_) if !tried.is_empty() => {
-                    return self.give_up(forward, maybe_ran, last_failure);
+                Err(_) if placements > 0 => {
+                    return self.give_up(forward, maybe_ran, rejection, last_failure);
                 }
                 Err((refusal, after)) => {
                     let inputs = json!({"service": forward.service.as_str(), "route": forward.route.name,
@@ -265,23 +266,29 @@
             let outcome = attempt.run(in_flight).await;
             let was_sent = !matches!(outcome, AttemptOutcome::NotSent);
             sent += u32::from(was_sent);
-            tried.push(Rc::clone(&placed.server));
+            placements += 1;
+            // A server that rejected the request with free slots may take it now,
+            // and it is the one that knows the object.
+            if !matches!(outcome, AttemptOutcome::NotRun(RejectionLoad::HasRoom)) {
+                tried.push(Rc::clone(&placed.server));
+            }
             match outcome {
                 AttemptOutcome::Answer(answer) => {
                     return self.pass_on(forward, &placed.server, &attempt, answer);
                 }
-                AttemptOutcome::NotRun | AttemptOutcome::NotSent => {}
+                AttemptOutcome::NotRun(load) => rejection = load,
+                AttemptOutcome::NotSent => {}
                 AttemptOutcome::Failed { answer } => {
                     maybe_ran = true;
                     last_failure = answer.or(last_failure);
                     if !forward.route.repeatable {
-                        return self.give_up(forward, maybe_ran, last_failure);
+                        return self.give_up(forward, maybe_ran, rejection, last_failure);
                     }
                 }
             }
             let left = forward.deadline.saturating_duration_since(self.now());
             let sharing = self.peers.borrow().sharing(self.now());
-            let exhausted = sent >= forward.route.max_attempts || tried.len() >= CANDIDATES;
+            let exhausted = sent >= forward.route.max_attempts || placements >= CANDIDATES;
             if exhausted
                 || left < MIN_ATTEMPT
                 || (was_sent
@@ -290,7 +297,7 @@
                         .borrow_mut()
                         .take(&forward.service, sharing, self.now()))
             {
-                return self.give_up(forward, maybe_ran, last_failure);
+                return self.give_up(forward, maybe_ran, rejection, last_failure);
             }
             if was_sent {
                 self.metrics.repeats.inc();
@@ -317,6 +324,7 @@
         &self,
         forward: &ForwardRequest,
         maybe_ran: bool,
+        rejection: RejectionLoad,
         failure: Option<ServerAnswer>,
     ) -> CallerReply {
         if let Some(answer) = failure {
@@ -328,12 +336,12 @@
             return self.reply_of(answer);
         }
         if !maybe_ran {
-            let after = spread_retry(ELSEWHERE, rand::random());
             return self.refuse(
                 &forward.id,
                 Refusal::AllShed,
-                Some(after),
-                &json!({"service": forward.service.as_str()}),
+                Some(rejection.retry_after(rand::random())),
+                &json!({"service": forward.service.as_str(),
+                    "has_room": rejection == RejectionLoad::HasRoom}),
             );
         }
         self.log.event(
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::placement::{ServerView, expected_finish};
 
 use super::place::PlacedServer;
@@ -33,7 +34,7 @@
     /// The server's answer is for the caller.
     Answer(ServerAnswer),
     /// The server stated that the request did not run.
-    NotRun,
+    NotRun(RejectionLoad),
     /// The server could not be reached; no byte was sent.
     NotSent,
     /// The server failed after the request was sent. The answer is the server's
@@ -245,14 +246,15 @@
         let names = self.instance.adapter.headers();
         let server = self.server();
         let status = answer.head.status;
-        if let Some(load) = answer.head.text(names.load).and_then(reported_load) {
+        let load = answer.head.text(names.load).and_then(reported_load);
+        if let Some(load) = load {
             server.health.borrow_mut().reported(load, now);
         }
         if status == 421 {
             server.health.borrow_mut().suspend(now);
             server.drop_connections();
             self.log("misdirected", &json!({"status": status}));
-            return AttemptOutcome::NotRun;
+            return AttemptOutcome::NotRun(RejectionLoad::Full);
         }
         if answer.head.text(names.not_run).is_some() {
             server.health.borrow_mut().shed(now);
@@ -261,7 +263,8 @@
                 "shed",
                 &json!({"status": status, "reported_load": reported}),
             );
-            return AttemptOutcome::NotRun;
+            let slots = server.entry.borrow().slots;
+            return AttemptOutcome::NotRun(RejectionLoad::new(load, slots));
         }
         let sealed = answer.head.text(names.seal).is_some();
         let matched = answer
--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -5,6 +5,9 @@
 //! allows. Such a request is rejected before it is sent, so that the rejection
 //! can state truthfully that it has not run, with the time after which the
 //! queue has drained to where it fits.
+//!
+//! Also answered: a service whose servers reject a part of all requests although
+//! they have room, more than may be repeated. Its callers may return at once.
 
 use std::time::Duration;
 
@@ -18,6 +21,44 @@
 /// The longest time after which a rejected caller is asked to return.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
+/// The time after which a caller is asked to return when a server with free slots
+/// rejected its request. Nothing has to drain; the pause only keeps returning
+/// callers apart.
+pub const REJECTED_WITH_ROOM: Duration = Duration::from_millis(50);
+
+/// The time after which a caller is asked to return when full servers rejected
+/// its request: about one request on a known object.
+pub const REJECTED_WHEN_FULL: Duration = Duration::from_millis(300);
+
+/// How a server was loaded when it rejected a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectionLoad {
+    /// It reported free slots. Another try may succeed at once, there too.
+    HasRoom,
+    /// It reported none, or did not tell.
+    Full,
+}
+
+impl RejectionLoad {
+    /// Judges a report of requests running and waiting.
+    #[must_use]
+    pub fn new(reported: Option<f64>, slots: u32) -> Self {
+        match reported {
+            Some(load) if load < f64::from(slots) => Self::HasRoom,
+            _ => Self::Full,
+        }
+    }
+
+    /// When the caller of a request that no server took may return.
+    #[must_use]
+    pub fn retry_after(self, spread: f64) -> Duration {
+        match self {
+            Self::HasRoom => REJECTED_WITH_ROOM.mul_f64(1.0 + spread.clamp(0.0, 1.0)),
+            Self::Full => spread_retry(REJECTED_WHEN_FULL, spread),
+        }
+    }
+}
+
 /// Whether a request is sent.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum AdmissionVerdict {
--- a/crates/policy/tests/entry/admission.rs
+++ b/crates/policy/tests/entry/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tarragonpulley_policy::entry::admission::{
-    AdmissionVerdict, MAX_RETRY_AFTER, MIN_RETRY_AFTER, admit,
+    AdmissionVerdict, MAX_RETRY_AFTER, MIN_RETRY_AFTER, RejectionLoad, admit,
 };
 use yare::parameterized;
 
@@ -32,3 +32,29 @@
     assert_eq!(retry(1.0), Duration::from_secs(2));
     assert!(retry(0.3) >= MIN_RETRY_AFTER && retry(1.0) <= MAX_RETRY_AFTER);
 }
+
+#[parameterized(
+    idle = { Some(0.0), RejectionLoad::HasRoom },
+    one_slot_left = { Some(2.0), RejectionLoad::HasRoom },
+    no_slot_left = { Some(3.0), RejectionLoad::Full },
+    queue = { Some(9.0), RejectionLoad::Full },
+    not_told = { None, RejectionLoad::Full },
+)]
+fn a_rejection_is_judged_by_the_reported_load(reported: Option<f64>, expected: RejectionLoad) {
+    assert_eq!(RejectionLoad::new(reported, 3), expected);
+}
+
+#[test]
+fn callers_return_sooner_when_servers_with_room_rejected_them() {
+    for spread in [0.0, 0.5, 1.0] {
+        let soon = RejectionLoad::HasRoom.retry_after(spread);
+        let later = RejectionLoad::Full.retry_after(spread);
+        assert!(soon <= Duration::from_millis(100), "{soon:?}");
+        assert!(later >= MIN_RETRY_AFTER, "{later:?}");
+    }
+    let (first, last) = (
+        RejectionLoad::HasRoom.retry_after(0.0),
+        RejectionLoad::HasRoom.retry_after(1.0),
+    );
+    assert!(last.saturating_sub(first) >= Duration::from_millis(40));
+}
