--- a/crates/policy/tests/entry/fleet_limits.rs
+++ b/crates/policy/tests/entry/fleet_limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tarragonpulley_policy::entry::budget::{BudgetBound, RepeatBudget};
 use tarragonpulley_policy::entry::cold::{ColdBound, ColdGate, allowance};
 use tarragonpulley_policy::entry::crash::CrashLedger;
@@ -168,3 +170,97 @@
     assert!(ledger.refuses(7, 0));
     assert!(!ledger.refuses(8, 0));
 }
+
+/// Counts in the window that ends at `end`, in milliseconds.
+fn in_window(times: &[u64], end: u64, window: u64) -> usize {
+    let before = |limit: u64| times.partition_point(|time| *time < limit);
+    before(end) - before(end.saturating_sub(window))
+}
+
+fn steady(_at: u64) -> f64 {
+    900.0
+}
+
+fn ended_burst(at: u64) -> f64 {
+    if (10_000..15_000).contains(&at) {
+        2000.0
+    } else {
+        200.0
+    }
+}
+
+fn wave(at: u64) -> f64 {
+    let phase = f64::from(u32::try_from(at).expect("small")) / 36_000.0 * std::f64::consts::TAU;
+    900.0 * (1.0 + 0.55 * phase.sin())
+}
+
+fn never(_at: u64, _instance: usize) -> bool {
+    false
+}
+
+fn a_third_is_killed(at: u64, instance: usize) -> bool {
+    at == 14_000 && instance.is_multiple_of(3)
+}
+
+#[parameterized(
+    steady_demand = { steady, never },
+    after_a_burst = { ended_burst, never },
+    rise_and_fall = { wave, never },
+    killed = { steady, a_third_is_killed },
+    killed_in_a_burst = { ended_burst, a_third_is_killed },
+)]
+fn repeats_of_a_failing_service_keep_the_fleet_wide_bound(
+    demand: fn(u64) -> f64,
+    is_lost: fn(u64, usize) -> bool,
+) {
+    // All requests want a repeat. Judged like the bound: repeats in any window
+    // against the requests in it, in the one before, or half a window before.
+    const INSTANCES: usize = 79;
+    let bound = BudgetBound {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        allowance: 198.0,
+    };
+    let window = 10_000;
+    let start = Instant::now();
+    let service: ServiceName = "s".parse().expect("a name");
+    let mut random = StdRng::seed_from_u64(3);
+    let mut budgets: Vec<RepeatBudget> = (0..INSTANCES).map(|_| RepeatBudget::new(bound)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for milli in 0..40_000_u64 {
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            if is_lost(milli, index) {
+                *budget = RepeatBudget::new(bound);
+            }
+        }
+        for _ in 0..4 {
+            if !random.random_bool(demand(milli) / 4000.0) {
+                continue;
+            }
+            let budget = &mut budgets[random.random_range(0..INSTANCES)];
+            let now = at(start, milli);
+            budget.note_request(&service, now);
+            requests.push(milli);
+            // Both attempts may be rejected at once.
+            for _ in 0..2 {
+                if budget.take(&service, INSTANCES, now) {
+                    repeats.push(milli + random.random_range(1..100));
+                }
+            }
+        }
+    }
+    repeats.sort_unstable();
+    let mut used: f64 = 0.0;
+    for end in (0..45_000).step_by(50) {
+        let count = |end: u64| in_window(&requests, end, window);
+        let basis = count(end)
+            .max(count(end.saturating_sub(window)))
+            .max(count(end.saturating_sub(window / 2)));
+        let float = |count: usize| f64::from(u32::try_from(count).expect("small"));
+        let allowed = 0.2 * float(basis) + 198.0;
+        let found = float(in_window(&repeats, end, window));
+        assert!(found <= allowed, "{found} of {allowed} at {end} ms");
+        used = used.max(found / allowed);
+    }
+    println!("at most {used:.3} of what is allowed");
+}
