--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -205,13 +205,16 @@
             None => None,
         };
         if let Some(wait) = wait {
-            let team = forward.team.as_ref().map(|team| team.name.as_str());
+            let inputs = forward.team.as_ref().map(|team| {
+                json!({"team": team.name.as_str(), "rate": team.rate, "burst": team.burst,
+                    "next_token_ms": wait.as_millis()})
+            });
             let after = spread_retry(wait, rand::random());
             return self.refuse(
                 &forward.id,
                 Refusal::OverLimit,
                 Some(after),
-                &json!({"team": team}),
+                &inputs.unwrap_or_default(),
             );
         }
         self.regions
@@ -365,7 +368,7 @@
         let elapsed = forward.request.received.elapsed().as_millis();
         let line = || {
             json!({"request": forward.id, "status": status, "server": server.id().as_str(),
-                "route": forward.route.name, "object": forward.object, "ms": elapsed,
+                "team": forward.team.as_ref().map(|team| team.name.as_str()), "route": forward.route.name, "object": forward.object, "ms": elapsed,
                 "config_version": forward.config.version.0, "inputs": attempt.inputs()})
         };
         if status < 400 {
