Tell the other instances of servers that are unreachable or were replaced

While servers crashed and their addresses went to other services, 2,460 attempts were answered by the wrong server and hundreds failed to connect: each of 79 instances found out by itself, at a twelfth of a request a second, for the four to six seconds that the store keeps the entry. 1,061 requests were refused in two of these seconds alone.

Change: a digest names the servers that its instance does not use. One report that another server answers at an address is enough; that a server cannot be reached needs two, as one instance may itself be cut off. A replaced server is not tried again.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -251,7 +251,7 @@
             server.health.borrow_mut().reported(load, now);
         }
         if status == 421 {
-            server.health.borrow_mut().suspend(now);
+            server.health.borrow_mut().replaced();
             server.drop_connections();
             self.log("misdirected", &json!({"status": status}));
             return AttemptOutcome::NotRun(RejectionLoad::Full);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -226,6 +226,7 @@
             crashes: self.crashes.borrow().report(),
             loads: self.servers.borrow().loads(),
             regions: self.regions.report(now),
+            suspects: self.servers.borrow().suspects(now),
         }
     }
 
@@ -375,12 +376,13 @@
         let mut quota = self.limits.kept.borrow_mut();
         let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
+        let suspects = peers.suspects(now);
         for server in self.servers.borrow().all() {
-            let others = loads
-                .get(&ServerTag::new(server.hash))
-                .copied()
-                .unwrap_or(0.0);
-            server.health.borrow_mut().counted(others);
+            let tag = ServerTag::new(server.hash);
+            let others = loads.get(&tag).copied().unwrap_or(0.0);
+            let mut health = server.health.borrow_mut();
+            health.counted(others);
+            health.excluded(suspects.contains(&tag));
         }
         let config = self.config.borrow();
         for team in config.iter().flat_map(|config| config.teams.keys()) {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::config::ServerEntry;
-use tarragonpulley_policy::entry::digest::ServerTag;
+use tarragonpulley_policy::entry::digest::{ServerTag, SuspectReason};
 use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::{ServerId, ServiceName, VersionName};
 use tarragonpulley_policy::entry::placement::text_hash;
@@ -241,6 +241,15 @@
             .collect()
     }
 
+    /// The servers that this instance does not use, for the digest.
+    pub(crate) fn suspects(&self, now: Instant) -> Vec<(ServerTag, SuspectReason)> {
+        let suspect = |server: &Rc<Server>| {
+            let reason = server.health.borrow().suspicion(now)?;
+            Some((ServerTag::new(server.hash), reason))
+        };
+        self.servers.values().filter_map(suspect).collect()
+    }
+
     pub(crate) fn get(&self, id: &ServerId) -> Option<&Rc<Server>> {
         self.servers.get(id)
     }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -70,6 +70,19 @@
     }
 }
 
+/// Why an instance does not use a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum SuspectReason {
+    /// No connection could be opened not long ago.
+    Unreachable,
+    /// Another server answers at its address.
+    Replaced,
+}
+
+/// How many instances must find a server unreachable before the others leave it.
+/// One alone may itself be cut off. That a server was replaced is certain.
+pub const UNREACHABLE_WITNESSES: usize = 2;
+
 /// The state that one instance tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct InstanceDigest {
@@ -89,6 +102,8 @@
     pub loads: Vec<(ServerTag, u8)>,
     /// Where its requests may run, by service.
     pub regions: Vec<ServiceDemand>,
+    /// Servers that it does not use.
+    pub suspects: Vec<(ServerTag, SuspectReason)>,
 }
 
 /// Divides encoded digests over datagrams, in order. Each counts `overhead` bytes
@@ -377,6 +392,20 @@
         sums
     }
 
+    /// The servers that the others' reports exclude.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> BTreeSet<ServerTag> {
+        let mut witnesses: BTreeMap<ServerTag, usize> = BTreeMap::new();
+        for (tag, reason) in self.live(now).flat_map(|member| &member.digest.suspects) {
+            *witnesses.entry(*tag).or_insert(0) += match reason {
+                SuspectReason::Unreachable => 1,
+                SuspectReason::Replaced => UNREACHABLE_WITNESSES,
+            };
+        }
+        witnesses.retain(|_, count| *count >= UNREACHABLE_WITNESSES);
+        witnesses.into_keys().collect()
+    }
+
     /// The evidence of the other instances on one rollout.
     #[must_use]
     pub fn other_evidence(&self, order: u64) -> TrialEvidence {
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -3,11 +3,14 @@
 //! Observed answers count more than the server's own health reports, which may
 //! be false either way. Slow and failing servers are not excluded but compared
 //! at their observed speed, so that they keep getting what they can bear. A
-//! server that refuses connections or stays silent is suspended for a while.
+//! server that refuses connections or stays silent is suspended for a while, and
+//! the other instances are told.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::digest::SuspectReason;
+
 /// Weight of the newest sample in the averages.
 pub const SAMPLE_WEIGHT: f64 = 0.25;
 
@@ -29,6 +32,10 @@
 /// within it.
 pub const SILENCE_TARGETS: f64 = 2.5;
 
+/// How long a failed connection is reported to the other instances: until their
+/// next but one digest.
+pub const REPORT_FAILURE: Duration = Duration::from_secs(2);
+
 /// How long a reported load counts. Reports come with answers, which are rare
 /// when the server is slow.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(2500);
@@ -41,6 +48,9 @@
     updated: Instant,
     suspended_until: Option<Instant>,
     suspensions: u32,
+    unreachable_at: Option<Instant>,
+    is_replaced: bool,
+    is_excluded: bool,
     last_heard: Instant,
     waiting: BTreeMap<u64, Instant>,
     next_ticket: u64,
@@ -63,6 +73,9 @@
             updated: now,
             suspended_until: None,
             suspensions: 0,
+            unreachable_at: None,
+            is_replaced: false,
+            is_excluded: false,
             last_heard: now,
             waiting: BTreeMap::new(),
             next_ticket: 0,
@@ -103,6 +116,7 @@
         self.last_heard = now;
         self.suspended_until = None;
         self.suspensions = 0;
+        self.unreachable_at = None;
     }
 
     /// A complete answer arrived: the observed and the expected time.
@@ -138,8 +152,32 @@
         }
     }
 
-    /// The server cannot be reached, or another one has its address.
+    /// Another server answers at its address. This one does not come back: it
+    /// would have a new entry.
+    pub fn replaced(&mut self) {
+        self.is_replaced = true;
+    }
+
+    /// What the other instances are told of the server, if it is not used.
+    #[must_use]
+    pub fn suspicion(&self, now: Instant) -> Option<SuspectReason> {
+        if self.is_replaced {
+            return Some(SuspectReason::Replaced);
+        }
+        let is_recent = |at| now.saturating_duration_since(at) < REPORT_FAILURE;
+        self.unreachable_at
+            .is_some_and(is_recent)
+            .then_some(SuspectReason::Unreachable)
+    }
+
+    /// Whether the other instances' reports exclude the server.
+    pub fn excluded(&mut self, is_excluded: bool) {
+        self.is_excluded = is_excluded;
+    }
+
+    /// The server cannot be reached.
     pub fn suspend(&mut self, now: Instant) {
+        self.unreachable_at = Some(now);
         let span = FIRST_SUSPENSION * 2_u32.pow(self.suspensions.min(3));
         self.suspensions += 1;
         self.suspended_until = Some(now + span.min(MAX_SUSPENSION));
@@ -148,6 +186,9 @@
     /// Whether the server is to be avoided now.
     #[must_use]
     pub fn is_suspended(&self, target: Duration, now: Instant) -> bool {
+        if self.is_replaced || self.is_excluded {
+            return true;
+        }
         if self.suspended_until.is_some_and(|until| now < until) {
             return true;
         }
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, InstanceState, InstanceTable, split_by_size,
+    InstanceDigest, InstanceRecord, InstanceState, InstanceTable, ServerTag, SuspectReason,
+    split_by_size,
 };
 use tarragonpulley_policy::entry::directory::instances_for;
 use tarragonpulley_policy::entry::trial::TrialEvidence;
@@ -35,6 +36,7 @@
         crashes: vec![(9, 1)],
         loads: Vec::new(),
         regions: Vec::new(),
+        suspects: Vec::new(),
     }
 }
 
@@ -167,3 +169,26 @@
     assert_eq!(counts, expected);
     assert_eq!(groups.concat(), encoded);
 }
+
+#[parameterized(
+    nobody = { &[], false },
+    one_cannot_reach_it = { &[SuspectReason::Unreachable], false },
+    two_cannot_reach_it = { &[SuspectReason::Unreachable, SuspectReason::Unreachable], true },
+    one_found_another_server = { &[SuspectReason::Replaced], true },
+)]
+fn a_server_is_left_on_reports_that_cannot_be_the_reporter_s_own_fault(
+    reports: &[SuspectReason],
+    is_left: bool,
+) {
+    let start = Instant::now();
+    let mut table = InstanceTable::new(record("e0", "a-1"), start);
+    let tag = ServerTag::new(7);
+    for (index, reason) in reports.iter().enumerate() {
+        let mut report = digest(&format!("e{}", index + 1), "a-1", 1, InstanceState::Ready);
+        report.suspects = vec![(tag, *reason)];
+        table.receive(report, true, start);
+    }
+    assert_eq!(table.suspects(at(start, 100)).contains(&tag), is_left);
+    // Reports of instances that are not heard any more do not count.
+    assert!(table.suspects(at(start, 5_000)).is_empty());
+}
--- a/crates/policy/tests/entry/servers.rs
+++ b/crates/policy/tests/entry/servers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use tarragonpulley_policy::entry::digest::SuspectReason;
 use tarragonpulley_policy::entry::health::ServerHealth;
 
 use crate::at;
@@ -82,3 +83,39 @@
         "an old report does not count"
     );
 }
+
+#[test]
+fn a_server_that_was_replaced_is_not_used_again_and_reported() {
+    let start = Instant::now();
+    let mut health = ServerHealth::new(start);
+    assert_eq!(health.suspicion(start), None);
+    health.replaced();
+    let much_later = at(start, 60_000);
+    assert!(health.is_suspended(TARGET, much_later));
+    assert_eq!(health.suspicion(much_later), Some(SuspectReason::Replaced));
+}
+
+#[test]
+fn an_unreachable_server_is_reported_for_a_while_or_until_it_answers() {
+    let start = Instant::now();
+    let mut health = ServerHealth::new(start);
+    health.suspend(start);
+    let reported = |health: &ServerHealth, milli| health.suspicion(at(start, milli));
+    assert_eq!(reported(&health, 1_900), Some(SuspectReason::Unreachable));
+    assert_eq!(reported(&health, 2_100), None);
+    health.suspend(at(start, 3_000));
+    health.heard(at(start, 3_100));
+    assert_eq!(reported(&health, 3_200), None);
+}
+
+#[test]
+fn a_server_that_the_others_exclude_is_avoided_while_they_do() {
+    let start = Instant::now();
+    let mut health = ServerHealth::new(start);
+    health.excluded(true);
+    assert!(health.is_suspended(TARGET, start));
+    // What the others say is not passed on as this instance's own finding.
+    assert_eq!(health.suspicion(start), None);
+    health.excluded(false);
+    assert!(!health.is_suspended(TARGET, start));
+}
