--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -7,7 +7,9 @@
 use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit, spread_retry};
 use tarragonpulley_policy::entry::cold::allowance;
 use tarragonpulley_policy::entry::names::RegionName;
-use tarragonpulley_policy::entry::placement::{Placement, ServerView, choose};
+use tarragonpulley_policy::entry::placement::{
+    Placement, RegionParts, ServerView, choose, text_hash,
+};
 
 use super::refusal::Refusal;
 use super::{ELSEWHERE, ForwardRequest};
@@ -68,12 +70,17 @@
         let left = forward.deadline.saturating_duration_since(now);
         let elsewhere = spread_retry(ELSEWHERE, rand::random());
         let candidates = self.candidates(forward, choice, tried, now);
-        let is_free = forward.homes().is_empty();
         let views: Vec<ServerView> = candidates
             .iter()
-            .map(|server| self.view(forward, server, is_free, now))
+            .map(|server| self.view(forward, server, now))
             .collect();
-        let Some(placement) = choose(forward.object, &views, target, forward.urgency()) else {
+        let parts = if forward.homes().is_empty() {
+            self.regions.parts(&forward.service)
+        } else {
+            RegionParts::new()
+        };
+        let Some(placement) = choose(forward.object, &views, &parts, target, forward.urgency())
+        else {
             return Err((Refusal::NoServer, elsewhere));
         };
         if placement.saturated {
@@ -138,21 +145,11 @@
             .collect()
     }
 
-    fn view(
-        &self,
-        forward: &ForwardRequest,
-        server: &Server,
-        is_free: bool,
-        now: Instant,
-    ) -> ServerView {
+    fn view(&self, forward: &ForwardRequest, server: &Server, now: Instant) -> ServerView {
         let health = server.health.borrow();
         let (slowness, failing) = health.averages(now);
         let entry = server.entry.borrow();
         let region = self.region_of(&entry.centre);
-        let weight = match &region {
-            Some(region) if is_free => self.regions.weight(&forward.service, region),
-            _ => 1.0,
-        };
         let cold = server.is_cold(now);
         let has_room = !cold
             || self.cold_gate.borrow().has_room(
@@ -172,7 +169,7 @@
             known: forward
                 .object
                 .is_some_and(|object| server.knows(object, now)),
-            weight,
+            region: region.map_or(0, |region| text_hash(region.as_str())),
         }
     }
 
--- a/crates/edge/src/regions.rs
+++ b/crates/edge/src/regions.rs
@@ -6,6 +6,7 @@
 
 use serde_json::json;
 use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
+use tarragonpulley_policy::entry::placement::{RegionParts, text_hash};
 use tarragonpulley_policy::entry::region_share::{
     RegionLoad, RegionMeter, RegionShare, ServiceDemand,
 };
@@ -30,12 +31,15 @@
         self.meter.borrow_mut().report(now)
     }
 
-    /// The weight of a region for requests that may run anywhere.
-    pub(crate) fn weight(&self, service: &ServiceName, region: &RegionName) -> f64 {
-        self.shares
-            .borrow()
-            .get(service)
-            .map_or(1.0, |share| share.weight(region))
+    /// The part of the requests without homes that runs in each region.
+    pub(crate) fn parts(&self, service: &ServiceName) -> RegionParts {
+        let shares = self.shares.borrow();
+        let parts = shares.get(service).map(RegionShare::parts);
+        parts
+            .into_iter()
+            .flatten()
+            .map(|(region, part)| (text_hash(region.as_str()), *part))
+            .collect()
     }
 }
 
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -9,6 +9,7 @@
 //! expected to finish first: the owner unless its queue costs more than the
 //! work on a server that does not know the object.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How many servers of the rendezvous order are compared.
@@ -44,9 +45,9 @@
 /// more urgent requests still find room at a full service.
 pub const RANK_RESERVE: f64 = 0.1;
 
-/// The weight below which weights make no difference, so that a server without
+/// The weight below which weights make no difference, so that a region without
 /// objects of its own is still used when there is no other.
-pub const MIN_WEIGHT: f64 = 0.001;
+pub const MIN_WEIGHT: f64 = 0.000_001;
 
 /// The largest rank that makes a difference.
 pub const MAX_RANK: u32 = 3;
@@ -76,10 +77,14 @@
     pub suspended: bool,
     /// Whether this instance sent the object there recently.
     pub known: bool,
-    /// How many objects it is to own, compared with the others; 0 to 1.
-    pub weight: f64,
+    /// Hash of its region's name.
+    pub region: u64,
 }
 
+/// The parts of an instance's requests that run in each region, by the hash of
+/// the region's name. Empty if all servers are to be used alike.
+pub type RegionParts = BTreeMap<u64, f64>;
+
 /// The choice for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Placement {
@@ -119,25 +124,42 @@
     mix(hash)
 }
 
-/// The score of a server for an object in weighted rendezvous hashing. A server
-/// has the highest of all scores for a part of the objects that is proportional
-/// to its weight.
-fn score(object: u64, server: &ServerView) -> f64 {
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "the low bits of the hash make no difference"
-    )]
-    let part = (mix(object ^ server.hash) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
-    server.weight.max(MIN_WEIGHT) / -part.ln().min(-f64::MIN_POSITIVE)
+/// The region that an object belongs to, by weighted rendezvous hashing: each
+/// region has a part of the objects, and a change of the parts moves only as many
+/// as it must.
+#[must_use]
+pub fn region_of(object: u64, servers: &[ServerView], parts: &RegionParts) -> Option<u64> {
+    let mut weights: BTreeMap<u64, f64> = BTreeMap::new();
+    for server in servers {
+        *weights.entry(server.region).or_insert(0.0) += f64::from(server.slots);
+    }
+    if !parts.is_empty() {
+        for (region, weight) in &mut weights {
+            *weight = parts.get(region).copied().unwrap_or(0.0);
+        }
+    }
+    let score = |region: u64, weight: f64| {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "the low bits of the hash make no difference"
+        )]
+        let chance = (mix(object ^ region) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        weight.max(MIN_WEIGHT) / -chance.ln().min(-f64::MIN_POSITIVE)
+    };
+    weights
+        .into_iter()
+        .map(|(region, weight)| (region, score(region, weight)))
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(region, _)| region)
 }
 
 /// The indices of the servers with the highest scores for the object, highest
 /// first, at most `most` of them.
 #[must_use]
 pub fn rendezvous(object: u64, servers: &[ServerView], most: usize) -> Vec<usize> {
-    let mut best: Vec<(f64, usize)> = Vec::with_capacity(most + 1);
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(most + 1);
     for (index, server) in servers.iter().enumerate() {
-        let score = score(object, server);
+        let score = mix(object ^ server.hash);
         if best.len() == most && best.last().is_some_and(|last| last.0 >= score) {
             continue;
         }
@@ -170,10 +192,14 @@
 /// Chooses a server for an object, or without one the server that is expected
 /// to finish first. `None` if the list is empty. An `urgency` of 0 is the most
 /// urgent rank.
+///
+/// The servers compared are all in the object's region, so that full queues do
+/// not move requests between regions faster than the parts do.
 #[must_use]
 pub fn choose(
     object: Option<u64>,
     servers: &[ServerView],
+    parts: &RegionParts,
     target: Duration,
     urgency: u32,
 ) -> Option<Placement> {
@@ -201,6 +227,12 @@
             .min_by_key(|placement| (placement.saturated, placement.finish));
     };
     let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
+    let region = region_of(object, &views, parts);
+    let usable: Vec<usize> = usable
+        .into_iter()
+        .filter(|index| Some(servers[*index].region) == region)
+        .collect();
+    let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
     let order = rendezvous(object, &views, CANDIDATES);
     let mut best: Option<Placement> = None;
     for (rank, position) in order.into_iter().enumerate() {
--- a/crates/policy/src/entry/region_share.rs
+++ b/crates/policy/src/entry/region_share.rs
@@ -218,23 +218,6 @@
 }
 
 impl RegionShare {
-    /// The weight of a server with one slot in a region, between 0 and 1; 1
-    /// everywhere before the first division.
-    #[must_use]
-    pub fn weight(&self, region: &RegionName) -> f64 {
-        let density = |region: &RegionName| {
-            let slots = self.slots.get(region).copied().unwrap_or(0.0);
-            let part = self.parts.get(region).copied().unwrap_or(0.0);
-            if slots > 0.0 { part / slots } else { 0.0 }
-        };
-        let most = self.parts.keys().map(density).fold(0.0, f64::max);
-        if most > 0.0 {
-            density(region) / most
-        } else {
-            1.0
-        }
-    }
-
     /// The part of the requests that runs in each region.
     #[must_use]
     pub fn parts(&self) -> &BTreeMap<RegionName, f64> {
