Work out a request's homes once, and a server's region with its entry

From the last reading of the change. is_home and homes worked out the same for each request, homes as a new set for each placement; the regions of all servers were looked up and their names hashed for each request. Both are now part of the admitted request and of the server's entry, which is placed anew when the settings are read again. attempts gave up in four places with the same arguments, live and remembered differed in a span, and choose copied its views twice.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,13 +5,14 @@
 mod refusal;
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::{RejectionLoad, spread_retry};
 use tarragonpulley_policy::entry::config::{RouteRule, TeamRule, TrafficConfig};
-use tarragonpulley_policy::entry::names::ServiceName;
+use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::{CANDIDATES, text_hash};
 
 use self::attempt::{AttemptOutcome, ServerAttempt};
@@ -52,6 +53,8 @@
     team: Option<Rc<TeamRule>>,
     config: Rc<TrafficConfig>,
     service: ServiceName,
+    /// The regions in which the request must run; `None` if it may run anywhere.
+    homes: Option<BTreeSet<RegionName>>,
     object: Option<u64>,
     caller_deadline: Instant,
     deadline: Instant,
@@ -169,6 +172,7 @@
             return Err((Refusal::CrashesServers, None));
         }
         Ok(ForwardRequest {
+            homes: homes_of(&route, team.as_deref()),
             object: object_hash.map(|object| object ^ text_hash(service.as_str())),
             request,
             id,
@@ -218,7 +222,7 @@
             );
         }
         self.regions
-            .note(&forward.service, &forward.homes(), self.now());
+            .note(&forward.service, forward.homes.as_ref(), self.now());
         self.run(forward).await
     }
 
@@ -256,9 +260,7 @@
             };
             let placed = match self.place(forward, &choice, &tried, now) {
                 Ok(placed) => placed,
-                Err(_) if placements > 0 => {
-                    return self.give_up(forward, maybe_ran, rejection, last_failure);
-                }
+                Err(_) if placements > 0 => break,
                 Err((refusal, after)) => {
                     let inputs = json!({"service": forward.service.as_str(), "route": forward.route.name,
                         "left_ms": forward.deadline.saturating_duration_since(now).as_millis()});
@@ -285,7 +287,7 @@
                     maybe_ran = true;
                     last_failure = answer.or(last_failure);
                     if !forward.route.repeatable {
-                        return self.give_up(forward, maybe_ran, rejection, last_failure);
+                        break;
                     }
                 }
             }
@@ -300,7 +302,7 @@
                         .borrow_mut()
                         .take(&forward.service, sharing, self.now()))
             {
-                return self.give_up(forward, maybe_ran, rejection, last_failure);
+                break;
             }
             if was_sent {
                 self.metrics.repeats.inc();
@@ -311,6 +313,7 @@
                     "was_sent": was_sent, "may_have_run": maybe_ran, "left_ms": left.as_millis()}),
             );
         }
+        self.give_up(forward, maybe_ran, rejection, last_failure)
     }
 
     /// The established version, for a repeat after a failure at any version.
@@ -409,6 +412,18 @@
     })
 }
 
+/// The regions in which requests of a route and a team must run.
+fn homes_of(route: &RouteRule, team: Option<&TeamRule>) -> Option<BTreeSet<RegionName>> {
+    let team = team
+        .map(|team| &team.homes)
+        .filter(|homes| !homes.is_empty());
+    let route = Some(&route.homes).filter(|homes| !homes.is_empty());
+    match (route, team) {
+        (Some(route), Some(team)) => Some(route.intersection(team).cloned().collect()),
+        (one, other) => one.or(other).cloned(),
+    }
+}
+
 /// Identifies a request that a caller repeats.
 fn fingerprint(request: &CallerRequest, team: Option<&TeamRule>) -> u64 {
     let team = team.map_or("", |team| team.name.as_str());
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -7,16 +7,14 @@
 use tarragonpulley_policy::entry::admission::{AdmissionVerdict, admit, spread_retry};
 use tarragonpulley_policy::entry::cold::allowance;
 use tarragonpulley_policy::entry::names::RegionName;
-use tarragonpulley_policy::entry::placement::{
-    Placement, RegionParts, ServerView, choose, text_hash,
-};
+use tarragonpulley_policy::entry::placement::{Placement, RegionParts, ServerView, choose};
 
 use super::refusal::Refusal;
 use super::{ELSEWHERE, ForwardRequest};
 use crate::instance::Instance;
 use crate::metrics::PlaceLabel;
 use crate::rollout::VersionChoice;
-use crate::servers::Server;
+use crate::servers::{Server, ServerRegion};
 
 /// The server chosen for a request, and what was known of it.
 #[derive(Debug)]
@@ -36,23 +34,11 @@
     }
 
     /// Whether the request may run in a region.
-    fn is_home(&self, region: Option<&RegionName>) -> bool {
+    fn is_home(&self, region: Option<&ServerRegion>) -> bool {
         let within = |homes: &BTreeSet<RegionName>| {
-            homes.is_empty() || region.is_some_and(|region| homes.contains(region))
+            region.is_some_and(|region| homes.contains(&region.name))
         };
-        within(&self.route.homes) && self.team.as_ref().is_none_or(|team| within(&team.homes))
-    }
-
-    /// The regions in which the request must run; empty if it may run anywhere.
-    pub(super) fn homes(&self) -> BTreeSet<RegionName> {
-        let route = &self.route.homes;
-        match self.team.as_ref().map(|team| &team.homes) {
-            Some(team) if !team.is_empty() && !route.is_empty() => {
-                route.intersection(team).cloned().collect()
-            }
-            Some(team) if route.is_empty() => team.clone(),
-            _ => route.clone(),
-        }
+        self.homes.as_ref().is_none_or(within)
     }
 }
 
@@ -74,7 +60,7 @@
             .iter()
             .map(|server| self.view(forward, server, now))
             .collect();
-        let parts = if forward.homes().is_empty() {
+        let parts = if forward.homes.is_none() {
             self.regions.parts(&forward.service)
         } else {
             RegionParts::new()
@@ -134,7 +120,7 @@
             server.is_open(now)
                 && choice.version.as_ref() == Some(&entry.version)
                 && !evacuated.contains(&entry.centre)
-                && forward.is_home(self.region_of(&entry.centre).as_ref())
+                && forward.is_home(server.region.borrow().as_ref())
                 && !tried.iter().any(|other| Rc::ptr_eq(other, server))
         };
         servers
@@ -149,7 +135,7 @@
         let health = server.health.borrow();
         let (slowness, failing) = health.averages(now);
         let entry = server.entry.borrow();
-        let region = self.region_of(&entry.centre);
+        let region = server.region.borrow();
         let cold = server.is_cold(now);
         let has_room = !cold
             || self.cold_gate.borrow().has_room(
@@ -164,12 +150,14 @@
             slowness,
             failing,
             cold,
-            near: region.as_ref() == Some(&self.peers.borrow().own().region),
+            near: region
+                .as_ref()
+                .is_some_and(|region| region.name == self.peers.borrow().own().region),
             suspended: !has_room || health.is_suspended(forward.route.target_latency, now),
             known: forward
                 .object
                 .is_some_and(|object| server.knows(object, now)),
-            region: region.map_or(0, |region| text_hash(region.as_str())),
+            region: region.as_ref().map_or(0, |region| region.hash),
         }
     }
 
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -174,10 +174,6 @@
         }
     }
 
-    pub(crate) fn region_of(&self, centre: &CentreName) -> Option<RegionName> {
-        self.options.borrow().regions.get(centre).cloned()
-    }
-
     /// Takes rows of a table, read by a call that began at `started` by the proof
     /// clock.
     pub(crate) fn apply(&self, table: TableKind, batch: TableBatch, started: Instant) {
@@ -348,7 +344,8 @@
                 let line = json!({"server": entry.id.as_str(), "service": entry.service.as_str(),
                     "version": entry.version.as_str(), "centre": entry.centre.as_str(),
                     "leaving": entry.leaving, "cold_left_ms": entry.cold_left.as_millis()});
-                if self.servers.borrow_mut().update(entry, now) {
+                let region = self.options.borrow().regions.get(&entry.centre).cloned();
+                if self.servers.borrow_mut().update(entry, region, now) {
                     self.log.event("server_changed", line);
                 }
             }
--- a/crates/edge/src/regions.rs
+++ b/crates/edge/src/regions.rs
@@ -21,8 +21,15 @@
 }
 
 impl RegionBook {
-    /// Counts a request. It may run anywhere if `homes` is empty.
-    pub(crate) fn note(&self, service: &ServiceName, homes: &BTreeSet<RegionName>, now: Instant) {
+    /// Counts a request. It may run anywhere without `homes`.
+    pub(crate) fn note(
+        &self,
+        service: &ServiceName,
+        homes: Option<&BTreeSet<RegionName>>,
+        now: Instant,
+    ) {
+        let anywhere = BTreeSet::new();
+        let homes = homes.unwrap_or(&anywhere);
         self.meter.borrow_mut().note(service, homes, now);
     }
 
@@ -92,9 +99,9 @@
             if !server.is_open(now) || evacuated.contains(&entry.centre) {
                 continue;
             }
-            if let Some(region) = self.region_of(&entry.centre) {
+            if let Some(region) = server.region.borrow().as_ref() {
                 let loads = slots.entry(entry.service.clone()).or_default();
-                loads.entry(region).or_default().slots += f64::from(entry.slots);
+                loads.entry(region.name.clone()).or_default().slots += f64::from(entry.slots);
             }
         }
         slots
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -166,6 +166,7 @@
 fn reload_settings(instance: &Instance, reload: &SettingsReload) {
     match reload() {
         Ok(options) => {
+            instance.servers.borrow().locate(&options.regions);
             *instance.options.borrow_mut() = options;
             instance.log.event("settings_reloaded", json!({}));
         }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -8,7 +8,9 @@
 use tarragonpulley_policy::entry::config::ServerEntry;
 use tarragonpulley_policy::entry::digest::{ServerTag, SuspectReason};
 use tarragonpulley_policy::entry::health::{SendTicket, ServerHealth};
-use tarragonpulley_policy::entry::names::{ServerId, ServiceName, VersionName};
+use tarragonpulley_policy::entry::names::{
+    CentreName, RegionName, ServerId, ServiceName, VersionName,
+};
 use tarragonpulley_policy::entry::placement::text_hash;
 
 use crate::http::client::ServerConnection;
@@ -23,11 +25,30 @@
 /// The most idle connections kept to a server.
 const MAX_IDLE: usize = 8;
 
+/// The region of a server, as the settings place its data centre.
+#[derive(Debug)]
+pub(crate) struct ServerRegion {
+    pub(crate) name: RegionName,
+    /// Hash of the name.
+    pub(crate) hash: u64,
+}
+
+impl From<RegionName> for ServerRegion {
+    fn from(name: RegionName) -> Self {
+        Self {
+            hash: text_hash(name.as_str()),
+            name,
+        }
+    }
+}
+
 /// One start of a backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) entry: RefCell<ServerEntry>,
     pub(crate) hash: u64,
+    /// `None` if the settings do not name its data centre.
+    pub(crate) region: RefCell<Option<ServerRegion>>,
     pub(crate) health: RefCell<ServerHealth>,
     pub(crate) cold_until: Cell<Option<Instant>>,
     /// From when on the server counts as gone.
@@ -37,8 +58,9 @@
 }
 
 impl Server {
-    fn new(entry: ServerEntry, now: Instant) -> Self {
+    fn new(entry: ServerEntry, region: Option<RegionName>, now: Instant) -> Self {
         Self {
+            region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
             gone_at: Cell::new(None),
@@ -153,7 +175,12 @@
 impl ServerSet {
     /// Takes a server's entry. A new start under the same id begins without
     /// history. Returns whether anything but its load of work changed.
-    pub(crate) fn update(&mut self, entry: ServerEntry, now: Instant) -> bool {
+    pub(crate) fn update(
+        &mut self,
+        entry: ServerEntry,
+        region: Option<RegionName>,
+        now: Instant,
+    ) -> bool {
         if let Some(server) = self.servers.get(&entry.id) {
             let known = server.entry.borrow().clone();
             let same_start = known.started == entry.started
@@ -166,16 +193,26 @@
                 }
                 let changed = known.leaving != entry.leaving || known.version != entry.version;
                 *server.entry.borrow_mut() = entry;
+                *server.region.borrow_mut() = region.map(ServerRegion::from);
                 return changed;
             }
             server.drop_connections();
         }
         let id = entry.id.clone();
-        self.servers.insert(id, Rc::new(Server::new(entry, now)));
+        self.servers
+            .insert(id, Rc::new(Server::new(entry, region, now)));
         self.index();
         true
     }
 
+    /// Places all servers anew, after a change of the settings.
+    pub(crate) fn locate(&self, regions: &BTreeMap<CentreName, RegionName>) {
+        for server in self.servers.values() {
+            let region = regions.get(&server.entry.borrow().centre).cloned();
+            *server.region.borrow_mut() = region.map(ServerRegion::from);
+        }
+    }
+
     /// Marks a server as gone from a time on.
     pub(crate) fn remove(&mut self, id: &ServerId, at: Instant) {
         if let Some(server) = self.servers.get(id) {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -198,16 +198,18 @@
         true
     }
 
-    fn live(&self, now: Instant) -> impl Iterator<Item = &Member> {
+    fn heard_within(&self, span: Duration, now: Instant) -> impl Iterator<Item = &Member> {
         self.members
             .values()
-            .filter(move |member| now.saturating_duration_since(member.heard) < LIVE_SPAN)
+            .filter(move |member| now.saturating_duration_since(member.heard) < span)
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.heard_within(LIVE_SPAN, now)
     }
 
     fn remembered(&self, now: Instant) -> impl Iterator<Item = &Member> {
-        self.members
-            .values()
-            .filter(move |member| now.saturating_duration_since(member.heard) < MEMORY_SPAN)
+        self.heard_within(MEMORY_SPAN, now)
     }
 
     /// Live instances in a state in which callers may be sent to them.
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -128,7 +128,11 @@
 /// region has a part of the objects, and a change of the parts moves only as many
 /// as it must.
 #[must_use]
-pub fn region_of(object: u64, servers: &[ServerView], parts: &RegionParts) -> Option<u64> {
+pub fn region_of<'a>(
+    object: u64,
+    servers: impl IntoIterator<Item = &'a ServerView>,
+    parts: &RegionParts,
+) -> Option<u64> {
     let mut weights: BTreeMap<u64, f64> = BTreeMap::new();
     for server in servers {
         *weights.entry(server.region).or_insert(0.0) += f64::from(server.slots);
@@ -203,7 +207,7 @@
     target: Duration,
     urgency: u32,
 ) -> Option<Placement> {
-    let usable: Vec<usize> = {
+    let mut usable: Vec<usize> = {
         let fit: Vec<usize> = (0..servers.len())
             .filter(|i| !servers[*i].suspended)
             .collect();
@@ -226,12 +230,8 @@
             .map(place)
             .min_by_key(|placement| (placement.saturated, placement.finish));
     };
-    let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
-    let region = region_of(object, &views, parts);
-    let usable: Vec<usize> = usable
-        .into_iter()
-        .filter(|index| Some(servers[*index].region) == region)
-        .collect();
+    let region = region_of(object, usable.iter().map(|index| &servers[*index]), parts);
+    usable.retain(|index| Some(servers[*index].region) == region);
     let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
     let order = rendezvous(object, &views, CANDIDATES);
     let mut best: Option<Placement> = None;
