--- a/crates/policy/tests/entry/fleet_player.rs
+++ b/crates/policy/tests/entry/fleet_player.rs
@@ -3,9 +3,9 @@
 //! digests that are up to a second old, and a server's load from its answers.
 //!
 //! Load answered: a service at the size of the grown sites, where many requests
-//! arrive in a region with few servers, and some have their home there. Left out, and so better
-//! here than on the bench: the network, cold starts, lost digests. Run with
-//! `--nocapture` for the table.
+//! arrive in a region with few servers, and some have their home there. Left out,
+//! and so better here than on the bench: the network, cold starts, lost digests.
+//! Run with `--nocapture` for the figures.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -19,15 +19,14 @@
 use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionShare};
 
 use crate::placement::server;
+use crate::played::{KnownObjects, credit_per_request};
 
 const INSTANCES: usize = 79;
 const SLOTS: usize = 4;
 const QUEUE: usize = 12;
-const KNOWN_OBJECTS: usize = 20;
 const TARGET: Duration = Duration::from_millis(600);
 const TIMEOUT: Duration = Duration::from_millis(1200);
 const WORK_MS: f64 = 880.0;
-const WARM_PART: f64 = 0.3;
 const STEP: Duration = Duration::from_millis(10);
 const DIGEST_EVERY: usize = 100;
 /// The time before credit is counted: objects become known.
@@ -73,7 +72,7 @@
 struct PlayedServer {
     running: Vec<Job>,
     queue: VecDeque<Job>,
-    known: VecDeque<u64>,
+    known: KnownObjects,
 }
 
 impl PlayedServer {
@@ -86,14 +85,7 @@
             let Some(mut job) = self.queue.pop_front() else {
                 return;
             };
-            let warm = self.known.contains(&job.object);
-            self.known.retain(|object| *object != job.object);
-            self.known.push_back(job.object);
-            if self.known.len() > KNOWN_OBJECTS {
-                self.known.pop_front();
-            }
-            job.left_ms =
-                WORK_MS * random.random_range(0.85..1.15) * if warm { WARM_PART } else { 1.0 };
+            job.left_ms = self.known.work_ms(job.object, WORK_MS, random);
             self.running.push(job);
         }
     }
@@ -111,9 +103,8 @@
 }
 
 impl Played {
-    /// Credit per request: one within the target, a fifth when late.
     fn credit(self) -> f64 {
-        (f64::from(self.in_target) + 0.2 * f64::from(self.late)) / f64::from(self.asked.max(1))
+        credit_per_request(self.in_target, self.late, self.asked)
     }
 }
 
--- a/crates/policy/tests/entry/load_player.rs
+++ b/crates/policy/tests/entry/load_player.rs
@@ -15,16 +15,15 @@
 use tarragonpulley_policy::entry::placement::{RegionParts, ServerView, choose, mix, rendezvous};
 
 use crate::placement::server;
+use crate::played::{KnownObjects, credit_per_request};
 
 /// One service of the smaller site: 16 servers, 72 objects.
 const SERVERS: u64 = 16;
 const SLOTS: usize = 3;
 const OBJECTS: u64 = 72;
-const KNOWN_OBJECTS: usize = 20;
 const TARGET: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_secs(1);
 const WORK_MS: f64 = 640.0;
-const WARM_PART: f64 = 0.3;
 const STEP_MS: u64 = 5;
 /// How old the load is that instances know.
 const LOAD_LAG_STEPS: usize = 100;
@@ -52,7 +51,7 @@
 struct PlayedServer {
     running: Vec<Job>,
     queue: VecDeque<Job>,
-    known: VecDeque<u64>,
+    known: KnownObjects,
     lagged: VecDeque<usize>,
 }
 
@@ -81,14 +80,7 @@
             if now - job.arrived > u64::try_from(TIMEOUT.as_millis()).expect("small") {
                 continue;
             }
-            let warm = self.known.contains(&job.object);
-            self.known.retain(|object| *object != job.object);
-            self.known.push_back(job.object);
-            if self.known.len() > KNOWN_OBJECTS {
-                self.known.pop_front();
-            }
-            job.left_ms =
-                WORK_MS * random.random_range(0.85..1.15) * if warm { WARM_PART } else { 1.0 };
+            job.left_ms = self.known.work_ms(job.object, WORK_MS, random);
             self.running.push(job);
         }
         self.lagged.push_back(self.load());
@@ -108,9 +100,8 @@
 }
 
 impl Played {
-    /// Credit per request: one within the target, a fifth when late.
     fn credit(self) -> f64 {
-        (f64::from(self.in_target) + 0.2 * f64::from(self.late)) / f64::from(self.asked.max(1))
+        credit_per_request(self.in_target, self.late, self.asked)
     }
 }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod instances;
 mod load_player;
 mod placement;
+mod played;
 mod regions;
 mod servers;
 mod trial;
