--- a/crates/backing/src/lib.rs
+++ b/crates/backing/src/lib.rs
@@ -13,6 +13,7 @@
 mod http_table;
 mod list;
 mod object;
+mod path_key;
 mod table;
 mod transport;
 
--- a/crates/backing/src/object.rs
+++ b/crates/backing/src/object.rs
@@ -1,35 +1,17 @@
 //! The object store.
 
-use std::fmt::{self, Debug};
+use std::fmt::Debug;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
 use crate::PlatformError;
+use crate::path_key::path_key;
 
-/// The key of an object, a path such as `jobs/1f/body`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ObjectKey(String);
-
-impl ObjectKey {
-    /// Wraps a path.
-    #[must_use]
-    pub fn new(path: impl Into<String>) -> Self {
-        Self(path.into())
-    }
-
-    /// The path.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Display for ObjectKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+path_key!(
+    /// The key of an object, a path such as `jobs/1f/body`.
+    ObjectKey
+);
 
 /// The object store of the platform.
 pub trait ObjectStore: Debug {
--- a/crates/backing/src/table.rs
+++ b/crates/backing/src/table.rs
@@ -1,35 +1,17 @@
 //! The transactional table service.
 
 use std::collections::BTreeMap;
-use std::fmt::{self, Debug};
+use std::fmt::Debug;
 
 use futures_util::future::LocalBoxFuture;
 
 use crate::PlatformError;
+use crate::path_key::path_key;
 
-/// The key of a row, a path such as `config/head`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RowKey(String);
-
-impl RowKey {
-    /// Wraps a path.
-    #[must_use]
-    pub fn new(path: impl Into<String>) -> Self {
-        Self(path.into())
-    }
-
-    /// The path.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Display for RowKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+path_key!(
+    /// The key of a row, a path such as `config/head`.
+    RowKey
+);
 
 /// A row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
