Log what decides an instance's share of a cold server's rate

The logs could not tell the hypotheses on the overloaded cold server apart: successful responses are sampled, and no line said by how many instances the rate was divided. The event cold_send has the share, the sharers, and the age of the process; the rate itself bounds the number of lines.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
 use tarragonpulley_policy::entry::admission::{AdmissionDecision, admit, jittered_retry_after};
 use tarragonpulley_policy::entry::cold::{STARTUP_PAUSE, instance_allowance};
 use tarragonpulley_policy::entry::names::RegionName;
@@ -101,10 +102,14 @@
             return Err((Rejection::Stopping, default_retry_after));
         }
         let mut cold_limiter = self.cold_limiter.borrow_mut();
-        if !view.cold {
+        if view.cold {
+            let allowed = cold_rate.allowance(&server);
+            if !cold_limiter.try_acquire(&server.id(), allowed, now) {
+                return Err((Rejection::OnlyColdServers, default_retry_after));
+            }
+            self.log_cold_send(forward, &server, allowed, now);
+        } else {
             cold_limiter.remove(&server.id());
-        } else if !cold_limiter.try_acquire(&server.id(), cold_rate.allowance(&server), now) {
-            return Err((Rejection::OnlyColdServers, default_retry_after));
         }
         let place = match (view.known, placement.rank) {
             (true, _) => "known",
@@ -123,6 +128,28 @@
         })
     }
 
+    /// Logs a request to a cold server with what decided this instance's share of
+    /// the rate. The rate bounds the number of lines.
+    fn log_cold_send(
+        &self,
+        forward: &ForwardRequest,
+        server: &Server,
+        allowed: usize,
+        now: Instant,
+    ) {
+        let peers = self.peers.borrow();
+        let cold_left = server
+            .cold_until
+            .get()
+            .map(|until| until.saturating_duration_since(now).as_millis());
+        self.log.event(
+            "cold_send",
+            json!({"request": forward.id, "server": server.id().as_str(), "allowed": allowed,
+                "sharers": peers.sharer_count(now), "cold_left_ms": cold_left,
+                "age_ms": peers.age(now).as_millis()}),
+        );
+    }
+
     fn candidates(
         &self,
         forward: &ForwardRequest,
