Decide the pause of cold sends after a start in the policy crate

It stood in the edge crate, where no decision test could play a process whose predecessor had used its share right before. No change of behaviour.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::{AdmissionDecision, admit, jittered_retry_after};
-use tarragonpulley_policy::entry::cold::{STARTUP_PAUSE, instance_allowance};
+use tarragonpulley_policy::entry::cold::instance_allowance;
 use tarragonpulley_policy::entry::names::RegionName;
 use tarragonpulley_policy::entry::placement::{
     Placement, RegionFractions, ServerView, choose_server, expected_latency,
@@ -239,10 +239,9 @@
             return 1;
         };
         let peers = self.instance.peers.borrow();
-        let sharers = self.sharers.get_or_init(|| {
-            let is_starting = peers.age(self.now) < STARTUP_PAUSE;
-            peers.sharer_hashes(self.now).filter(|_| !is_starting)
-        });
+        let sharers = self
+            .sharers
+            .get_or_init(|| peers.cold_sharer_hashes(self.now));
         let Some(sharers) = sharers else {
             return 0;
         };
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::canary::RolloutEvidence;
+use super::cold::STARTUP_PAUSE;
 use super::names::{CentreName, InstanceName, RegionName, TeamName};
 use super::placement::text_hash;
 use super::region_share::ServiceDemand;
@@ -315,6 +316,15 @@
         Some(hashes)
     }
 
+    /// The instances that share the rate of cold servers, as in
+    /// [`InstanceTable::sharer_hashes`], or `None` while this instance must not send
+    /// to cold servers.
+    #[must_use]
+    pub fn cold_sharer_hashes(&self, now: Instant) -> Option<Vec<u64>> {
+        let is_starting = self.age(now) < STARTUP_PAUSE;
+        self.sharer_hashes(now).filter(|_| !is_starting)
+    }
+
     /// The number of instances that share the fleet-wide limits, or
     /// [`UNKNOWN_SHARERS`].
     #[must_use]
