Do not enlarge an instance's share of fleet-wide limits while it hears nobody

Callers of servers that had just started: the servers got up to 46 times the rate that they bear (76 to 669 requests a second, allowed 14.45), crashed, and the requests failed.

Cause: sharers are the instances with a digest in the last ten seconds.

Change: while an instance hears nobody for the time after which others are taken as failed, all instances that it knows count as sharers (cold rates, retry allowances, canaries), and for ten seconds after it hears one again. It sends nothing to cold servers meanwhile, nor in the second after, in which the others learn of it.

--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -198,10 +198,13 @@
     own: InstanceRecord,
     own_hash: u64,
     started: Instant,
-    /// When the registered instances were first read.
+    /// When the registered instances were first read, or began to count again.
     registrations_read: Option<Instant>,
-    /// When the first digest was received.
-    first_digest: Option<Instant>,
+    /// The first digest since the start or since others were last not heard.
+    heard_since: Option<Instant>,
+    last_heard_at: Option<Instant>,
+    /// When this instance last heard others again.
+    rejoined_at: Option<Instant>,
     members: BTreeMap<InstanceName, Member>,
     known: BTreeMap<InstanceName, InstanceRecord>,
 }
@@ -215,7 +218,9 @@
             own,
             started: now,
             registrations_read: None,
-            first_digest: None,
+            heard_since: None,
+            last_heard_at: None,
+            rejoined_at: None,
             members: BTreeMap::new(),
             known: BTreeMap::new(),
         }
@@ -253,7 +258,7 @@
         {
             return false;
         }
-        self.first_digest.get_or_insert(now);
+        self.record_heard(now);
         self.known.insert(name.clone(), digest.record.clone());
         self.members.insert(
             name,
@@ -267,6 +272,27 @@
         true
     }
 
+    /// Records that a digest was received. After a silence, what is known of the others
+    /// is as old as at a start, and their digests arrive one after the other.
+    fn record_heard(&mut self, now: Instant) {
+        let is_rejoining = self.last_heard_at.is_some() && self.hears_nobody(now);
+        if is_rejoining {
+            self.rejoined_at = Some(now);
+            self.registrations_read = self.registrations_read.map(|_read| now);
+        }
+        if is_rejoining || self.heard_since.is_none() {
+            self.heard_since = Some(now);
+        }
+        self.last_heard_at = Some(now);
+    }
+
+    /// Whether there are other instances and none was heard for [`FAILURE_TIMEOUT`]. They
+    /// may have failed, or this instance is cut off or was paused.
+    fn hears_nobody(&self, now: Instant) -> bool {
+        let last_heard_at = self.last_heard_at.unwrap_or(self.started);
+        !self.known.is_empty() && now.saturating_duration_since(last_heard_at) >= FAILURE_TIMEOUT
+    }
+
     fn received_within(&self, span: Duration, now: Instant) -> impl Iterator<Item = &Member> {
         self.members
             .values()
@@ -294,35 +320,38 @@
     /// These are the instances with a digest within [`DIGEST_RETENTION`]. For as
     /// long after the registered instances were read, those without a digest count
     /// too: after a start of the whole fleet, each instance would otherwise take the
-    /// limits for its own until the others report. An instance that cannot read them
-    /// relies on digests once it has received them for [`STARTUP_PERIOD`].
+    /// limits for its own until the others report. They also count while this instance
+    /// hears nobody, and as long after it hears others again. An instance that cannot
+    /// read them relies on digests once it has received them for [`STARTUP_PERIOD`].
     #[must_use]
     pub fn sharer_hashes(&self, now: Instant) -> Option<Vec<u64>> {
         let within = |since: Instant, span| now.saturating_duration_since(since) < span;
-        let counts_registered = match (self.registrations_read, self.first_digest) {
-            (Some(read), _) => within(read, DIGEST_RETENTION),
-            (None, Some(received)) if !within(received, STARTUP_PERIOD) => false,
+        let counts_known = match (self.registrations_read, self.heard_since) {
+            (Some(read), _) => within(read, DIGEST_RETENTION) || self.hears_nobody(now),
+            (None, Some(since)) if !within(since, STARTUP_PERIOD) => self.hears_nobody(now),
             (None, _) => return None,
         };
-        let mut hashes: Vec<u64> = self.retained(now).map(|member| member.hash).collect();
-        if counts_registered {
-            let unheard = self
-                .known
-                .keys()
-                .filter(|name| !self.members.contains_key(*name));
-            hashes.extend(unheard.map(|name| text_hash(name.as_str())));
-        }
+        let mut hashes: Vec<u64> = if counts_known {
+            let names = self.known.keys();
+            names.map(|name| text_hash(name.as_str())).collect()
+        } else {
+            self.retained(now).map(|member| member.hash).collect()
+        };
         hashes.push(self.own_hash);
         Some(hashes)
     }
 
     /// The instances that share the rate of cold servers, as in
     /// [`InstanceTable::sharer_hashes`], or `None` while this instance must not send
-    /// to cold servers.
+    /// to cold servers: right after its start, and while it hears nobody or has just
+    /// heard others again, as they may have divided the rate without it.
     #[must_use]
     pub fn cold_sharer_hashes(&self, now: Instant) -> Option<Vec<u64>> {
-        let is_starting = self.age(now) < STARTUP_PAUSE;
-        self.sharer_hashes(now).filter(|_| !is_starting)
+        let within_pause = |since| now.saturating_duration_since(since) < STARTUP_PAUSE;
+        let is_paused = within_pause(self.started)
+            || self.rejoined_at.is_some_and(within_pause)
+            || self.hears_nobody(now);
+        self.sharer_hashes(now).filter(|_| !is_paused)
     }
 
     /// The number of instances that share the fleet-wide limits, or
