Log which instances and servers come into use by others' digests; timeline of the partition

The logs could not tell the hypotheses on the partitioned instances apart: no line said which instances lookups name, nor that servers are left out because of others' reports. One line for each change, at most one a digest interval.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -12,7 +12,9 @@
 use tarragonpulley_policy::entry::config::{RolloutRecord, TrafficConfig};
 use tarragonpulley_policy::entry::crash::CrashTracker;
 use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
-use tarragonpulley_policy::entry::names::{CentreName, RegionName, ServiceName};
+use tarragonpulley_policy::entry::names::{
+    CentreName, InstanceName, RegionName, ServerId, ServiceName,
+};
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::quota::QuotaBound;
 use tarragonpulley_policy::entry::split::RouteSplitter;
@@ -93,11 +95,22 @@
     pub(crate) response_budget: Rc<BufferBudget>,
     /// The sequence number of the last digest.
     pub(crate) digest_sequence: Cell<u64>,
+    /// What the last log lines on the fleet said.
+    pub(crate) logged_view: RefCell<FleetView>,
     /// The socket for datagrams to other instances, once bound.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     unreadable_rows: RefCell<BTreeMap<(TableKind, String), u64>>,
 }
 
+/// What this instance believes of the fleet because of others' digests.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct FleetView {
+    /// The other instances that callers are directed to.
+    pub(crate) ready: BTreeSet<InstanceName>,
+    /// The servers that are not used because of others' reports.
+    pub(crate) excluded: BTreeSet<ServerId>,
+}
+
 impl Instance {
     pub(crate) fn new(
         clock: Rc<dyn TimeSource>,
@@ -139,6 +152,7 @@
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
             digest_sequence: Cell::new(0),
+            logged_view: RefCell::default(),
             socket: OnceCell::new(),
             unreadable_rows: RefCell::default(),
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-use crate::instance::Instance;
+use crate::instance::{FleetView, Instance};
 use crate::table::{TableBatch, TableKind, TableMirror};
 use crate::team_limits::{TokenRequest, TokenResponse};
 
@@ -457,6 +457,10 @@
         let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         let suspects = peers.suspects(now);
+        let mut view = FleetView {
+            ready: peers.ready(now).map(|record| record.name.clone()).collect(),
+            excluded: BTreeSet::new(),
+        };
         for server in self.servers.borrow().all() {
             let tag = ServerTag::new(server.hash);
             let others = loads.get(&tag).copied().unwrap_or(0.0);
@@ -465,11 +469,43 @@
             let region = server.region.borrow();
             let regions = region.iter().map(|region| &region.name);
             let regions = regions.chain([&peers.own().region]).collect();
-            health.set_excluded(suspects.exclude(tag, &regions));
+            let is_excluded = suspects.exclude(tag, &regions);
+            health.set_excluded(is_excluded);
+            if is_excluded {
+                view.excluded.insert(server.id());
+            }
         }
+        self.log_view(view);
         let config = self.config.borrow();
         for team in config.iter().flat_map(|config| config.teams.keys()) {
             quota.set_other_demand(team, others.get(team).copied().unwrap_or(0.0));
         }
     }
+
+    /// Logs which instances and servers came into use or went out of use because of
+    /// others' digests.
+    fn log_view(&self, view: FleetView) {
+        let logged = self.logged_view.replace(view);
+        let view = self.logged_view.borrow();
+        if view.ready != logged.ready {
+            let added = names(view.ready.difference(&logged.ready));
+            let removed = names(logged.ready.difference(&view.ready));
+            self.log.event(
+                "instances_ready",
+                json!({"others": view.ready.len(), "added": added, "removed": removed}),
+            );
+        }
+        if view.excluded != logged.excluded {
+            let added = names(view.excluded.difference(&logged.excluded));
+            let removed = names(logged.excluded.difference(&view.excluded));
+            self.log.event(
+                "servers_excluded",
+                json!({"excluded": view.excluded.len(), "added": added, "removed": removed}),
+            );
+        }
+    }
+}
+
+fn names<T: ToString>(values: impl Iterator<Item = T>) -> Vec<String> {
+    values.map(|value| value.to_string()).collect()
 }
