Send callers elsewhere while this instance reaches no backend server

Cause: an instance was ready if it had a configuration, a recent proof and the servers' table. Whether it reaches any server was not part of its state, so lookups went on naming it, its readiness check passed, and callers kept their connections.

Change: the policy module reach decides from failed connections, silence and probes whether the instance is partitioned; a failed connection alone may be the server's fault, so two rounds of probes to others have to fail. It then reports the state in its digest at once, is not ready, lookups name the others (all, if nobody reaches a server), and it rejects at once, says that callers may return elsewhere after 50 to 100 ms, and closes the connection. Probes every 0.25 s end the partition, and the suspensions that it caused.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -15,6 +15,7 @@
 use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::{MAX_CANDIDATES, text_hash};
 
+pub(crate) use self::attempt::CONNECT_TIMEOUT;
 use self::attempt::{AttemptOutcome, ServerAttempt};
 use self::rejection::Rejection;
 use crate::http::client::ServerResponse;
@@ -108,7 +109,9 @@
                 "config_version": version, "proof_age_ms": proof_age, "inputs": inputs}),
         );
         self.count_outcome(rejection.status(), rejection.name());
-        let response = CallerResponse::empty(rejection.status());
+        let mut response = CallerResponse::empty(rejection.status());
+        // Callers open their next connection elsewhere.
+        response.close = rejection == Rejection::NoServerReachable;
         match retry_after {
             Some(after) => {
                 response.with_field("Retry-After", &format!("{:.2}", after.as_secs_f64()))
@@ -254,6 +257,9 @@
     }
 
     async fn run_within_team_limit(&self, forward: &ForwardRequest) -> CallerResponse {
+        if self.reach.borrow().is_partitioned() {
+            return self.reject_unreachable(forward);
+        }
         let wait = match &forward.team {
             Some(team) => self.acquire_token(team).await,
             None => None,
@@ -276,6 +282,18 @@
         self.run_with_timeout(forward).await
     }
 
+    /// Rejects a request because this instance reaches no server.
+    fn reject_unreachable(&self, forward: &ForwardRequest) -> CallerResponse {
+        let load = self.load_elsewhere();
+        self.reject(
+            &forward.id,
+            Rejection::NoServerReachable,
+            Some(load.retry_after(rand::random())),
+            &json!({"service": forward.service.as_str(),
+                "others_ready": load == RejectionLoad::HasFreeSlots}),
+        )
+    }
+
     /// Makes attempts until a response is final or the deadline passes.
     async fn run_with_timeout(&self, forward: &ForwardRequest) -> CallerResponse {
         let exchange_started = Rc::new(Cell::new(false));
@@ -406,6 +424,9 @@
             );
             return self.caller_response(response);
         }
+        if !may_have_run && self.reach.borrow().is_partitioned() {
+            return self.reject_unreachable(forward);
+        }
         if !may_have_run {
             return self.reject(
                 &forward.id,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -19,7 +19,7 @@
 
 /// Timeout for connecting to a backend server: two round trips between the
 /// farthest regions, with a margin for a busy instance.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// The maximum idle time of a pooled connection that carries a request which
 /// must not be retried. The server may close an idle connection without notice;
@@ -183,9 +183,13 @@
             .saturating_duration_since(instance.now());
         instance.metrics.connections_opened.inc();
         match ServerConnection::open(address, CONNECT_TIMEOUT.min(remaining)).await {
-            Ok(connection) => Some(connection),
+            Ok(connection) => {
+                instance.record_reached();
+                Some(connection)
+            }
             Err(error) => {
                 let now = instance.now();
+                instance.record_not_reached();
                 server.health.borrow_mut().record_broken_connection(now);
                 server.health.borrow_mut().suspend(now);
                 server.close_idle_connections();
@@ -259,6 +263,7 @@
     fn classify_response(&self, response: ServerResponse) -> AttemptOutcome {
         let now = self.instance.now();
         let observed = now.saturating_duration_since(self.started);
+        self.instance.reach.borrow_mut().record_response(now);
         let names = self.instance.adapter.headers();
         let server = self.server();
         let status = response.head.status;
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -58,6 +58,10 @@
         attempted: &[Rc<Server>],
         now: Instant,
     ) -> Result<PlacedServer, (Rejection, Duration)> {
+        if self.reach.borrow().is_partitioned() {
+            let retry_after = self.load_elsewhere().retry_after(rand::random());
+            return Err((Rejection::NoServerReachable, retry_after));
+        }
         let target = forward.route.target_latency;
         let remaining = forward.deadline.saturating_duration_since(now);
         let default_retry_after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -15,6 +15,8 @@
     CrashesServers,
     AllServersShed,
     OnlyColdServers,
+    /// This instance is partitioned from all servers.
+    NoServerReachable,
     /// The request would not be complete when this process ends.
     Stopping,
 }
@@ -34,6 +36,7 @@
             | Self::CrashesServers
             | Self::AllServersShed
             | Self::OnlyColdServers
+            | Self::NoServerReachable
             | Self::Stopping => 503,
         }
     }
@@ -52,6 +55,7 @@
             Self::CrashesServers => "crashes_servers",
             Self::AllServersShed => "all_servers_shed",
             Self::OnlyColdServers => "only_cold_servers",
+            Self::NoServerReachable => "no_server_reachable",
             Self::Stopping => "stopping",
         }
     }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -17,6 +17,7 @@
 };
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::quota::QuotaBound;
+use tarragonpulley_policy::entry::reach::ReachTracker;
 use tarragonpulley_policy::entry::split::RouteSplitter;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
@@ -88,6 +89,10 @@
     pub(crate) table_recovered_at: Cell<Option<Instant>>,
     /// Wakes reads of other instances that wait for a change of a table.
     pub(crate) table_changed: tokio::sync::Notify,
+    /// The links of this instance to the servers.
+    pub(crate) reach: RefCell<ReachTracker>,
+    /// Requests a probe of servers at once.
+    pub(crate) reach_doubted: tokio::sync::Notify,
     /// Requests a digest before the next interval.
     pub(crate) digest_requested: tokio::sync::Notify,
     pub(crate) crash_suspects: Sender<CrashSuspect>,
@@ -148,6 +153,8 @@
             table_failed_at: Cell::new(None),
             table_recovered_at: Cell::new(None),
             table_changed: tokio::sync::Notify::new(),
+            reach: RefCell::default(),
+            reach_doubted: tokio::sync::Notify::new(),
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
@@ -196,10 +203,12 @@
             return InstanceState::Leaving;
         }
         let has_servers = self.upto(TableKind::Servers).is_some();
-        if self.config.borrow().is_some() && has_servers && self.has_recent_proof() {
-            InstanceState::Ready
-        } else {
+        if self.config.borrow().is_none() || !has_servers || !self.has_recent_proof() {
             InstanceState::Unready
+        } else if self.reach.borrow().is_partitioned() {
+            InstanceState::Partitioned
+        } else {
+            InstanceState::Ready
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod listeners;
 mod metrics;
 mod peers;
+mod reach;
 mod regions;
 mod rollout;
 mod run;
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -43,8 +43,8 @@
         let lookup = instance.adapter.lookup();
         let path = request.head.path();
         if path == instance.adapter.ready_path() {
-            let ready = instance.state() == InstanceState::Ready;
-            return CallerResponse::empty(if ready { 200 } else { 503 });
+            let is_ready = instance.is_offered();
+            return CallerResponse::empty(if is_ready { 200 } else { 503 });
         }
         if path == lookup.path {
             let region = request.head.query(lookup.region).unwrap_or_default();
@@ -82,6 +82,15 @@
 }
 
 impl Instance {
+    /// Whether lookups may name this instance.
+    fn is_offered(&self) -> bool {
+        match self.state() {
+            InstanceState::Ready => true,
+            InstanceState::Partitioned => self.peers.borrow().ready(self.now()).next().is_none(),
+            InstanceState::Unready | InstanceState::Leaving => false,
+        }
+    }
+
     fn look_up(&self, region: &str, centre: &str) -> CallerResponse {
         let now = self.now();
         let (Ok(region), Ok(centre)) = (region.parse::<RegionName>(), centre.parse::<CentreName>())
@@ -89,9 +98,15 @@
             return CallerResponse::empty(400);
         };
         let peers = self.peers.borrow();
-        let own_ready = self.state() == InstanceState::Ready;
-        let own = own_ready.then(|| peers.own());
-        let mut instances = instances_for(&region, &centre, peers.ready(now).chain(own));
+        let mut instances = Vec::new();
+        // Where nobody reaches a server, the instances are as good as each other.
+        for state in [InstanceState::Ready, InstanceState::Partitioned] {
+            if instances.is_empty() {
+                let own = (self.state() == state).then(|| peers.own());
+                let offered = peers.in_state(state, now).chain(own);
+                instances = instances_for(&region, &centre, offered);
+            }
+        }
         if instances.is_empty() && !self.leaving.get() {
             instances.push(peers.own().front);
         }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -293,6 +293,49 @@
         self.servers.values().filter_map(suspect).collect()
     }
 
+    /// The number of servers with requests in progress for `span` without a response.
+    pub(crate) fn count_silent(&self, span: Duration, now: Instant) -> usize {
+        let is_silent = |server: &&Rc<Server>| server.health.borrow().is_silent(span, now);
+        self.servers.values().filter(is_silent).count()
+    }
+
+    /// Servers that show whether this instance reaches any: random ones, half of them in
+    /// its own region if there are enough, and those that did not fail lately first.
+    pub(crate) fn probe_targets(
+        &self,
+        count: usize,
+        own_region: &RegionName,
+        now: Instant,
+    ) -> Vec<Rc<Server>> {
+        let mut ranked: Vec<(bool, u64, &Rc<Server>)> = self
+            .servers
+            .values()
+            .filter(|server| server.is_available(now))
+            .map(|server| {
+                let has_failed = server.health.borrow().suspect_reason(now).is_some();
+                (has_failed, rand::random(), server)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(has_failed, order, _)| (*has_failed, *order));
+        let is_near = |server: &Server| {
+            let region = server.region.borrow();
+            region
+                .as_ref()
+                .is_some_and(|region| region.name == *own_region)
+        };
+        let (near, far): (Vec<&Rc<Server>>, Vec<&Rc<Server>>) = ranked
+            .iter()
+            .map(|(_, _, server)| *server)
+            .partition(|server| is_near(server));
+        let near_count = near.len().min(count - (count / 2).min(far.len()));
+        near.into_iter()
+            .take(near_count)
+            .chain(far)
+            .take(count)
+            .cloned()
+            .collect()
+    }
+
     pub(crate) fn get(&self, id: &ServerId) -> Option<&Rc<Server>> {
         self.servers.get(id)
     }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -17,5 +17,6 @@
 pub mod names;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod region_share;
 pub mod split;
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -60,6 +60,16 @@
     Unready,
     /// It is shutting down.
     Leaving,
+    /// It is ready but reaches no backend server.
+    Partitioned,
+}
+
+impl InstanceState {
+    /// Whether the instance has current copies of the tables.
+    #[must_use]
+    pub fn is_current(self) -> bool {
+        matches!(self, Self::Ready | Self::Partitioned)
+    }
 }
 
 /// The location and the addresses of an instance.
@@ -307,13 +317,22 @@
         self.received_within(DIGEST_RETENTION, now)
     }
 
-    /// The live instances that callers may be directed to, without this one.
-    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &InstanceRecord> {
+    /// The live instances in a state, without this one.
+    pub fn in_state(
+        &self,
+        state: InstanceState,
+        now: Instant,
+    ) -> impl Iterator<Item = &InstanceRecord> {
         self.live(now)
-            .filter(|member| member.digest.state == InstanceState::Ready)
+            .filter(move |member| member.digest.state == state)
             .map(|member| &member.digest.record)
     }
 
+    /// The live instances that callers may be directed to, without this one.
+    pub fn ready(&self, now: Instant) -> impl Iterator<Item = &InstanceRecord> {
+        self.in_state(InstanceState::Ready, now)
+    }
+
     /// The hashes of the names of the instances that share the fleet-wide limits,
     /// this one included, or `None` if they are not known.
     ///
@@ -417,7 +436,7 @@
     /// ready one with the lowest name. `None` if it is this instance.
     #[must_use]
     pub fn table_reader(&self, now: Instant) -> Option<&InstanceRecord> {
-        self.lowest_below_own(self.direct_in_centre(now, |state| state == InstanceState::Ready))
+        self.lowest_below_own(self.direct_in_centre(now, InstanceState::is_current))
     }
 
     /// The instance that holds the token buckets of this data centre: the live one
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -196,6 +196,22 @@
         self.suspended_until = Some(now + duration.min(MAX_SUSPENSION));
     }
 
+    /// Ends a suspension: the server could not be reached for another reason than its
+    /// own.
+    pub fn end_suspension(&mut self) {
+        self.suspended_until = None;
+        self.suspensions = 0;
+        self.unreachable_at = None;
+    }
+
+    /// Whether requests have been in progress without a response for `span`.
+    #[must_use]
+    pub fn is_silent(&self, span: Duration, now: Instant) -> bool {
+        self.in_flight.values().min().is_some_and(|oldest| {
+            now.saturating_duration_since((*oldest).max(self.last_activity)) > span
+        })
+    }
+
     /// Whether the server should get no requests while others are usable: it is
     /// suspended, replaced, excluded by the other instances, or unresponsive.
     #[must_use]
@@ -206,10 +222,7 @@
         if self.suspended_until.is_some_and(|until| now < until) {
             return true;
         }
-        let silence = target.mul_f64(UNRESPONSIVE_TARGETS);
-        self.in_flight.values().min().is_some_and(|oldest| {
-            now.saturating_duration_since((*oldest).max(self.last_activity)) > silence
-        })
+        self.is_silent(target.mul_f64(UNRESPONSIVE_TARGETS), now)
     }
 
     /// Records the number of running and queued requests that the server reported.
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod instances;
 mod load_simulation;
 mod placement;
+mod reach;
 mod regions;
 mod servers;
 mod simulation;
--- /dev/null
+++ b/crates/policy/tests/entry/reach.rs
@@ -0,0 +1,82 @@
+//! Whether an instance is partitioned from all servers.
+
+use std::time::Instant;
+
+use tarragonpulley_policy::entry::reach::{
+    CONFIRMING_PROBES, FIRST_PROBES, ReachChange, ReachTracker,
+};
+use yare::parameterized;
+
+use crate::at;
+
+#[derive(Debug, Clone, Copy)]
+enum Observation {
+    Reached,
+    Responded,
+    NotReached,
+    Silent(usize),
+    ProbesFailed,
+    NoServers,
+}
+
+use Observation::{NoServers, NotReached, ProbesFailed, Reached, Responded, Silent};
+
+/// Each observation comes a second after the one before.
+#[parameterized(
+    nothing = { &[], 0, false },
+    one_failure_is_a_doubt = { &[Reached, NotReached], FIRST_PROBES, false },
+    a_success_ends_the_doubt = { &[NotReached, Reached], 0, false },
+    responses_on_open_connections_do_not = { &[NotReached, Responded], FIRST_PROBES, false },
+    one_failed_round_is_confirmed = { &[NotReached, ProbesFailed], CONFIRMING_PROBES, false },
+    two_failed_rounds = { &[NotReached, ProbesFailed, ProbesFailed], FIRST_PROBES, true },
+    responses_do_not_end_a_partition = { &[NotReached, ProbesFailed, ProbesFailed, Responded], FIRST_PROBES, true },
+    a_connection_does = { &[NotReached, ProbesFailed, ProbesFailed, Reached], 0, false },
+    servers_that_left_do = { &[NotReached, ProbesFailed, ProbesFailed, NoServers], 0, false },
+    a_round_between_successes = { &[NotReached, ProbesFailed, Reached, NotReached, ProbesFailed], CONFIRMING_PROBES, false },
+    silence = { &[Responded, Silent(3)], FIRST_PROBES, false },
+    silence_of_few = { &[Responded, Silent(2)], 0, false },
+)]
+fn partitions_are_detected(observations: &[Observation], due: usize, is_partitioned: bool) {
+    let start = Instant::now();
+    let mut tracker = ReachTracker::default();
+    for (second, observation) in (1..).zip(observations) {
+        let now = at(start, second * 1000);
+        match observation {
+            Reached => drop(tracker.record_reached(now)),
+            Responded => tracker.record_response(now),
+            NotReached => tracker.record_failure(now),
+            Silent(count) => tracker.record_silent_servers(*count, now),
+            ProbesFailed => drop(tracker.record_failed_round()),
+            NoServers => drop(tracker.record_no_servers()),
+        }
+    }
+    assert_eq!(
+        (tracker.due_probes(), tracker.is_partitioned()),
+        (due, is_partitioned)
+    );
+}
+
+#[test]
+fn each_change_is_reported_once() {
+    let start = Instant::now();
+    let mut tracker = ReachTracker::default();
+    tracker.record_failure(start);
+    let rounds: Vec<Option<ReachChange>> = (0..4).map(|_| tracker.record_failed_round()).collect();
+    assert_eq!(rounds, [None, Some(ReachChange::Partitioned), None, None]);
+    assert_eq!(tracker.record_reached(start), Some(ReachChange::Restored));
+    assert_eq!(tracker.record_reached(start), None);
+}
+
+#[test]
+fn silence_right_after_a_response_or_a_connection_is_no_doubt() {
+    let start = Instant::now();
+    let mut tracker = ReachTracker::default();
+    tracker.record_response(start);
+    tracker.record_silent_servers(9, at(start, 500));
+    assert_eq!(tracker.due_probes(), 0);
+    tracker.record_reached(at(start, 700));
+    tracker.record_silent_servers(9, at(start, 1600));
+    assert_eq!(tracker.due_probes(), 0);
+    tracker.record_silent_servers(9, at(start, 1800));
+    assert_eq!(tracker.due_probes(), FIRST_PROBES);
+}
