Take a refused connection for a crash only while other servers are reached

Callers of the instances that were not partitioned: 2,837 of 2,837 first attempts were rejected as requests that crash servers (own test with reset connections).

Cause: after a connection broke, the server is probed, and a refused connection counts as a crash by that request. An instance that is partitioned with resets is refused by every server, so each request whose connection broke was reported to the fleet as one that crashes servers, and rejected everywhere after the second report.

Change: the crash counts only if the instance reaches another server.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken connection alone is no evidence, as the network loses responses
 //! too. A moment later the server is probed with a new connection; a server
-//! that refuses it has crashed.
+//! that refuses it has crashed, unless this instance reaches no other server either.
 
 use std::io;
 use std::net::SocketAddr;
@@ -46,7 +46,7 @@
             let connect =
                 tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(suspect.address)).await;
             let refused = matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
-            if refused {
+            if refused && self.reaches_others(suspect.address).await {
                 self.crashes
                     .borrow_mut()
                     .record(suspect.fingerprint, self.now());
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -1,13 +1,14 @@
 //! Detects that this instance reaches no backend server, by probing some of them when
 //! there is doubt.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::{FutureExt, select_ok};
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::RejectionLoad;
-use tarragonpulley_policy::entry::reach::{ReachChange, SILENCE};
+use tarragonpulley_policy::entry::reach::{FIRST_PROBES, ReachChange, SILENCE};
 
 use crate::forward::CONNECT_TIMEOUT;
 use crate::http::client::ServerConnection;
@@ -77,6 +78,23 @@
         true
     }
 
+    /// Whether this instance reaches servers at other addresses than `address`, or knows
+    /// none.
+    pub(crate) async fn reaches_others(&self, address: SocketAddr) -> bool {
+        let own_region = self.peers.borrow().own().region.clone();
+        let others = self
+            .servers
+            .borrow()
+            .probe_targets(usize::MAX, &own_region, self.now());
+        let is_other = |server: &Rc<Server>| server.entry.borrow().address != address;
+        let targets: Vec<Rc<Server>> = others
+            .into_iter()
+            .filter(is_other)
+            .take(FIRST_PROBES)
+            .collect();
+        targets.is_empty() || self.open_any(&targets).await
+    }
+
     /// Records that a connection to a server was opened.
     pub(crate) fn record_reached(&self) {
         let change = self.reach.borrow_mut().record_reached(self.now());
