Report servers as unreachable only if others are reached

Cause: two reports of an unreachable server make all instances leave it out, and partitioned instances report every server that they try.

Change: a report needs a connection to another server after the failed one.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -264,7 +264,7 @@
             crashes: self.crashes.borrow().report(),
             loads: self.servers.borrow().loads(),
             regions: self.regions.report(now),
-            suspects: self.servers.borrow().suspects(now),
+            suspects: self.servers.borrow().suspects(&self.reach.borrow(), now),
         }
     }
 
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -12,6 +12,7 @@
     CentreName, RegionName, ServerId, ServiceName, VersionName,
 };
 use tarragonpulley_policy::entry::placement::text_hash;
+use tarragonpulley_policy::entry::reach::ReachTracker;
 
 use crate::http::client::ServerConnection;
 
@@ -285,9 +286,13 @@
     }
 
     /// The servers that this instance suspects, for the digest.
-    pub(crate) fn suspects(&self, now: Instant) -> Vec<(ServerTag, SuspectReason)> {
+    pub(crate) fn suspects(
+        &self,
+        reach: &ReachTracker,
+        now: Instant,
+    ) -> Vec<(ServerTag, SuspectReason)> {
         let suspect = |server: &Rc<Server>| {
-            let reason = server.health.borrow().suspect_reason(now)?;
+            let reason = server.health.borrow().suspect_reason(reach, now)?;
             Some((ServerTag::new(server.hash), reason))
         };
         self.servers.values().filter_map(suspect).collect()
@@ -312,7 +317,7 @@
             .values()
             .filter(|server| server.is_available(now))
             .map(|server| {
-                let has_failed = server.health.borrow().suspect_reason(now).is_some();
+                let has_failed = server.health.borrow().has_failed_recently(now);
                 (has_failed, rand::random(), server)
             })
             .collect();
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::digest::SuspectReason;
+use super::reach::ReachTracker;
 
 /// Weight of the newest sample in the exponential moving averages.
 pub const SAMPLE_WEIGHT: f64 = 0.25;
@@ -171,18 +172,26 @@
     }
 
     /// The reason why this instance does not use the server, to be reported to the
-    /// other instances.
+    /// other instances. That the server is unreachable is reported only if another one
+    /// has been reached since.
     #[must_use]
-    pub fn suspect_reason(&self, now: Instant) -> Option<SuspectReason> {
+    pub fn suspect_reason(&self, reach: &ReachTracker, now: Instant) -> Option<SuspectReason> {
         if self.is_replaced {
             return Some(SuspectReason::Replaced);
         }
-        let is_recent = |at| now.saturating_duration_since(at) < FAILURE_REPORT_RETENTION;
+        let is_reported = |at| reach.has_reached_since(at) && self.has_failed_recently(now);
         self.unreachable_at
-            .is_some_and(is_recent)
+            .is_some_and(is_reported)
             .then_some(SuspectReason::Unreachable)
     }
 
+    /// Whether a connection to the server failed within [`FAILURE_REPORT_RETENTION`].
+    #[must_use]
+    pub fn has_failed_recently(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < FAILURE_REPORT_RETENTION;
+        self.unreachable_at.is_some_and(is_recent)
+    }
+
     /// Sets whether the reports of the other instances exclude the server.
     pub fn set_excluded(&mut self, is_excluded: bool) {
         self.is_excluded = is_excluded;
--- a/crates/policy/tests/entry/servers.rs
+++ b/crates/policy/tests/entry/servers.rs
@@ -4,6 +4,8 @@
 
 use tarragonpulley_policy::entry::digest::SuspectReason;
 use tarragonpulley_policy::entry::health::ServerHealth;
+use tarragonpulley_policy::entry::reach::ReachTracker;
+use yare::parameterized;
 
 use crate::at;
 
@@ -87,13 +89,14 @@
 #[test]
 fn a_server_that_was_replaced_is_not_used_again_and_reported() {
     let start = Instant::now();
+    let reach = ReachTracker::default();
     let mut health = ServerHealth::new(start);
-    assert_eq!(health.suspect_reason(start), None);
+    assert_eq!(health.suspect_reason(&reach, start), None);
     health.mark_replaced();
     let much_later = at(start, 60_000);
     assert!(health.is_suspended(TARGET, much_later));
     assert_eq!(
-        health.suspect_reason(much_later),
+        health.suspect_reason(&reach, much_later),
         Some(SuspectReason::Replaced)
     );
 }
@@ -103,7 +106,9 @@
     let start = Instant::now();
     let mut health = ServerHealth::new(start);
     health.suspend(start);
-    let reported = |health: &ServerHealth, milli| health.suspect_reason(at(start, milli));
+    let mut reach = ReachTracker::default();
+    reach.record_reached(at(start, 3_010));
+    let reported = |health: &ServerHealth, milli| health.suspect_reason(&reach, at(start, milli));
     assert_eq!(reported(&health, 1_900), Some(SuspectReason::Unreachable));
     assert_eq!(reported(&health, 2_100), None);
     health.suspend(at(start, 3_000));
@@ -111,6 +116,29 @@
     assert_eq!(reported(&health, 3_200), None);
 }
 
+/// Guards against instances that report their own broken links as failures of servers.
+#[parameterized(
+    not_reached_since = { 0, false, None },
+    reached_since = { 200, false, Some(SuspectReason::Unreachable) },
+    partitioned = { 200, true, None },
+)]
+fn an_unreachable_server_is_reported_only_if_others_are_reached(
+    reached_ms: u64,
+    is_partitioned: bool,
+    reason: Option<SuspectReason>,
+) {
+    let start = Instant::now();
+    let mut reach = ReachTracker::default();
+    reach.record_reached(at(start, reached_ms));
+    if is_partitioned {
+        reach.record_failed_round();
+        reach.record_failed_round();
+    }
+    let mut health = ServerHealth::new(start);
+    health.suspend(at(start, 100));
+    assert_eq!(health.suspect_reason(&reach, at(start, 300)), reason);
+}
+
 #[test]
 fn a_server_excluded_by_other_instances_is_avoided_while_they_report_it() {
     let start = Instant::now();
@@ -118,7 +146,8 @@
     health.set_excluded(true);
     assert!(health.is_suspended(TARGET, start));
     // Reports of other instances are not forwarded as an own observation.
-    assert_eq!(health.suspect_reason(start), None);
+    let reach = ReachTracker::default();
+    assert_eq!(health.suspect_reason(&reach, start), None);
     health.set_excluded(false);
     assert!(!health.is_suspended(TARGET, start));
 }
