Use open connections while partitioned, as long as servers respond on them

Where open connections work while new ones are refused, the partition is noticed only when a new one is needed; then everything was rejected, also what the open ones could serve.

Change: a partitioned instance sends on open connections while it got a response within two seconds and since the doubt began.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -257,7 +257,7 @@
     }
 
     async fn run_within_team_limit(&self, forward: &ForwardRequest) -> CallerResponse {
-        if self.reach.borrow().is_partitioned() {
+        if !self.reach.borrow().can_send(self.now()) {
             return self.reject_unreachable(forward);
         }
         let wait = match &forward.team {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -26,6 +26,17 @@
 /// the outcome of the request would then be unknown.
 const MAX_UNSAFE_IDLE: Duration = Duration::from_millis(1500);
 
+impl ForwardRequest {
+    /// The maximum idle time of a pooled connection that may carry the request.
+    pub(super) fn max_idle(&self) -> Duration {
+        if self.route.retryable {
+            Duration::MAX
+        } else {
+            MAX_UNSAFE_IDLE
+        }
+    }
+}
+
 /// Time of an attempt that is not work at the server.
 const TRANSPORT_OVERHEAD: Duration = Duration::from_millis(20);
 
@@ -91,12 +102,7 @@
     pub(super) async fn run(&self, exchange_started: &Cell<bool>) -> AttemptOutcome {
         let server = self.server();
         let _in_flight_request = InFlightRequest::begin(server, self.started);
-        let max_idle = if self.forward.route.retryable {
-            Duration::MAX
-        } else {
-            MAX_UNSAFE_IDLE
-        };
-        let pooled = server.take_connection(max_idle, &self.forward.id);
+        let pooled = server.take_connection(self.forward.max_idle(), &self.forward.id);
         let was_pooled = pooled.is_some();
         let Some(connection) = self.connect_unless_pooled(pooled).await else {
             return AttemptOutcome::NotSent;
@@ -175,6 +181,9 @@
             return pooled;
         }
         let instance = self.instance;
+        if instance.reach.borrow().is_partitioned() {
+            return None;
+        }
         let server = self.server();
         let address = server.entry.borrow().address;
         let remaining = self
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -58,14 +58,14 @@
         attempted: &[Rc<Server>],
         now: Instant,
     ) -> Result<PlacedServer, (Rejection, Duration)> {
-        if self.reach.borrow().is_partitioned() {
+        let candidates = self.candidates(forward, choice, attempted, now);
+        if candidates.is_empty() && self.reach.borrow().is_partitioned() {
             let retry_after = self.load_elsewhere().retry_after(rand::random());
             return Err((Rejection::NoServerReachable, retry_after));
         }
         let target = forward.route.target_latency;
         let remaining = forward.deadline.saturating_duration_since(now);
         let default_retry_after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
-        let candidates = self.candidates(forward, choice, attempted, now);
         let cold_rate = ColdRate::new(self, forward, now);
         let views: Vec<ServerView> = candidates
             .iter()
@@ -163,6 +163,13 @@
     ) -> Vec<Rc<Server>> {
         let evacuated_centres = self.evacuated_centres.borrow();
         let servers = self.servers.borrow();
+        let (is_partitioned, can_send) = {
+            let reach = self.reach.borrow();
+            (reach.is_partitioned(), reach.can_send(now))
+        };
+        let is_reached = |server: &Server| {
+            !is_partitioned || (can_send && server.has_connection(forward.max_idle(), &forward.id))
+        };
         let may_run = |server: &&Rc<Server>| {
             let entry = server.entry.borrow();
             server.is_available(now)
@@ -170,6 +177,7 @@
                 && !evacuated_centres.contains(&entry.centre)
                 && forward.is_home_region(server.region.borrow().as_ref())
                 && !attempted.iter().any(|other| Rc::ptr_eq(other, server))
+                && is_reached(server)
         };
         servers
             .of_service(&forward.service)
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -120,9 +120,12 @@
                     "servers_unreachable",
                     json!({"servers": servers.all().count()}),
                 );
-                servers
-                    .all()
-                    .for_each(|server| server.close_idle_connections());
+                // Open connections may work while new ones are refused.
+                if !self.reach.borrow().can_send(self.now()) {
+                    servers
+                        .all()
+                        .for_each(|server| server.close_idle_connections());
+                }
             }
             ReachChange::Restored => {
                 self.log.event(
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -120,6 +120,13 @@
         None
     }
 
+    /// Whether [`Server::take_connection`] would return a connection.
+    pub(crate) fn has_connection(&self, max_idle: Duration, id: &str) -> bool {
+        let is_fit =
+            |pooled: &ServerConnection| !pooled.has_carried(id) && pooled.is_usable(max_idle);
+        self.pool.borrow().iter().any(is_fit)
+    }
+
     pub(crate) fn return_connection(&self, connection: ServerConnection) {
         let mut pool = self.pool.borrow_mut();
         if pool.len() < MAX_IDLE_CONNECTIONS && connection.is_usable(Duration::MAX) {
--- a/crates/policy/src/entry/reach.rs
+++ b/crates/policy/src/entry/reach.rs
@@ -30,6 +30,9 @@
 /// Minimum time between two probes because of silence.
 pub const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time since the last response in which open connections count as working.
+pub const OPEN_CONNECTIONS_WORK: Duration = Duration::from_secs(2);
+
 /// A change of what this instance believes about its links to the servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReachChange {
@@ -44,7 +47,7 @@
 pub struct ReachTracker {
     reached_at: Option<Instant>,
     responded_at: Option<Instant>,
-    has_doubt: bool,
+    doubted_since: Option<Instant>,
     failed_rounds: u32,
     is_partitioned: bool,
 }
@@ -56,6 +59,15 @@
         self.is_partitioned
     }
 
+    /// Whether requests can be sent: on any connection, or while partitioned on open ones
+    /// if servers go on responding on these.
+    #[must_use]
+    pub fn can_send(&self, now: Instant) -> bool {
+        let has_responded = self.responded_at > self.doubted_since
+            && is_within(self.responded_at, OPEN_CONNECTIONS_WORK, now);
+        !self.is_partitioned || has_responded
+    }
+
     /// Whether a connection to some server was opened after `at`. What failed before
     /// then is the fault of the server, not of this instance's links.
     #[must_use]
@@ -66,7 +78,11 @@
     /// Records that a connection to a server was opened.
     pub fn record_reached(&mut self, now: Instant) -> Option<ReachChange> {
         self.reached_at = Some(now);
-        self.has_doubt = false;
+        self.end_doubt()
+    }
+
+    fn end_doubt(&mut self) -> Option<ReachChange> {
+        self.doubted_since = None;
         self.failed_rounds = 0;
         std::mem::take(&mut self.is_partitioned).then_some(ReachChange::Restored)
     }
@@ -79,7 +95,9 @@
 
     /// Records that a connection to a server could not be opened.
     pub fn record_failure(&mut self, now: Instant) {
-        self.has_doubt |= !is_within(self.reached_at, REACHED_RECENTLY, now);
+        if !is_within(self.reached_at, REACHED_RECENTLY, now) {
+            self.doubted_since.get_or_insert(now);
+        }
     }
 
     /// Records how many servers have had requests in progress for [`SILENCE`] without a
@@ -87,13 +105,19 @@
     pub fn record_silent_servers(&mut self, count: usize, now: Instant) {
         let has_heard = is_within(self.responded_at, SILENCE, now)
             || is_within(self.reached_at, SILENCE_PROBE_INTERVAL, now);
-        self.has_doubt |= count >= MIN_SILENT_SERVERS && !has_heard;
+        if count >= MIN_SILENT_SERVERS && !has_heard {
+            self.doubted_since.get_or_insert(now);
+        }
     }
 
     /// The number of servers to probe now.
     #[must_use]
     pub fn due_probes(&self) -> usize {
-        match (self.is_partitioned, self.has_doubt, self.failed_rounds) {
+        match (
+            self.is_partitioned,
+            self.doubted_since.is_some(),
+            self.failed_rounds,
+        ) {
             (false, false, _) => 0,
             (true, _, _) | (false, true, 0) => FIRST_PROBES,
             (false, true, _) => CONFIRMING_PROBES,
@@ -110,9 +134,7 @@
 
     /// Records that there is no server to probe.
     pub fn record_no_servers(&mut self) -> Option<ReachChange> {
-        self.has_doubt = false;
-        self.failed_rounds = 0;
-        std::mem::take(&mut self.is_partitioned).then_some(ReachChange::Restored)
+        self.end_doubt()
     }
 }
 
--- a/crates/policy/tests/entry/reach.rs
+++ b/crates/policy/tests/entry/reach.rs
@@ -37,10 +37,19 @@
     silence_of_few = { &[Responded, Silent(2)], 0, false },
 )]
 fn partitions_are_detected(observations: &[Observation], due: usize, is_partitioned: bool) {
-    let start = Instant::now();
+    let (tracker, _) = play(observations);
+    assert_eq!(
+        (tracker.due_probes(), tracker.is_partitioned()),
+        (due, is_partitioned)
+    );
+}
+
+/// The tracker after the observations, and the time of the last one.
+fn play(observations: &[Observation]) -> (ReachTracker, Instant) {
+    let mut now = Instant::now();
     let mut tracker = ReachTracker::default();
-    for (second, observation) in (1..).zip(observations) {
-        let now = at(start, second * 1000);
+    for observation in observations {
+        now = at(now, 1000);
         match observation {
             Reached => drop(tracker.record_reached(now)),
             Responded => tracker.record_response(now),
@@ -50,10 +59,20 @@
             NoServers => drop(tracker.record_no_servers()),
         }
     }
-    assert_eq!(
-        (tracker.due_probes(), tracker.is_partitioned()),
-        (due, is_partitioned)
-    );
+    (tracker, now)
+}
+
+/// Guards against rejections of what open connections could serve, and against requests
+/// on connections that no longer carry anything.
+#[parameterized(
+    not_partitioned = { &[NotReached, ProbesFailed], true },
+    hangs = { &[Responded, NotReached, ProbesFailed, ProbesFailed], false },
+    open_connections_work = { &[NotReached, ProbesFailed, ProbesFailed, Responded], true },
+    open_connections_fell_silent = { &[NotReached, ProbesFailed, ProbesFailed, Responded, ProbesFailed, ProbesFailed], false },
+)]
+fn open_connections_are_used_while_they_respond(observations: &[Observation], can_send: bool) {
+    let (tracker, now) = play(observations);
+    assert_eq!(tracker.can_send(now), can_send);
 }
 
 #[test]
