--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -487,25 +487,20 @@
     fn log_view(&self, view: FleetView) {
         let logged = self.logged_view.replace(view);
         let view = self.logged_view.borrow();
-        if view.ready != logged.ready {
-            let added = names(view.ready.difference(&logged.ready));
-            let removed = names(logged.ready.difference(&view.ready));
-            self.log.event(
-                "instances_ready",
-                json!({"others": view.ready.len(), "added": added, "removed": removed}),
-            );
-        }
-        if view.excluded != logged.excluded {
-            let added = names(view.excluded.difference(&logged.excluded));
-            let removed = names(logged.excluded.difference(&view.excluded));
+        self.log_change("instances_ready", &logged.ready, &view.ready);
+        self.log_change("servers_excluded", &logged.excluded, &view.excluded);
+    }
+
+    fn log_change<T: Ord + ToString>(&self, event: &str, old: &BTreeSet<T>, new: &BTreeSet<T>) {
+        let names_only_in = |set: &BTreeSet<T>, other: &BTreeSet<T>| -> Vec<String> {
+            set.difference(other).map(T::to_string).collect()
+        };
+        let (added, removed) = (names_only_in(new, old), names_only_in(old, new));
+        if !added.is_empty() || !removed.is_empty() {
             self.log.event(
-                "servers_excluded",
-                json!({"excluded": view.excluded.len(), "added": added, "removed": removed}),
+                event,
+                json!({"count": new.len(), "added": added, "removed": removed}),
             );
         }
     }
 }
-
-fn names<T: ToString>(values: impl Iterator<Item = T>) -> Vec<String> {
-    values.map(|value| value.to_string()).collect()
-}
