Doubt the links after a timeout without any response, and with two silent servers

An instance with few requests in progress had fewer than three silent servers, and noticed a partition only when its timeouts made it open new connections. A request that times out is now a reason for probes if no server responded and no connection was opened since it began.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -395,6 +395,7 @@
             .record_timeout(observed, self.expected, now);
         let timed_out = now >= self.forward.deadline;
         if timed_out {
+            self.instance.record_unanswered(self.started);
             // The connections may have failed without a reset.
             server.close_idle_connections();
             self.record_evidence(true);
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::{FutureExt, select_ok};
 use serde_json::json;
@@ -104,6 +104,17 @@
     /// Records that a connection to a server could not be opened.
     pub(crate) fn record_not_reached(&self) {
         self.reach.borrow_mut().record_failure(self.now());
+        self.request_due_probes();
+    }
+
+    /// Records that a request sent to a server at `started` has timed out.
+    pub(crate) fn record_unanswered(&self, started: Instant) {
+        let now = self.now();
+        self.reach.borrow_mut().record_timeout(started, now);
+        self.request_due_probes();
+    }
+
+    fn request_due_probes(&self) {
         if self.reach.borrow().due_probes() > 0 {
             self.reach_doubted.notify_one();
         }
--- a/crates/policy/src/entry/reach.rs
+++ b/crates/policy/src/entry/reach.rs
@@ -25,7 +25,7 @@
 pub const SILENCE: Duration = Duration::from_millis(600);
 
 /// The number of silent servers that is a reason for a probe.
-pub const MIN_SILENT_SERVERS: usize = 3;
+pub const MIN_SILENT_SERVERS: usize = 2;
 
 /// Minimum time between two probes because of silence.
 pub const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Records that a request sent at `started` has timed out.
+    pub fn record_timeout(&mut self, started: Instant, now: Instant) {
+        if self.responded_at.max(self.reached_at) < Some(started) {
+            self.doubted_since.get_or_insert(now);
+        }
+    }
+
     /// Records how many servers have had requests in progress for [`SILENCE`] without a
     /// response.
     pub fn record_silent_servers(&mut self, count: usize, now: Instant) {
--- a/crates/policy/tests/entry/reach.rs
+++ b/crates/policy/tests/entry/reach.rs
@@ -1,6 +1,6 @@
 //! Whether an instance is partitioned from all servers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::reach::{
     CONFIRMING_PROBES, FIRST_PROBES, ReachChange, ReachTracker,
@@ -15,11 +15,13 @@
     Responded,
     NotReached,
     Silent(usize),
+    /// After so many milliseconds.
+    TimedOut(u64),
     ProbesFailed,
     NoServers,
 }
 
-use Observation::{NoServers, NotReached, ProbesFailed, Reached, Responded, Silent};
+use Observation::{NoServers, NotReached, ProbesFailed, Reached, Responded, Silent, TimedOut};
 
 /// Each observation comes a second after the one before.
 #[parameterized(
@@ -33,8 +35,12 @@
     a_connection_does = { &[NotReached, ProbesFailed, ProbesFailed, Reached], 0, false },
     servers_that_left_do = { &[NotReached, ProbesFailed, ProbesFailed, NoServers], 0, false },
     a_round_between_successes = { &[NotReached, ProbesFailed, Reached, NotReached, ProbesFailed], CONFIRMING_PROBES, false },
-    silence = { &[Responded, Silent(3)], FIRST_PROBES, false },
-    silence_of_few = { &[Responded, Silent(2)], 0, false },
+    silence = { &[Responded, Silent(2)], FIRST_PROBES, false },
+    silence_of_one = { &[Responded, Silent(1)], 0, false },
+    timeout = { &[Responded, TimedOut(500)], FIRST_PROBES, false },
+    timeout_beside_responses = { &[Responded, TimedOut(1500)], 0, false },
+    timeout_beside_connections = { &[Reached, TimedOut(1500)], 0, false },
+    timeout_of_the_first_request = { &[TimedOut(1500)], FIRST_PROBES, false },
 )]
 fn partitions_are_detected(observations: &[Observation], due: usize, is_partitioned: bool) {
     let (tracker, _) = play(observations);
@@ -55,6 +61,7 @@
             Responded => tracker.record_response(now),
             NotReached => tracker.record_failure(now),
             Silent(count) => tracker.record_silent_servers(*count, now),
+            TimedOut(after) => tracker.record_timeout(now - Duration::from_millis(*after), now),
             ProbesFailed => drop(tracker.record_failed_round()),
             NoServers => drop(tracker.record_no_servers()),
         }
