--- a/crates/policy/tests/entry/reach.rs
+++ b/crates/policy/tests/entry/reach.rs
@@ -61,7 +61,10 @@
             Responded => tracker.record_response(now),
             NotReached => tracker.record_failure(now),
             Silent(count) => tracker.record_silent_servers(*count, now),
-            TimedOut(after) => tracker.record_timeout(now - Duration::from_millis(*after), now),
+            TimedOut(after) => {
+                let started = now.checked_sub(Duration::from_millis(*after));
+                tracker.record_timeout(started.expect("a recent time"), now);
+            }
             ProbesFailed => drop(tracker.record_failed_round()),
             NoServers => drop(tracker.record_no_servers()),
         }
