--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -26,6 +26,9 @@
 /// the outcome of the request would then be unknown.
 const MAX_UNSAFE_IDLE: Duration = Duration::from_millis(1500);
 
+/// Time of an attempt that is not work at the server.
+const TRANSPORT_OVERHEAD: Duration = Duration::from_millis(20);
+
 impl ForwardRequest {
     /// The maximum idle time of a pooled connection that may carry the request.
     pub(super) fn max_idle(&self) -> Duration {
@@ -37,9 +40,6 @@
     }
 }
 
-/// Time of an attempt that is not work at the server.
-const TRANSPORT_OVERHEAD: Duration = Duration::from_millis(20);
-
 /// The result of one attempt.
 pub(super) enum AttemptOutcome {
     /// The server's response is to be sent to the caller.
