--- a/crates/policy/tests/entry/fleet_limits.rs
+++ b/crates/policy/tests/entry/fleet_limits.rs
@@ -216,16 +216,30 @@
             }
         }
     }
-    let max_in_window = (0..times.len())
-        .map(|i| times[i..].partition_point(|t| *t < times[i] + 1000))
-        .max()
-        .unwrap_or(0);
+    let max_in_window = max_in_second(&times);
     assert!(
         (3..=9).contains(&max_in_window),
         "{max_in_window} requests in a second"
     );
 }
 
+/// The most requests in any second; `times` are in milliseconds and in order.
+fn max_in_second(times: &[u64]) -> usize {
+    (0..times.len())
+        .map(|i| times[i..].partition_point(|time| *time < times[i] + 1000))
+        .max()
+        .unwrap_or(0)
+}
+
+fn assert_within_rate(times: &[u64], allowed_per_s: f64) {
+    let found = max_in_second(times);
+    println!("{found} requests in a second, allowed {allowed_per_s}");
+    assert!(
+        f64::from(u32::try_from(found).expect("a count")) <= allowed_per_s,
+        "{found} requests in a second, allowed {allowed_per_s}"
+    );
+}
+
 /// How the instances of a fleet that starts at once learn of each other.
 #[derive(Debug, Clone, Copy)]
 enum FleetStart {
@@ -301,14 +315,7 @@
             }
         }
     }
-    let max_in_second = (0..times.len())
-        .map(|i| times[i..].partition_point(|time| *time < times[i] + 1000))
-        .max()
-        .unwrap_or(0);
-    assert!(
-        f64::from(u32::try_from(max_in_second).expect("a count")) <= allowed_per_s,
-        "{max_in_second} requests in a second, allowed {allowed_per_s}"
-    );
+    assert_within_rate(&times, allowed_per_s);
     assert!(
         times.len() > 10,
         "the rate is used: {} requests",
@@ -430,15 +437,7 @@
             }
         }
     }
-    let max_in_second = (0..times.len())
-        .map(|i| times[i..].partition_point(|time| *time < times[i] + 1000))
-        .max()
-        .unwrap_or(0);
-    println!("{max_in_second} requests in a second, allowed {allowed_per_s}");
-    assert!(
-        f64::from(u32::try_from(max_in_second).expect("a count")) <= allowed_per_s,
-        "{max_in_second} requests in a second, allowed {allowed_per_s}"
-    );
+    assert_within_rate(&times, allowed_per_s);
     let is_used = |from: u64, to: u64| times.iter().any(|time| (from..to).contains(time));
     assert!(
         is_used(2000, Disturbance::START_MS) && is_used(kind.end() + 4000, end),
