Log the limits that servers name

The adapter decodes the header field, and server_limit_changed logs each change with the request whose response named it. Decisions do not depend on it yet.

--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -29,6 +29,9 @@
     /// The numbers of requests running, requests waiting, and slots of a
     /// backend server.
     pub load: &'static str,
+    /// The requests per second that a backend server in need takes from all
+    /// instances together.
+    pub rate_limit: &'static str,
     /// Set by a backend server that did not run a request.
     pub not_run: &'static str,
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::placement::{ServerView, expected_latency};
+use tarragonpulley_policy::entry::server_limit::LimitRate;
 
 use super::place::PlacedServer;
 use super::{ForwardRequest, HOP_BY_HOP_FIELDS};
@@ -286,6 +287,7 @@
             self.log("misdirected", &json!({"status": status}));
             return AttemptOutcome::NotRun(RejectionLoad::Full);
         }
+        self.record_named_limit(&response, now);
         if response.head.text(names.not_run).is_some() {
             server.health.borrow_mut().record_rejection(now);
             let reported = response.head.text(names.load);
@@ -324,6 +326,39 @@
         }
     }
 
+    /// Records whether the response names a limit of its server. Only a sealed response
+    /// ends a limit by not naming it: rejections need not have all fields.
+    fn record_named_limit(&self, response: &ServerResponse, now: Instant) {
+        let names = self.instance.adapter.headers();
+        let is_own = |id: &str| id == self.forward.id;
+        if !response.head.text(names.request_id).is_none_or(is_own) {
+            return;
+        }
+        let rate = match response
+            .head
+            .text(names.rate_limit)
+            .map(str::parse::<LimitRate>)
+        {
+            Some(Ok(rate)) => Some(rate),
+            Some(Err(error)) => {
+                self.log("limit_ignored", &json!({"reason": error.to_string()}));
+                return;
+            }
+            None if response.head.text(names.seal).is_none() => return,
+            None => None,
+        };
+        let server = self.server();
+        let known = server.limit.borrow().rate();
+        if server.limit.borrow_mut().record_response(rate, now) {
+            self.instance.log.event(
+                "server_limit_changed",
+                json!({"request": self.forward.id, "server": server.id().as_str(),
+                    "per_s": rate.map(LimitRate::per_second),
+                    "before_per_s": known.map(LimitRate::per_second)}),
+            );
+        }
+    }
+
     fn handle_broken_connection(
         &self,
         error: &ExchangeError,
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -13,6 +13,7 @@
 };
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::reach::ReachTracker;
+use tarragonpulley_policy::entry::server_limit::ServerLimit;
 
 use crate::http::client::ServerConnection;
 
@@ -51,6 +52,7 @@
     /// `None` if the settings do not name its data centre.
     pub(crate) region: RefCell<Option<ServerRegion>>,
     pub(crate) health: RefCell<ServerHealth>,
+    pub(crate) limit: RefCell<ServerLimit>,
     pub(crate) cold_until: Cell<Option<Instant>>,
     /// The time from which on the server gets no requests, as its entry was
     /// removed.
@@ -67,6 +69,7 @@
             cold_until: Cell::new(cold_until(&entry, now)),
             removed_at: Cell::new(None),
             health: RefCell::new(ServerHealth::new(now)),
+            limit: RefCell::default(),
             known_objects: RefCell::default(),
             pool: RefCell::default(),
             entry: RefCell::new(entry),
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -19,4 +19,5 @@
 pub mod quota;
 pub mod reach;
 pub mod region_share;
+pub mod server_limit;
 pub mod split;
