--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -20,4 +20,5 @@
 pub mod reach;
 pub mod region_share;
 pub mod server_limit;
+pub mod share;
 pub mod split;
--- a/crates/policy/src/entry/cold.rs
+++ b/crates/policy/src/entry/cold.rs
@@ -1,15 +1,13 @@
 //! Rate limiting of requests to cold backend servers.
 //!
 //! The limit applies to all instances together in any second. The requests that
-//! it permits are divided among the instances by rendezvous hashing of server
-//! and instance, so if there are more instances than permitted requests, only
-//! some of them send to a cold server. No messages are needed.
+//! it permits are divided among the instances.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::names::ServerId;
-use super::placement::mix;
+use super::share::{SendHistory, instance_share};
 
 /// The fraction of the bound that is used. The margin covers short periods in
 /// which instances disagree about the membership of the fleet.
@@ -38,7 +36,7 @@
 /// The recent send times of this instance for each cold server.
 #[derive(Debug, Default)]
 pub struct ColdLimiter {
-    recent_sends: BTreeMap<ServerId, Vec<Instant>>,
+    recent_sends: BTreeMap<ServerId, SendHistory>,
 }
 
 /// How many requests per [`SEND_WINDOW`] this instance may send to a cold server.
@@ -59,13 +57,7 @@
     instances: &[u64],
 ) -> usize {
     let total = ((rate * bound.excess + bound.slack) * USABLE_FRACTION).max(1.0) as usize;
-    let own_score = mix(own ^ server);
-    let rank = instances
-        .iter()
-        .filter(|other| **other != own && mix(**other ^ server) > own_score)
-        .count();
-    let count = instances.len().max(1);
-    total / count + usize::from(rank < total % count)
+    instance_share(total, server, own, instances)
 }
 
 impl ColdLimiter {
@@ -75,22 +67,16 @@
         if !self.has_capacity(server, allowed, now) {
             return false;
         }
-        let times = self.recent_sends.entry(server.clone()).or_default();
-        times.retain(|time| now.saturating_duration_since(*time) < SEND_WINDOW);
-        times.push(now);
+        let history = self.recent_sends.entry(server.clone()).or_default();
+        history.record(SEND_WINDOW, now);
         true
     }
 
     /// Whether [`ColdLimiter::try_acquire`] would succeed.
     #[must_use]
     pub fn has_capacity(&self, server: &ServerId, allowed: usize, now: Instant) -> bool {
-        let recent = self.recent_sends.get(server).map_or(0, |times| {
-            times
-                .iter()
-                .filter(|time| now.saturating_duration_since(**time) < SEND_WINDOW)
-                .count()
-        });
-        recent < allowed
+        let recent = self.recent_sends.get(server);
+        recent.map_or(0, |history| history.count(SEND_WINDOW, now)) < allowed
     }
 
     /// Removes the state of a server that is no longer cold.
