Divide the limits that servers name among all instances

Each instance applies a limit from the response that names it on, and reports what it was told in its digest. The requests that the limit permits in four seconds are divided over all sharers of the fleet's limits by rendezvous hashing, as the rate of cold servers is; no counter is exchanged, so the sum holds whatever digests are lost. Servers without a permit are left out of the placement, and a request that only such servers may run is rejected at once. A stale connection's second send needs a permit too.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a caller's request to a backend server and returns the response.
 
 mod attempt;
+mod named_limits;
 mod place;
 mod rejection;
 
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use tarragonpulley_policy::entry::placement::{ServerView, expected_latency};
 use tarragonpulley_policy::entry::server_limit::LimitRate;
 
+use super::named_limits::NamedLimits;
 use super::place::PlacedServer;
 use super::{ForwardRequest, HOP_BY_HOP_FIELDS};
 use crate::crashes::CrashSuspect;
@@ -142,6 +143,7 @@
         let now = self.instance.now();
         let sharer_count = self.instance.peers.borrow().sharer_count(now);
         self.forward.route.retryable
+            && NamedLimits::new(self.instance, now).try_acquire(self.server())
             && self.instance.retry_budget.borrow_mut().try_acquire(
                 &self.forward.service,
                 sharer_count,
@@ -347,16 +349,10 @@
             None if response.head.text(names.seal).is_none() => return,
             None => None,
         };
-        let server = self.server();
-        let known = server.limit.borrow().rate();
-        if server.limit.borrow_mut().record_response(rate, now) {
-            self.instance.log.event(
-                "server_limit_changed",
-                json!({"request": self.forward.id, "server": server.id().as_str(),
-                    "per_s": rate.map(LimitRate::per_second),
-                    "before_per_s": known.map(LimitRate::per_second)}),
-            );
-        }
+        self.instance
+            .update_limit(self.server(), Some(&self.forward.id), now, |limit| {
+                limit.record_response(rate, now);
+            });
     }
 
     fn handle_broken_connection(
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -13,6 +13,7 @@
     Placement, RegionFractions, ServerView, choose_server, expected_latency,
 };
 
+use super::named_limits::NamedLimits;
 use super::rejection::Rejection;
 use super::{DEFAULT_RETRY_AFTER, ForwardRequest};
 use crate::instance::Instance;
@@ -58,12 +59,22 @@
         attempted: &[Rc<Server>],
         now: Instant,
     ) -> Result<PlacedServer, (Rejection, Duration)> {
-        let candidates = self.candidates(forward, choice, attempted, now);
+        let mut candidates = self.candidates(forward, choice, attempted, now);
         if candidates.is_empty() && self.reach.borrow().is_partitioned() {
             let retry_after = self.load_elsewhere().retry_after(rand::random());
             return Err((Rejection::NoServerReachable, retry_after));
         }
         let target = forward.route.target_latency;
+        let named_limits = NamedLimits::new(self, now);
+        if !candidates.is_empty() {
+            candidates.retain(|server| named_limits.permit(server));
+            if candidates.is_empty() {
+                return Err((
+                    Rejection::ServerLimitsReached,
+                    jittered_retry_after(target, rand::random()),
+                ));
+            }
+        }
         let remaining = forward.deadline.saturating_duration_since(now);
         let default_retry_after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
         let cold_rate = ColdRate::new(self, forward, now);
@@ -115,6 +126,7 @@
         } else {
             cold_limiter.remove(&server.id());
         }
+        server.limit.borrow_mut().record_send(now);
         let place = match (view.known, placement.rank) {
             (true, _) => "known",
             (false, 0) => "owner",
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -15,6 +15,8 @@
     CrashesServers,
     AllServersShed,
     OnlyColdServers,
+    /// All servers named a limit, and this instance has used its share of them.
+    ServerLimitsReached,
     /// This instance is partitioned from all servers.
     NoServerReachable,
     /// The request would not be complete when this process ends.
@@ -36,6 +38,7 @@
             | Self::CrashesServers
             | Self::AllServersShed
             | Self::OnlyColdServers
+            | Self::ServerLimitsReached
             | Self::NoServerReachable
             | Self::Stopping => 503,
         }
@@ -55,6 +58,7 @@
             Self::CrashesServers => "crashes_servers",
             Self::AllServersShed => "all_servers_shed",
             Self::OnlyColdServers => "only_cold_servers",
+            Self::ServerLimitsReached => "server_limits_reached",
             Self::NoServerReachable => "no_server_reachable",
             Self::Stopping => "stopping",
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use tarragonpulley_policy::entry::digest::{InstanceDigest, ServerTag, split_by_size};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
+use tarragonpulley_policy::entry::server_limit::LimitReport;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
@@ -79,6 +80,13 @@
     Missing(BTreeSet<CentreName>),
 }
 
+/// The fields of a digest that were added after its first encoding. They follow the
+/// digest's other fields; instances of earlier versions send none and ignore them.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct DigestExtension {
+    server_limits: Vec<LimitReport>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct CopyRequest {
     table: TableKind,
@@ -127,6 +135,39 @@
     decode::<T, MAX_DATAGRAM_BYTES>(bytes)
 }
 
+/// Encodes a digest with its extension, if that holds anything.
+pub(crate) fn encode_digest(
+    digest: &InstanceDigest,
+) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    let mut bytes = encode(digest)?;
+    if !digest.server_limits.is_empty() {
+        bytes.extend(encode(&DigestExtension {
+            server_limits: digest.server_limits.clone(),
+        })?);
+    }
+    Ok(bytes)
+}
+
+/// Decodes a digest with its extension, if there is one. The second value says why the
+/// extension cannot be decoded; its sender is live all the same.
+pub(crate) fn decode_digest(
+    bytes: &[u8],
+) -> Result<(InstanceDigest, Option<bincode::error::DecodeError>), bincode::error::DecodeError> {
+    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    let (mut digest, length): (InstanceDigest, usize) =
+        bincode::serde::decode_from_slice(bytes, config)?;
+    if length == bytes.len() {
+        return Ok((digest, None));
+    }
+    match decode_datagram::<DigestExtension>(&bytes[length..]) {
+        Ok(extension) => {
+            digest.server_limits = extension.server_limits;
+            Ok((digest, None))
+        }
+        Err(error) => Ok((digest, Some(error))),
+    }
+}
+
 async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len())
         .map_err(|_large| io::Error::from(io::ErrorKind::InvalidInput))?;
@@ -265,6 +306,7 @@
             loads: self.servers.borrow().loads(),
             regions: self.regions.report(now),
             suspects: self.servers.borrow().suspects(&self.reach.borrow(), now),
+            server_limits: self.servers.borrow().limit_reports(now),
         }
     }
 
@@ -333,7 +375,10 @@
     /// Encodes digests into as few datagrams as they fit in.
     fn datagrams(&self, relay: bool, digests: &[InstanceDigest]) -> Vec<Vec<u8>> {
         let encode_all = || -> Result<Vec<Vec<u8>>, bincode::error::EncodeError> {
-            let encoded: Vec<Vec<u8>> = digests.iter().map(encode).collect::<Result<_, _>>()?;
+            let encoded: Vec<Vec<u8>> = digests
+                .iter()
+                .map(encode_digest)
+                .collect::<Result<_, _>>()?;
             split_by_size(encoded, LENGTH_PREFIX_BYTES, MAX_DIGEST_BYTES)
                 .into_iter()
                 .map(|digests| encode(&PeerMessage::Digests { relay, digests }))
@@ -398,8 +443,15 @@
         let now = self.now();
         let mut fresh = Vec::new();
         for bytes in digests {
-            let digest: InstanceDigest = match decode_datagram(&bytes) {
-                Ok(digest) => digest,
+            let digest = match decode_digest(&bytes) {
+                Ok((digest, None)) => digest,
+                Ok((digest, Some(error))) => {
+                    self.log.event(
+                        "digest_extension_ignored",
+                        json!({"sender": sender.to_string(), "reason": error.to_string()}),
+                    );
+                    digest
+                }
                 Err(error) => {
                     self.log_ignored_datagram(sender, &error);
                     continue;
@@ -457,6 +509,7 @@
         let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         let suspects = peers.suspects(now);
+        let limits = peers.server_limits(now);
         let mut view = FleetView {
             ready: peers.ready(now).map(|record| record.name.clone()).collect(),
             excluded: BTreeSet::new(),
@@ -471,6 +524,8 @@
             let regions = regions.chain([&peers.own().region]).collect();
             let is_excluded = suspects.exclude(tag, &regions);
             health.set_excluded(is_excluded);
+            let reported = limits.get(&tag).copied().unwrap_or_default();
+            self.update_limit(server, None, now, |limit| limit.set_reported(reported));
             if is_excluded {
                 view.excluded.insert(server.id());
             }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -13,7 +13,7 @@
 };
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::reach::ReachTracker;
-use tarragonpulley_policy::entry::server_limit::ServerLimit;
+use tarragonpulley_policy::entry::server_limit::{LimitRate, LimitReport, ServerLimit};
 
 use crate::http::client::ServerConnection;
 
@@ -53,6 +53,8 @@
     pub(crate) region: RefCell<Option<ServerRegion>>,
     pub(crate) health: RefCell<ServerHealth>,
     pub(crate) limit: RefCell<ServerLimit>,
+    /// The limit that the last log line named.
+    pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
     /// The time from which on the server gets no requests, as its entry was
     /// removed.
@@ -70,6 +72,7 @@
             removed_at: Cell::new(None),
             health: RefCell::new(ServerHealth::new(now)),
             limit: RefCell::default(),
+            logged_limit: Cell::default(),
             known_objects: RefCell::default(),
             pool: RefCell::default(),
             entry: RefCell::new(entry),
@@ -308,6 +311,15 @@
         self.servers.values().filter_map(suspect).collect()
     }
 
+    /// What servers told this instance of their limits, for the digest.
+    pub(crate) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
+        let report = |server: &Rc<Server>| {
+            let limit = server.limit.borrow();
+            limit.report(ServerTag::new(server.hash), now)
+        };
+        self.servers.values().filter_map(report).collect()
+    }
+
     /// The number of servers with requests in progress for `span` without a response.
     pub(crate) fn count_silent(&self, span: Duration, now: Instant) -> usize {
         let is_silent = |server: &&Rc<Server>| server.health.borrow().is_silent(span, now);
--- a/crates/edge/src/tests/peers.rs
+++ b/crates/edge/src/tests/peers.rs
@@ -9,7 +9,9 @@
 };
 use tarragonpulley_policy::entry::region_share::ServiceDemand;
 
-use crate::peers::{PeerMessage, decode_datagram, encode};
+use tarragonpulley_policy::entry::server_limit::LimitReport;
+
+use crate::peers::{PeerMessage, decode_datagram, decode_digest, encode, encode_digest};
 
 fn digest() -> InstanceDigest {
     let address = SocketAddr::from(([127, 0, 0, 1], 7));
@@ -34,6 +36,19 @@
             homed: vec![("north".parse().expect("a name"), 0.5)],
         }],
         suspects: vec![(ServerTag::new(9), SuspectReason::Replaced)],
+        server_limits: vec![LimitReport {
+            server: ServerTag::new(9),
+            rate: Some("2.3".parse().expect("a rate")),
+            age_ms: 70,
+        }],
+    }
+}
+
+/// The digest as instances of the previous version know it.
+fn previous_digest() -> InstanceDigest {
+    InstanceDigest {
+        server_limits: Vec::new(),
+        ..digest()
     }
 }
 
@@ -41,17 +56,43 @@
     // Any result is valid; none may panic or allocate what a length announces.
     if let Ok(PeerMessage::Digests { digests, .. }) = decode_datagram::<PeerMessage>(bytes) {
         for digest in digests {
-            drop(decode_datagram::<InstanceDigest>(&digest));
+            drop(decode_digest(&digest));
         }
     }
-    drop(decode_datagram::<InstanceDigest>(bytes));
+    drop(decode_digest(bytes));
+}
+
+fn decoded(bytes: &[u8]) -> InstanceDigest {
+    let (digest, error) = decode_digest(bytes).expect("a valid digest");
+    assert!(error.is_none(), "{error:?}");
+    digest
 }
 
 #[test]
 fn a_digest_is_decoded_as_it_was_encoded() {
-    let bytes = encode(&digest()).expect("a digest can be encoded");
-    let decoded: InstanceDigest = decode_datagram(&bytes).expect("a valid digest");
-    assert_eq!(decoded, digest());
+    for digest in [digest(), previous_digest()] {
+        let bytes = encode_digest(&digest).expect("a digest can be encoded");
+        assert_eq!(decoded(&bytes), digest);
+    }
+}
+
+#[test]
+fn digests_of_the_previous_version_are_decoded_and_the_other_way_round() {
+    // The previous version encodes the digest alone, and ignores what follows it.
+    let previous = encode(&digest()).expect("a digest can be encoded");
+    assert_eq!(decoded(&previous), previous_digest());
+    let current = encode_digest(&digest()).expect("a digest can be encoded");
+    let read: InstanceDigest = decode_datagram(&current).expect("a valid digest");
+    assert_eq!(read, previous_digest());
+}
+
+#[test]
+fn a_digest_counts_whose_extension_cannot_be_decoded() {
+    let mut bytes = encode(&digest()).expect("a digest can be encoded");
+    bytes.extend([250, 1, 2, 3]);
+    let (read, error) = decode_digest(&bytes).expect("a valid digest");
+    assert_eq!(read, previous_digest());
+    assert!(error.is_some());
 }
 
 proptest! {
@@ -62,7 +103,7 @@
         changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..10),
         cut in proptest::option::of(any::<prop::sample::Index>()),
     ) {
-        let digests = vec![encode(&digest()).expect("a digest can be encoded")];
+        let digests = vec![encode_digest(&digest()).expect("a digest can be encoded")];
         let message = PeerMessage::Digests { relay: true, digests };
         let mut bytes = encode(&message).expect("a message can be encoded");
         for (index, value) in changes {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -22,6 +22,7 @@
 use super::names::{CentreName, InstanceName, RegionName, TeamName};
 use super::placement::text_hash;
 use super::region_share::ServiceDemand;
+use super::server_limit::{LimitReport, ReportedLimit};
 
 /// Time without a digest after which an instance is taken as failed.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -166,6 +167,10 @@
     pub regions: Vec<ServiceDemand>,
     /// Servers that the instance does not use.
     pub suspects: Vec<(ServerTag, SuspectReason)>,
+    /// What servers told the instance of their limits. Encoded after the other fields,
+    /// where instances of earlier versions ignore it.
+    #[serde(skip)]
+    pub server_limits: Vec<LimitReport>,
 }
 
 /// Groups encoded digests into datagrams of at most `max_bytes`, in order. Each
@@ -614,6 +619,20 @@
         reports
     }
 
+    /// The limits of servers that the other instances report. Those that are no longer
+    /// live count as long as they share the limits.
+    #[must_use]
+    pub fn server_limits(&self, now: Instant) -> BTreeMap<ServerTag, ReportedLimit> {
+        let mut limits: BTreeMap<ServerTag, ReportedLimit> = BTreeMap::new();
+        for member in self.retained(now) {
+            for report in &member.digest.server_limits {
+                let limit = limits.entry(report.server).or_default();
+                limit.add(report, member.received_at);
+            }
+        }
+        limits
+    }
+
     /// The sum of the other instances' evidence on one rollout, failed instances
     /// included.
     #[must_use]
--- a/crates/policy/tests/entry/fleet_limits.rs
+++ b/crates/policy/tests/entry/fleet_limits.rs
@@ -445,7 +445,7 @@
     );
 }
 
-fn record(index: u64) -> InstanceRecord {
+pub(crate) fn record(index: u64) -> InstanceRecord {
     let port = u16::try_from(1000 + index).expect("small");
     InstanceRecord {
         name: format!("i{index:03}").parse().expect("a name"),
@@ -457,7 +457,7 @@
     }
 }
 
-fn digest(index: u64, sequence: u64) -> InstanceDigest {
+pub(crate) fn digest(index: u64, sequence: u64) -> InstanceDigest {
     InstanceDigest {
         record: record(index),
         sequence,
@@ -468,6 +468,7 @@
         loads: Vec::new(),
         regions: Vec::new(),
         suspects: Vec::new(),
+        server_limits: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -37,6 +37,7 @@
         loads: Vec::new(),
         regions: Vec::new(),
         suspects: Vec::new(),
+        server_limits: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod fleet_simulation;
 mod instances;
 mod load_simulation;
+mod named_limits;
 mod placement;
 mod reach;
 mod regions;
