--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,7 +14,7 @@
 
 use crate::instance::Instance;
 use crate::peers::read_from_peer;
-use crate::table::{TableBatch, TableError, TableKind, TableMirror};
+use crate::table::{TableBatch, TableEra, TableError, TableKind, TableMirror};
 
 /// How long a read of the operator's rows waits for a change. The proof of the
 /// configuration is dated by the start of the read, so this must be well below
@@ -152,6 +152,8 @@
     has_read: bool,
     /// Whether the changes since the known version are no longer available.
     needs_full_read: bool,
+    /// The era of the last response of the table service.
+    era: Option<TableEra>,
     service_failed_at: Option<Instant>,
     relay_failed_at: Option<Instant>,
 }
@@ -237,6 +239,14 @@
                 self.service_failed_at = None;
                 self.needs_full_read = false;
                 self.has_read = true;
+                if self.era.is_some_and(|era| era != batch.era) {
+                    instance.log.event(
+                        "table_restored",
+                        json!({"table": format!("{table:?}"), "era": batch.era, "before": self.era,
+                            "upto": batch.upto, "known_upto": after}),
+                    );
+                }
+                self.era = Some(batch.era);
                 let proof = self
                     .clock
                     .earliest_response_time(started, batch.service_time);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,4 +34,4 @@
 pub use instance::InstanceOptions;
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
 pub use service_client::{CallError, ServiceClient, ServiceResponse};
-pub use table::{TableBatch, TableError, TableKind, TableResult, TableRow, TableService};
+pub use table::{TableBatch, TableEra, TableError, TableKind, TableResult, TableRow, TableService};
--- a/crates/edge/src/service_client.rs
+++ b/crates/edge/src/service_client.rs
@@ -9,6 +9,8 @@
 
 use crate::http::budget::BufferBudget;
 use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection};
+use crate::http::framing::ResponseHead;
+use crate::http::message::HeaderLookup;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,6 +41,15 @@
     pub status: u16,
     /// The whole body.
     pub body: Bytes,
+    head: ResponseHead,
+}
+
+impl ServiceResponse {
+    /// The value of a header field, if it is text.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.head.text(name)
+    }
 }
 
 /// Calls a service at one address.
@@ -120,6 +131,7 @@
         Ok(ServiceResponse {
             status: response.head.status,
             body: response.body,
+            head: response.head,
         })
     }
 
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -30,6 +30,10 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// How often the table service was restored from an older copy; zero if it does not
+/// say. In each era, versions that were lost are given out again.
+pub type TableEra = u64;
+
 /// The rows or changes that one read returned.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableBatch {
@@ -44,6 +48,10 @@
     pub age: Duration,
     /// The table service's monotonic clock when it responded.
     pub service_time: Option<Duration>,
+    /// How often the service was restored from an older copy of its tables. Versions
+    /// of different eras cannot be compared.
+    #[serde(skip)]
+    pub era: TableEra,
 }
 
 /// Why a table call failed.
@@ -273,6 +281,7 @@
             complete: from.is_none(),
             age,
             service_time: None,
+            era: 0,
         })
     }
 }
--- a/crates/edge/src/tests/mirror.rs
+++ b/crates/edge/src/tests/mirror.rs
@@ -100,6 +100,7 @@
             complete: after.is_none(),
             age: Duration::ZERO,
             service_time: None,
+            era: 0,
         }
     }
 }
