Follow a table that was restored from an older copy, without undoing what is known

Cause: copies of tables order everything by the store's version. Taking the restored rows as they are would undo configurations, departures and evacuations for as long as they are not written again.

Positions are now the era and the version. A mirror takes a complete read of a later era as its new base and holds rows that are missing or older at their known state: configurations are ordered by their version, entries of servers by start and number, other rows are held for 2.2 s, then all rows are read once more.

--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -58,6 +58,15 @@
     Evacuate(CentreName),
 }
 
+/// Orders the entries that one server wrote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EntryOrder {
+    /// The start of the server in milliseconds since the Unix epoch.
+    pub started: i64,
+    /// Rises with each entry since the start.
+    pub sequence: i64,
+}
+
 /// Why a row cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}")]
@@ -111,6 +120,10 @@
     /// If fields are missing or invalid, so that the row names no server.
     fn decode_server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, RowError>;
 
+    /// The order of a row of [`super::table::TableKind::Servers`] among those of its
+    /// server; `None` if the row does not say.
+    fn entry_order(&self, value: &[u8]) -> Option<EntryOrder>;
+
     /// Decodes a row of [`super::table::TableKind::Records`].
     ///
     /// # Errors
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -13,8 +13,9 @@
 use tarragonpulley_policy::entry::placement::{mix, text_hash};
 
 use crate::instance::Instance;
+use crate::mirror::{REWRITE_GRACE, TableMirror};
 use crate::peers::read_from_peer;
-use crate::table::{TableBatch, TableEra, TableError, TableKind, TableMirror};
+use crate::table::{TableBatch, TableError, TableKind};
 
 /// How long a read of the operator's rows waits for a change. The proof of the
 /// configuration is dated by the start of the read, so this must be well below
@@ -152,8 +153,9 @@
     has_read: bool,
     /// Whether the changes since the known version are no longer available.
     needs_full_read: bool,
-    /// The era of the last response of the table service.
-    era: Option<TableEra>,
+    /// Whether no row is held that only a complete read of the table service can
+    /// release. Copies of other instances may contain rows that these hold.
+    is_verified: bool,
     service_failed_at: Option<Instant>,
     relay_failed_at: Option<Instant>,
 }
@@ -161,7 +163,9 @@
 impl TableFollower {
     /// Reads from the first source that responds.
     async fn read_once(&mut self, instance: &Instance, table: TableKind) -> ReadSource {
-        if let Some(reader) = self.relay_reader(instance, table)
+        if self.is_verification_due(instance, table) {
+            self.needs_full_read = true;
+        } else if let Some(reader) = self.relay_reader(instance, table)
             && self.read_relay(instance, table, &reader).await
         {
             return ReadSource::Relay;
@@ -179,6 +183,15 @@
         ReadSource::Unavailable
     }
 
+    /// Whether all rows must be read from the table service again, because the time in
+    /// which rows are written again after a restore has passed.
+    fn is_verification_due(&self, instance: &Instance, table: TableKind) -> bool {
+        !self.is_verified
+            && instance
+                .restored_at(table)
+                .is_some_and(|at| instance.proof_now() >= at + REWRITE_GRACE)
+    }
+
     /// The instance of this data centre that reads the table service for the
     /// others.
     fn relay_reader(&self, instance: &Instance, table: TableKind) -> Option<InstanceRecord> {
@@ -199,15 +212,16 @@
         table: TableKind,
         reader: &InstanceRecord,
     ) -> bool {
-        let after = instance.upto(table);
+        let (era, after) = instance.position(table);
         let started = instance.proof_now();
-        let reason = match read_from_peer(reader.peer, table, after, RELAY_POLL_TIMEOUT).await {
+        let read = read_from_peer(reader.peer, table, era, after, RELAY_POLL_TIMEOUT);
+        let reason = match read.await {
             Ok(Some(copy))
                 if copy.is_direct
                     && copy.batch.age <= MAX_RELAYED_COPY_AGE
-                    && Some(copy.batch.upto) >= after =>
+                    && instance.accepts(table, &copy.batch) =>
             {
-                instance.apply(table, copy.batch, started);
+                self.apply_copy(instance, table, copy.batch, started);
                 return true;
             }
             Ok(_) => "the copy is too old or not read from the table service".to_owned(),
@@ -222,61 +236,95 @@
     }
 
     async fn read_service(&mut self, instance: &Instance, table: TableKind) -> bool {
+        let after = instance.upto(table).filter(|_| !self.needs_full_read);
+        match self.call_service(instance, table, after).await {
+            Err(TableError::HistoryUnavailable) => {
+                instance.log.event(
+                    "table_reread",
+                    json!({"table": format!("{table:?}"), "after": after}),
+                );
+                self.needs_full_read = true;
+                // Fails once more only if the history is lost between two pages.
+                self.call_service(instance, table, None).await.is_ok()
+            }
+            result => result.is_ok(),
+        }
+    }
+
+    /// Reads the changes after a version, or all rows, and applies them.
+    async fn call_service(
+        &mut self,
+        instance: &Instance,
+        table: TableKind,
+        after: Option<u64>,
+    ) -> Result<(), TableError> {
         let started = instance.proof_now();
-        let after = instance.upto(table);
         let wait = if self.service_failed_at.is_some() {
             Duration::ZERO
         } else {
             poll_timeout(table)
         };
-        let result = match after.filter(|_| !self.needs_full_read) {
+        let result = match after {
             Some(after) => instance.table.changes(table, after, wait).await,
             None => instance.table.read(table).await,
         };
-        match result {
-            Ok(batch) => {
-                instance.record_table_result(Ok(()));
-                self.service_failed_at = None;
-                self.needs_full_read = false;
-                self.has_read = true;
-                if self.era.is_some_and(|era| era != batch.era) {
-                    instance.log.event(
-                        "table_restored",
-                        json!({"table": format!("{table:?}"), "era": batch.era, "before": self.era,
-                            "upto": batch.upto, "known_upto": after}),
-                    );
-                }
-                self.era = Some(batch.era);
-                let proof = self
-                    .clock
-                    .earliest_response_time(started, batch.service_time);
-                instance.apply(table, batch, proof.min(instance.proof_now()));
-                true
-            }
+        let batch = match result {
+            Ok(batch) => batch,
             Err(TableError::HistoryUnavailable) => {
                 instance.record_table_result(Ok(()));
-                instance.log.event(
-                    "table_reread",
-                    json!({"table": format!("{table:?}"), "after": after}),
-                );
-                self.needs_full_read = true;
-                false
+                return Err(TableError::HistoryUnavailable);
             }
             Err(error) => {
                 instance.record_table_result(Err(&error.to_string()));
                 self.service_failed_at = Some(instance.now());
-                false
+                return Err(error);
+            }
+        };
+        instance.record_table_result(Ok(()));
+        self.service_failed_at = None;
+        let era = batch.era;
+        if !instance.is_same_era(table, era) {
+            self.clock = ServiceClock::default();
+            if !batch.complete {
+                return Err(TableError::HistoryUnavailable);
             }
         }
+        let is_complete = batch.complete;
+        let proof = self
+            .clock
+            .earliest_response_time(started, batch.service_time);
+        instance.apply(table, batch, proof.min(instance.proof_now()));
+        self.has_read = true;
+        if is_complete {
+            self.needs_full_read = false;
+            let is_settled = |at| started >= at + REWRITE_GRACE;
+            self.is_verified =
+                !instance.holds_rows(table) || instance.restored_at(table).is_none_or(is_settled);
+        }
+        Ok(())
+    }
+
+    fn apply_copy(
+        &mut self,
+        instance: &Instance,
+        table: TableKind,
+        batch: TableBatch,
+        started: Instant,
+    ) {
+        self.is_verified &= !batch.complete;
+        instance.apply(table, batch, started);
     }
 
     async fn read_peers(&mut self, instance: &Instance, table: TableKind) -> bool {
         for peer in nearest_peers(instance) {
-            let after = instance.upto(table);
+            let (era, after) = instance.position(table);
             let started = instance.proof_now();
-            match read_from_peer(peer.peer, table, after, PEER_POLL_TIMEOUT).await {
-                Ok(Some(copy)) if is_newer_proof(instance, table, &copy.batch, started) => {
-                    instance.apply(table, copy.batch, started);
+            match read_from_peer(peer.peer, table, era, after, PEER_POLL_TIMEOUT).await {
+                Ok(Some(copy))
+                    if instance.accepts(table, &copy.batch)
+                        && is_newer_proof(instance, table, &copy.batch, started) =>
+                {
+                    self.apply_copy(instance, table, copy.batch, started);
                     return true;
                 }
                 // The other instance's copy is not newer, or it has none.
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -27,16 +27,14 @@
 use crate::events::EventLog;
 use crate::http::budget::BufferBudget;
 use crate::metrics::InstanceMetrics;
+use crate::mirror::{REWRITE_GRACE, TableMirror};
 use crate::regions::RegionBalancer;
 use crate::rollout::RolloutTracker;
+use crate::row_rules::TableRules;
 use crate::servers::ServerSet;
-use crate::table::{TableBatch, TableKind, TableMirror, TableService};
+use crate::table::{TableBatch, TableEra, TableKind, TableService};
 use crate::team_limits::TeamLimits;
 
-/// Time after the table service's recovery in which servers write again the
-/// entries that expired during the outage.
-const EXPIRY_GRACE: Duration = Duration::from_millis(2200);
-
 /// Settings of an instance.
 #[derive(Debug, Clone)]
 pub struct InstanceOptions {
@@ -190,6 +188,45 @@
             .and_then(TableMirror::upto)
     }
 
+    /// The era and the version up to which the copy of a table includes all changes.
+    pub(crate) fn position(&self, table: TableKind) -> (Option<TableEra>, Option<u64>) {
+        let mirrors = self.mirrors.borrow();
+        let mirror = mirrors.get(&table);
+        (
+            mirror.and_then(TableMirror::era),
+            mirror.and_then(TableMirror::upto),
+        )
+    }
+
+    /// Whether the copy of a table is of this era, as far as both are known.
+    pub(crate) fn is_same_era(&self, table: TableKind, era: Option<TableEra>) -> bool {
+        let mirrors = self.mirrors.borrow();
+        mirrors
+            .get(&table)
+            .is_none_or(|mirror| mirror.is_same_era(era))
+    }
+
+    /// Whether a batch continues or replaces the copy of a table.
+    pub(crate) fn accepts(&self, table: TableKind, batch: &TableBatch) -> bool {
+        let mirrors = self.mirrors.borrow();
+        mirrors
+            .get(&table)
+            .is_none_or(|mirror| mirror.accepts(batch))
+    }
+
+    /// When a restore of the table was first seen.
+    pub(crate) fn restored_at(&self, table: TableKind) -> Option<Instant> {
+        self.mirrors.borrow().get(&table)?.restored_at()
+    }
+
+    /// Whether rows of the table are held at their known state after a restore.
+    pub(crate) fn holds_rows(&self, table: TableKind) -> bool {
+        let mirrors = self.mirrors.borrow();
+        mirrors
+            .get(&table)
+            .is_some_and(|mirror| mirror.held().next().is_some())
+    }
+
     /// Whether the configuration is recent enough to accept keys, and to reject
     /// unknown keys and routes for good.
     pub(crate) fn has_recent_proof(&self) -> bool {
@@ -216,17 +253,7 @@
     /// proof clock.
     pub(crate) fn apply(&self, table: TableKind, batch: TableBatch, started: Instant) {
         let now = self.now();
-        let changed = {
-            let mut mirrors = self.mirrors.borrow_mut();
-            let is_equivalent =
-                |known: &[u8], new: &[u8]| self.is_equivalent_row(table, known, new);
-            mirrors.entry(table).or_default().apply(
-                batch,
-                started,
-                self.proof_now(),
-                &is_equivalent,
-            )
-        };
+        let changed = self.apply_to_mirror(table, batch, started);
         if table == TableKind::Instances {
             self.peers.borrow_mut().record_registrations_read(now);
         }
@@ -249,16 +276,30 @@
         self.table_changed.notify_waiters();
     }
 
-    /// Whether two values of a row differ in nothing that decisions depend on.
-    fn is_equivalent_row(&self, table: TableKind, known: &[u8], new: &[u8]) -> bool {
-        if known == new {
-            return true;
+    /// Applies a batch to the copy of a table, and logs a restore with the rows that are
+    /// held at their known state. Returns the keys of the rows that changed.
+    fn apply_to_mirror(
+        &self,
+        table: TableKind,
+        batch: TableBatch,
+        started: Instant,
+    ) -> Vec<String> {
+        const MAX_LOGGED_KEYS: usize = 20;
+        let mut mirrors = self.mirrors.borrow_mut();
+        let mirror = mirrors.entry(table).or_default();
+        let (restored_at, era, upto) = (mirror.restored_at(), mirror.era(), mirror.upto());
+        let rules = TableRules::new(&*self.adapter, table);
+        let changed = mirror.apply(batch, started, self.proof_now(), &rules);
+        if mirror.restored_at() != restored_at {
+            let held: Vec<&str> = mirror.held().collect();
+            self.log.event(
+                "table_restored",
+                json!({"table": format!("{table:?}"), "era": mirror.era(), "before": era,
+                    "upto": mirror.upto(), "known_upto": upto, "changed": changed.len(),
+                    "held": held.len(), "held_keys": &held[..held.len().min(MAX_LOGGED_KEYS)]}),
+            );
         }
-        // Only the id is taken from the key, and it is the same for both
-        // values.
-        let decode = |value| self.adapter.decode_server("row", value);
-        table == TableKind::Servers
-            && matches!((decode(known), decode(new)), (Ok(known), Ok(new)) if known == new)
+        changed
     }
 
     fn row_value(&self, table: TableKind, key: &str) -> Option<Vec<u8>> {
@@ -407,7 +448,7 @@
     fn remove_server(&self, id: &tarragonpulley_policy::entry::names::ServerId, now: Instant) {
         // Entries that expired during an outage of the table service are
         // written again soon after it.
-        let grace_end = self.table_recovered_at.get().map(|at| at + EXPIRY_GRACE);
+        let grace_end = self.table_recovered_at.get().map(|at| at + REWRITE_GRACE);
         let at = grace_end.map_or(now, |until| until.max(now));
         let mut servers = self.servers.borrow_mut();
         if servers.get(id).is_some() {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,10 +15,12 @@
 mod instance;
 mod listeners;
 mod metrics;
+mod mirror;
 mod peers;
 mod reach;
 mod regions;
 mod rollout;
+mod row_rules;
 mod run;
 mod servers;
 mod service_client;
@@ -28,10 +30,12 @@
 #[cfg(test)]
 mod tests;
 
-pub use adapter::{HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
+pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
 pub use events::EventLog;
 pub use instance::InstanceOptions;
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
 pub use service_client::{CallError, ServiceClient, ServiceResponse};
-pub use table::{TableBatch, TableEra, TableError, TableKind, TableResult, TableRow, TableService};
+pub use table::{
+    TableBatch, TableEra, TableEraError, TableError, TableKind, TableResult, TableRow, TableService,
+};
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::digest::{InstanceDigest, ServerTag, split_by_size};
@@ -16,7 +17,8 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::instance::{FleetView, Instance};
-use crate::table::{TableBatch, TableKind, TableMirror};
+use crate::mirror::TableMirror;
+use crate::table::{TableBatch, TableEra, TableKind};
 use crate::team_limits::{TokenRequest, TokenResponse};
 
 /// Time between two digests to the other instances of the data centre.
@@ -94,6 +96,13 @@
     wait_ms: u32,
 }
 
+/// Follows a request for a copy, and the copy: the era of their versions. Instances of
+/// earlier versions send none and ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct CopyExtension {
+    era: Option<TableEra>,
+}
+
 /// Another instance's copy of a table.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct TableCopy {
@@ -120,32 +129,45 @@
     bincode::serde::encode_to_vec(value, bincode::config::standard())
 }
 
-/// Decodes a message of at most `LIMIT` bytes. Without a limit, a length in the
-/// message would be allocated before it is compared with the bytes that follow.
-fn decode<T: serde::de::DeserializeOwned, const LIMIT: usize>(
+/// A message, and the result of decoding the extension that follows it, if one does.
+type Extended<T, E> = (T, Option<Result<E, bincode::error::DecodeError>>);
+
+/// Encodes a message and an extension, which earlier versions ignore.
+fn encode_extended<T: Serialize, E: Serialize>(
+    value: &T,
+    extension: &E,
+) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    Ok([encode(value)?, encode(extension)?].concat())
+}
+
+/// Decodes a message of at most `LIMIT` bytes and its extension. Without a limit, a
+/// length in the message would be allocated before it is compared with the bytes that
+/// follow.
+fn decode_extended<T: DeserializeOwned, E: DeserializeOwned, const LIMIT: usize>(
     bytes: &[u8],
-) -> Result<T, bincode::error::DecodeError> {
+) -> Result<Extended<T, E>, bincode::error::DecodeError> {
     let config = bincode::config::standard().with_limit::<LIMIT>();
-    bincode::serde::decode_from_slice(bytes, config).map(|(value, _)| value)
+    let (value, length) = bincode::serde::decode_from_slice(bytes, config)?;
+    let rest = &bytes[length..];
+    let decode_rest = || bincode::serde::decode_from_slice(rest, config).map(|(value, _)| value);
+    Ok((value, (!rest.is_empty()).then(decode_rest)))
 }
 
-pub(crate) fn decode_datagram<T: serde::de::DeserializeOwned>(
+pub(crate) fn decode_datagram<T: DeserializeOwned>(
     bytes: &[u8],
 ) -> Result<T, bincode::error::DecodeError> {
-    decode::<T, MAX_DATAGRAM_BYTES>(bytes)
+    decode_extended::<T, (), MAX_DATAGRAM_BYTES>(bytes).map(|(value, _)| value)
 }
 
 /// Encodes a digest with its extension, if that holds anything.
 pub(crate) fn encode_digest(
     digest: &InstanceDigest,
 ) -> Result<Vec<u8>, bincode::error::EncodeError> {
-    let mut bytes = encode(digest)?;
-    if !digest.server_limits.is_empty() {
-        bytes.extend(encode(&DigestExtension {
-            server_limits: digest.server_limits.clone(),
-        })?);
+    if digest.server_limits.is_empty() {
+        return encode(digest);
     }
-    Ok(bytes)
+    let server_limits = digest.server_limits.clone();
+    encode_extended(digest, &DigestExtension { server_limits })
 }
 
 /// Decodes a digest with its extension, if there is one. The second value says why the
@@ -153,15 +175,11 @@
 pub(crate) fn decode_digest(
     bytes: &[u8],
 ) -> Result<(InstanceDigest, Option<bincode::error::DecodeError>), bincode::error::DecodeError> {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-    let (mut digest, length): (InstanceDigest, usize) =
-        bincode::serde::decode_from_slice(bytes, config)?;
-    if length == bytes.len() {
-        return Ok((digest, None));
-    }
-    match decode_datagram::<DigestExtension>(&bytes[length..]) {
+    let (mut digest, extension): Extended<InstanceDigest, DigestExtension> =
+        decode_extended::<_, _, MAX_DATAGRAM_BYTES>(bytes)?;
+    match extension.transpose() {
         Ok(extension) => {
-            digest.server_limits = extension.server_limits;
+            digest.server_limits = extension.unwrap_or_default().server_limits;
             Ok((digest, None))
         }
         Err(error) => Ok((digest, Some(error))),
@@ -194,10 +212,11 @@
 }
 
 /// Reads another instance's copy of a table; waits up to `wait` for a change
-/// after the version `after`. `None` if the instance has no copy.
+/// after the version `after` of `era`. `None` if the instance has no copy.
 pub(crate) async fn read_from_peer(
     peer: SocketAddr,
     table: TableKind,
+    era: Option<TableEra>,
     after: Option<u64>,
     wait: Duration,
 ) -> Result<Option<TableCopy>, PeerError> {
@@ -206,15 +225,24 @@
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         write_message(
             &mut stream,
-            &encode(&CopyRequest {
-                table,
-                after,
-                wait_ms,
-            })?,
+            &encode_extended(
+                &CopyRequest {
+                    table,
+                    after,
+                    wait_ms,
+                },
+                &CopyExtension { era },
+            )?,
         )
         .await?;
         let bytes = read_message(&mut stream, MAX_COPY_BYTES).await?;
-        Ok(decode::<_, { MAX_COPY_BYTES as usize }>(&bytes)?)
+        let (mut copy, extension): Extended<Option<TableCopy>, CopyExtension> =
+            decode_extended::<_, _, { MAX_COPY_BYTES as usize }>(&bytes)?;
+        let extension = extension.transpose()?.unwrap_or_default();
+        if let Some(copy) = &mut copy {
+            copy.batch.era = extension.era;
+        }
+        Ok(copy)
     };
     match tokio::time::timeout(wait + EXCHANGE_TIMEOUT, exchange).await {
         Ok(result) => result,
@@ -253,9 +281,16 @@
 
     async fn serve_peer(&self, mut stream: TcpStream) -> Result<(), PeerError> {
         let bytes = read_message(&mut stream, MAX_REQUEST_BYTES).await?;
-        let request: CopyRequest = decode::<_, { MAX_REQUEST_BYTES as usize }>(&bytes)?;
+        let (request, extension): Extended<CopyRequest, CopyExtension> =
+            decode_extended::<_, _, { MAX_REQUEST_BYTES as usize }>(&bytes)?;
+        let era = extension.transpose()?.unwrap_or_default().era;
         let wait = Duration::from_millis(request.wait_ms.into());
-        let is_current = || request.after.is_some() && self.upto(request.table) <= request.after;
+        let continues = || {
+            let mirrors = self.mirrors.borrow();
+            let mirror = mirrors.get(&request.table);
+            request.after.is_some() && mirror.is_none_or(|mirror| mirror.is_same_era(era))
+        };
+        let is_current = || continues() && self.upto(request.table) <= request.after;
         let age = {
             let mirrors = self.mirrors.borrow();
             let proof = mirrors
@@ -271,14 +306,20 @@
             drop(tokio::time::timeout(wait, self.table_changed.notified()).await);
         }
         let is_direct = self.table_failed_at.get().is_none();
+        let after = request.after.filter(|_| continues());
         let copy: Option<TableCopy> = {
             let mirrors = self.mirrors.borrow();
             let batch = mirrors
                 .get(&request.table)
-                .and_then(|mirror| mirror.changes_since(request.after, self.proof_now()));
+                .and_then(|mirror| mirror.changes_since(after, self.proof_now()));
             batch.map(|batch| TableCopy { batch, is_direct })
         };
-        write_message(&mut stream, &encode(&copy)?).await?;
+        let era = copy.as_ref().and_then(|copy| copy.batch.era);
+        write_message(
+            &mut stream,
+            &encode_extended(&copy, &CopyExtension { era })?,
+        )
+        .await?;
         Ok(())
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -238,7 +238,7 @@
                 )
                 .await;
             match written {
-                Ok(()) => break,
+                Ok(_era) => break,
                 Err(error) => self
                     .log
                     .event("not_registered", json!({"reason": error.to_string()})),
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -1,7 +1,8 @@
-//! The shared table as an instance uses it, and its local copy.
+//! The shared table as an instance uses it.
 
-use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
@@ -30,9 +31,34 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// How often the table service was restored from an older copy; zero if it does not
-/// say. In each era, versions that were lost are given out again.
-pub type TableEra = u64;
+/// How often the table service was restored from an older copy. In each era, versions
+/// that were lost are given out again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TableEra(u64);
+
+/// The error for text that is not an era.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is not the number of an era")]
+pub struct TableEraError {
+    /// The text.
+    pub text: String,
+}
+
+impl FromStr for TableEra {
+    type Err = TableEraError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_error| TableEraError {
+            text: text.to_owned(),
+        })
+    }
+}
+
+impl fmt::Display for TableEra {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
 
 /// The rows or changes that one read returned.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,10 +74,10 @@
     pub age: Duration,
     /// The table service's monotonic clock when it responded.
     pub service_time: Option<Duration>,
-    /// How often the service was restored from an older copy of its tables. Versions
-    /// of different eras cannot be compared.
+    /// The era of the versions; `None` if the source does not say. Versions of
+    /// different eras cannot be compared.
     #[serde(skip)]
-    pub era: TableEra,
+    pub era: Option<TableEra>,
 }
 
 /// Why a table call failed.
@@ -96,192 +122,12 @@
     fn changes(&self, table: TableKind, after: u64, wait: Duration) -> TableResult<'_, TableBatch>;
 
     /// Writes a row. With `expected`, only if the row has that version; zero
-    /// means that it does not exist.
+    /// means that it does not exist. Returns the era in which it was written.
     fn write(
         &self,
         table: TableKind,
         key: &str,
         value: Vec<u8>,
         expected: Option<u64>,
-    ) -> TableResult<'_, ()>;
-}
-
-/// Time for which tombstones are kept for readers that continue from an earlier
-/// version.
-const TOMBSTONE_RETENTION: Duration = Duration::from_mins(1);
-
-#[derive(Debug)]
-struct MirrorRow {
-    version: u64,
-    /// The version at which the row last changed according to the
-    /// `is_equivalent` given to [`TableMirror::apply`]. Other changes are not
-    /// sent to other instances: servers write a heartbeat number that
-    /// nothing depends on.
-    meaning_version: u64,
-    value: Vec<u8>,
-}
-
-/// A copy of a table, updated by the results of reads.
-#[derive(Debug, Default)]
-pub(crate) struct TableMirror {
-    rows: BTreeMap<String, MirrorRow>,
-    tombstones: BTreeMap<String, (u64, Instant)>,
-    upto: Option<u64>,
-    /// Removals up to this version may be unknown, so that readers which
-    /// continue from an earlier version get all rows.
-    compacted_upto: u64,
-    last_proof: Option<Instant>,
-}
-
-impl TableMirror {
-    /// The version up to which changes are included.
-    pub(crate) fn upto(&self) -> Option<u64> {
-        self.upto
-    }
-
-    /// When the copy was last known to be current.
-    pub(crate) fn last_proof(&self) -> Option<Instant> {
-        self.last_proof
-    }
-
-    /// The version of a row.
-    pub(crate) fn version(&self, key: &str) -> Option<u64> {
-        self.rows.get(key).map(|row| row.version)
-    }
-
-    /// The value of a row.
-    pub(crate) fn value(&self, key: &str) -> Option<&[u8]> {
-        self.rows.get(key).map(|row| row.value.as_slice())
-    }
-
-    /// The rows with their keys.
-    pub(crate) fn rows(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.rows
-            .iter()
-            .map(|(key, row)| (key.as_str(), row.value.as_slice()))
-    }
-
-    /// Applies rows read by a call that began at `started`. Returns the keys of
-    /// the rows that changed according to `is_equivalent`. Rows older than the
-    /// known ones are ignored.
-    pub(crate) fn apply(
-        &mut self,
-        batch: TableBatch,
-        started: Instant,
-        now: Instant,
-        is_equivalent: &dyn Fn(&[u8], &[u8]) -> bool,
-    ) -> Vec<String> {
-        if let Some(proof) = started.checked_sub(batch.age)
-            && self.upto.is_none_or(|upto| upto <= batch.upto)
-        {
-            self.last_proof = Some(self.last_proof.map_or(proof, |known| known.max(proof)));
-        }
-        if self.upto.is_some_and(|upto| batch.upto < upto) {
-            return Vec::new();
-        }
-        let mut changed = Vec::new();
-        if batch.complete {
-            let present: Vec<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
-            let missing: Vec<String> = self
-                .rows
-                .keys()
-                .filter(|key| !present.contains(&key.as_str()))
-                .cloned()
-                .collect();
-            for key in missing {
-                self.rows.remove(&key);
-                self.tombstones.insert(key.clone(), (batch.upto, now));
-                changed.push(key);
-            }
-            // Rows that were added and removed since the last read never were in
-            // this copy, but may be in the copies of its readers.
-            self.compacted_upto = batch.upto;
-        }
-        for row in batch.rows {
-            if self
-                .version(&row.key)
-                .is_some_and(|known| known >= row.version)
-            {
-                continue;
-            }
-            if let Some(value) = row.value {
-                self.tombstones.remove(&row.key);
-                let known = self.rows.get(&row.key);
-                let unchanged_since = known
-                    .filter(|known| is_equivalent(&known.value, &value))
-                    .map(|known| known.meaning_version);
-                let version = row.version;
-                let meaning_version = unchanged_since.unwrap_or(version);
-                self.rows.insert(
-                    row.key.clone(),
-                    MirrorRow {
-                        version,
-                        meaning_version,
-                        value,
-                    },
-                );
-                if unchanged_since.is_some() {
-                    continue;
-                }
-            } else {
-                self.rows.remove(&row.key);
-                self.tombstones.insert(row.key.clone(), (row.version, now));
-            }
-            changed.push(row.key);
-        }
-        self.upto = Some(batch.upto);
-        self.expire_tombstones(now);
-        changed
-    }
-
-    fn expire_tombstones(&mut self, now: Instant) {
-        let old: Vec<(String, u64)> = self
-            .tombstones
-            .iter()
-            .filter(|(_, (_, at))| now.saturating_duration_since(*at) > TOMBSTONE_RETENTION)
-            .map(|(key, (version, _))| (key.clone(), *version))
-            .collect();
-        for (key, version) in old {
-            self.tombstones.remove(&key);
-            self.compacted_upto = self.compacted_upto.max(version);
-        }
-    }
-
-    /// The changes after a version, or all rows if tombstones since that
-    /// version have expired. `None` if nothing was read yet.
-    pub(crate) fn changes_since(&self, after: Option<u64>, now: Instant) -> Option<TableBatch> {
-        let upto = self.upto?;
-        let age = now.saturating_duration_since(self.last_proof?);
-        let from = after.filter(|after| *after >= self.compacted_upto);
-        let changed = |version: u64| from.is_none_or(|from| version > from);
-        let mut rows: Vec<TableRow> = self
-            .rows
-            .iter()
-            .filter(|(_, row)| changed(row.meaning_version))
-            .map(|(key, row)| TableRow {
-                key: key.clone(),
-                version: row.version,
-                value: Some(row.value.clone()),
-            })
-            .collect();
-        if from.is_some() {
-            let removed_rows = self
-                .tombstones
-                .iter()
-                .filter(|(_, (version, _))| changed(*version));
-            rows.extend(removed_rows.map(|(key, (version, _))| TableRow {
-                key: key.clone(),
-                version: *version,
-                value: None,
-            }));
-        }
-        Some(TableBatch {
-            rows,
-            upto,
-            complete: from.is_none(),
-            age,
-            service_time: None,
-            era: 0,
-        })
-    }
+    ) -> TableResult<'_, Option<TableEra>>;
 }
--- a/crates/edge/src/tests/mirror.rs
+++ b/crates/edge/src/tests/mirror.rs
@@ -5,12 +5,31 @@
 //! read, the copy of each must be the state of the table at the version that it
 //! claims, and that version never decreases.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 
-use crate::table::{TableBatch, TableMirror, TableRow};
+use crate::mirror::{RowRules, TableMirror};
+use crate::table::{TableBatch, TableRow};
+
+/// Rows whose values have no order.
+struct UnorderedRows;
+
+impl RowRules for UnorderedRows {
+    fn is_equivalent(&self, known: &[u8], new: &[u8]) -> bool {
+        known == new
+    }
+
+    fn compare_age(&self, _key: &str, _new: &[u8], _known: &[u8]) -> Option<Ordering> {
+        None
+    }
+
+    fn has_own_rows(&self) -> bool {
+        false
+    }
+}
 
 const INSTANCES: usize = 4;
 const KEYS: usize = 5;
@@ -100,7 +119,7 @@
             complete: after.is_none(),
             age: Duration::ZERO,
             service_time: None,
-            era: 0,
+            era: None,
         }
     }
 }
@@ -128,7 +147,6 @@
     let mut mirrors: Vec<TableMirror> = (0..INSTANCES).map(|_| TableMirror::default()).collect();
     let mut late: Vec<(usize, TableBatch)> = Vec::new();
     let mut now = Instant::now();
-    let is_equal = |a: &[u8], b: &[u8]| a == b;
     for (number, step) in steps.into_iter().enumerate() {
         now += Duration::from_millis(100);
         let mut reads: Vec<(usize, TableBatch)> = Vec::new();
@@ -177,7 +195,7 @@
         }
         for (instance, batch) in reads {
             let before = mirrors[instance].upto();
-            mirrors[instance].apply(batch, now, now, &is_equal);
+            mirrors[instance].apply(batch, now, now, &UnorderedRows);
             let upto = mirrors[instance].upto();
             prop_assert!(upto >= before, "version {:?} after {:?}", upto, before);
         }
