Write results of rollouts again that a restore lost

The operator reads a rollout's result from the store. After a restore that lost it, no instance wrote it again: what was recorded counted as recorded for good. An order whose row got another version also counted as a new one at instances that start later, so that evidence was not shared with the others.

Records that the store lost are held in the copy of the table until an instance has written them again; a decided rollout is written as it was decided, under the version of the current era. Ids of rollouts follow the version of their row, and evidence under the id before still counts.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -15,7 +15,6 @@
 use tarragonpulley_policy::entry::names::{
     CentreName, InstanceName, RegionName, ServerId, ServiceName,
 };
-use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::quota::QuotaBound;
 use tarragonpulley_policy::entry::reach::ReachTracker;
 use tarragonpulley_policy::entry::split::RouteSplitter;
@@ -29,7 +28,7 @@
 use crate::metrics::InstanceMetrics;
 use crate::mirror::{REWRITE_GRACE, TableMirror};
 use crate::regions::RegionBalancer;
-use crate::rollout::RolloutTracker;
+use crate::rollout::{RolloutTracker, rollout_id};
 use crate::row_rules::TableRules;
 use crate::servers::ServerSet;
 use crate::table::{TableBatch, TableEra, TableKind, TableService};
@@ -85,6 +84,8 @@
     pub(crate) shutdown_deadline: Cell<Option<Instant>>,
     pub(crate) table_failed_at: Cell<Option<Instant>>,
     pub(crate) table_recovered_at: Cell<Option<Instant>>,
+    /// The latest era of the table service that any table was read in.
+    pub(crate) table_era: Cell<Option<TableEra>>,
     /// Wakes reads of other instances that wait for a change of a table.
     pub(crate) table_changed: tokio::sync::Notify,
     /// The links of this instance to the servers.
@@ -150,6 +151,7 @@
             shutdown_deadline: Cell::new(None),
             table_failed_at: Cell::new(None),
             table_recovered_at: Cell::new(None),
+            table_era: Cell::new(None),
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
@@ -257,6 +259,9 @@
         if table == TableKind::Instances {
             self.peers.borrow_mut().record_registrations_read(now);
         }
+        if table == TableKind::Orders {
+            self.update_rollout_ids();
+        }
         if changed.is_empty() {
             return;
         }
@@ -299,6 +304,9 @@
                     "held": held.len(), "held_keys": &held[..held.len().min(MAX_LOGGED_KEYS)]}),
             );
         }
+        if mirror.era() > self.table_era.get() {
+            self.table_era.set(mirror.era());
+        }
         changed
     }
 
@@ -353,7 +361,7 @@
                     json!({"service": order.service.as_str(), "to": order.to.as_str(),
                         "within_ms": order.timeout.as_millis(), "row_version": version}),
                 );
-                let id = text_hash(&format!("{key} {} {}", order.to, version.unwrap_or(0)));
+                let id = rollout_id(key, &order.to, version);
                 self.rollouts.borrow_mut().apply_order(key, id, order, now);
             }
             Err(error) => self.record_unreadable_row(TableKind::Orders, key, &error.reason),
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -114,6 +114,16 @@
         self.held.keys().map(String::as_str)
     }
 
+    /// Whether a row was lost by a restore and not written again.
+    pub(crate) fn is_held(&self, key: &str) -> bool {
+        self.held.contains_key(key)
+    }
+
+    /// Records that this instance has written a held row again.
+    pub(crate) fn release(&mut self, key: &str) {
+        self.held.remove(key);
+    }
+
     /// Whether a batch continues this copy, or replaces it by one of a later era.
     /// Sources that do not name their era are used only until the first restore.
     pub(crate) fn accepts(&self, batch: &TableBatch) -> bool {
@@ -214,7 +224,7 @@
             .retain(|key, _| present.contains(key.as_str()) || rows.contains_key(key));
         let mut removed = Vec::new();
         for key in missing {
-            if self.is_settling(now) || (rules.has_own_rows() && self.held.contains_key(&key)) {
+            if self.is_settling(now) || (rules.has_own_rows() && self.is_held(&key)) {
                 self.held.insert(key, None);
             } else {
                 self.remove_row(&key, batch.upto, now);
@@ -268,7 +278,7 @@
         if self.restored_at.is_none() {
             return false;
         }
-        let is_behind = self.upto.is_none() || self.held.contains_key(key);
+        let is_behind = self.upto.is_none() || self.is_held(key);
         let is_unsettled = is_behind && self.is_settling(now);
         if let Some(known) = self.rows.get(key) {
             return !rules.is_equivalent(&known.value, value)
--- a/crates/edge/src/rollout.rs
+++ b/crates/edge/src/rollout.rs
@@ -9,6 +9,7 @@
 use tarragonpulley_policy::entry::canary::{CanaryRollout, RolloutEvidence, RolloutPhase};
 use tarragonpulley_policy::entry::config::{RolloutOrder, RolloutRecord, RolloutState};
 use tarragonpulley_policy::entry::names::{ServiceName, VersionName};
+use tarragonpulley_policy::entry::placement::text_hash;
 
 use crate::instance::Instance;
 use crate::servers::Server;
@@ -24,9 +25,17 @@
 /// Delay before a failed write of a record is retried.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Identifies a rollout among the instances: the order, by the version of its row.
+pub(crate) fn rollout_id(key: &str, to: &VersionName, version: Option<u64>) -> u64 {
+    text_hash(&format!("{key} {to} {}", version.unwrap_or(0)))
+}
+
 #[derive(Debug)]
 struct ActiveRollout {
     id: u64,
+    /// The id before the row was written again after a restore. Others may still report
+    /// their evidence under it.
+    previous_id: Option<u64>,
     order: RolloutOrder,
     canary: CanaryRollout,
     phase: RolloutPhase,
@@ -57,6 +66,7 @@
         let canary = CanaryRollout::new(now, order.timeout);
         let rollout = ActiveRollout {
             id,
+            previous_id: None,
             canary,
             phase: RolloutPhase::Trial,
             unrecorded_since: None,
@@ -66,6 +76,19 @@
         self.active.insert(order.service, rollout);
     }
 
+    /// Changes the id of a rollout whose order got another version without a change.
+    fn update_id(&mut self, key: &str, version: u64) {
+        let Some(service) = self.services_by_key.get(key) else {
+            return;
+        };
+        if let Some(active) = self.active.get_mut(service) {
+            let id = rollout_id(key, &active.order.to, Some(version));
+            if id != active.id {
+                active.previous_id = Some(std::mem::replace(&mut active.id, id));
+            }
+        }
+    }
+
     /// Ends the rollout of an order that the operator removed.
     pub(crate) fn remove_order(&mut self, key: &str) {
         if let Some(service) = self.services_by_key.remove(key) {
@@ -100,6 +123,24 @@
 }
 
 impl Instance {
+    /// Follows the versions of orders that were written again after a restore, so that
+    /// all instances, also those that start later, identify them alike.
+    pub(crate) fn update_rollout_ids(&self) {
+        let mirrors = self.mirrors.borrow();
+        let Some(orders) = mirrors.get(&TableKind::Orders) else {
+            return;
+        };
+        if orders.restored_at().is_none() {
+            return;
+        }
+        let mut tracker = self.rollouts.borrow_mut();
+        for (key, _) in orders.rows() {
+            if let Some(version) = orders.version(key) {
+                tracker.update_id(key, version);
+            }
+        }
+    }
+
     /// Re-evaluates which version of each service is the established one.
     pub(crate) fn update_established_versions(&self, now: Instant) {
         let servers = self.servers.borrow();
@@ -185,6 +226,8 @@
         let mut tracker = self.rollouts.borrow_mut();
         for (service, active) in &mut tracker.active {
             let others = peers.other_evidence(active.id);
+            let previous = active.previous_id.map(|id| peers.other_evidence(id));
+            let others = others.plus(previous.unwrap_or_default());
             let phase = active.canary.evaluate(others, now);
             if phase != active.phase {
                 active.phase = phase;
@@ -218,24 +261,36 @@
 
     fn due_records(&self, now: Instant) -> Vec<(ServiceName, RolloutRecord)> {
         let is_writer = self.peers.borrow().is_fleet_writer(now) && !self.leaving.get();
+        let mirrors = self.mirrors.borrow();
+        let mirror = mirrors.get(&TableKind::Records);
+        // A version of an earlier era may have been given to another state of a record.
+        if mirror.is_some_and(|mirror| mirror.era() < self.table_era.get()) {
+            return Vec::new();
+        }
         let records = self.rollout_records.borrow();
         let mut tracker = self.rollouts.borrow_mut();
         let mut due = Vec::new();
         for (service, active) in &mut tracker.active {
+            let decided = records.get(service).filter(|record| {
+                record.to == active.order.to && record.state != RolloutState::Running
+            });
             let state = match active.phase {
+                _ if decided.is_some() => {
+                    decided.map_or(RolloutState::Running, |record| record.state)
+                }
                 RolloutPhase::TakenBack => RolloutState::TakenBack,
                 RolloutPhase::Promoted if active.canary.may_complete(now) => {
                     RolloutState::Completed
                 }
                 RolloutPhase::Trial | RolloutPhase::Promoted => RolloutState::Running,
             };
-            let recorded = records
-                .get(service)
-                .filter(|record| record.to == active.order.to);
-            let is_recorded = recorded.is_some_and(|record| {
-                record.state == state || record.state != RolloutState::Running
-            });
-            if is_recorded {
+            let record = RolloutRecord {
+                state,
+                to: active.order.to.clone(),
+            };
+            let (key, _) = self.adapter.encode_record(service, &record);
+            let is_lost = mirror.is_some_and(|mirror| mirror.is_held(&key));
+            if records.get(service) == Some(&record) && !is_lost {
                 active.unrecorded_since = None;
                 continue;
             }
@@ -246,13 +301,7 @@
                 .is_none_or(|at| now.saturating_duration_since(at) >= RECORD_RETRY_DELAY);
             if (is_writer || is_overdue) && may_write {
                 active.last_written = Some(now);
-                due.push((
-                    service.clone(),
-                    RolloutRecord {
-                        state,
-                        to: active.order.to.clone(),
-                    },
-                ));
+                due.push((service.clone(), record));
             }
         }
         due
@@ -278,6 +327,9 @@
         // After a conflict, or without a response, the next read of the records
         // returns the current one.
         if written.is_ok() {
+            if let Some(mirror) = self.mirrors.borrow_mut().get_mut(&TableKind::Records) {
+                mirror.release(&key);
+            }
             self.rollout_records
                 .borrow_mut()
                 .insert(service.clone(), record.clone());
