Register again after a restore that may have lost the registration

Instances find each other through their rows in the store. A restore lost the rows of those that had started since the copy, and a new instance did not find them. The store names the era in which a registration was written; once any table is read in a later one, it is written again.

restored::registrations_lost_by_a_restore_are_written_again failed before and passes.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -86,6 +86,8 @@
     pub(crate) table_recovered_at: Cell<Option<Instant>>,
     /// The latest era of the table service that any table was read in.
     pub(crate) table_era: Cell<Option<TableEra>>,
+    /// Wakes the task that keeps this instance registered, after a restore.
+    pub(crate) table_restored: tokio::sync::Notify,
     /// Wakes reads of other instances that wait for a change of a table.
     pub(crate) table_changed: tokio::sync::Notify,
     /// The links of this instance to the servers.
@@ -152,6 +154,7 @@
             table_failed_at: Cell::new(None),
             table_recovered_at: Cell::new(None),
             table_era: Cell::new(None),
+            table_restored: tokio::sync::Notify::new(),
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
@@ -306,6 +309,7 @@
         }
         if mirror.era() > self.table_era.get() {
             self.table_era.set(mirror.era());
+            self.table_restored.notify_one();
         }
         changed
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -18,7 +18,7 @@
 use crate::instance::{Instance, InstanceOptions};
 use crate::listeners::{CallerHandler, ManagementHandler};
 use crate::supervise::supervise;
-use crate::table::{TableKind, TableService};
+use crate::table::{TableEra, TableKind, TableService};
 
 /// Time from the termination signal until idle connections are closed and no
 /// new ones are accepted. Callers learn within one and a half TTLs of a lookup
@@ -218,13 +218,31 @@
     /// order, of two instances that start at the same time at least one finds
     /// the other and sends it a digest.
     async fn register(self: Rc<Self>) {
+        let era = self.write_registration().await;
+        let follow = Rc::clone(&self).follow_table(TableKind::Instances);
+        let ((), ()) = tokio::join!(follow, self.keep_registered(era));
+    }
+
+    /// Writes the registration again whenever a restore may have lost it.
+    async fn keep_registered(&self, mut era: Option<TableEra>) {
+        loop {
+            self.table_restored.notified().await;
+            if era < self.table_era.get() {
+                era = self.write_registration().await;
+            }
+        }
+    }
+
+    /// Writes the registration until the table service has accepted it. Returns the era
+    /// in which it was written.
+    async fn write_registration(&self) -> Option<TableEra> {
         let record = self.peers.borrow().own().clone();
         let value = match serde_json::to_vec(&record) {
             Ok(value) => value,
             Err(error) => {
                 self.log
                     .event("not_registered", json!({"reason": error.to_string()}));
-                return;
+                return None;
             }
         };
         loop {
@@ -238,14 +256,16 @@
                 )
                 .await;
             match written {
-                Ok(_era) => break,
+                Ok(era) => {
+                    self.log
+                        .event("registered", json!({"start": record.start, "era": era}));
+                    return era;
+                }
                 Err(error) => self
                     .log
                     .event("not_registered", json!({"reason": error.to_string()})),
             }
             actix_rt::time::sleep(REGISTER_RETRY_DELAY).await;
         }
-        self.log.event("registered", json!({"start": record.start}));
-        self.follow_table(TableKind::Instances).await;
     }
 }
