Restored tables: do not take rows back through the copies of other instances

A property test with a model of a table that is restored once, and instances that read it or each other, found copies that undo what others know: an instance that holds a row after a restore hands it to one that saw its removal in the new era; a row that was found missing is held against its late return; rows of an earlier era and of the new one were told apart by version only where the table had rows.

Rows of an earlier era have a version of their own, a copy does not bring back a row with a later removal, rows that were seen in the new era are not held when they go missing, and rows dropped as lost may return as they were.

--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -20,6 +20,9 @@
 /// version, and to recognise rows that a restore brings back.
 const TOMBSTONE_RETENTION: Duration = Duration::from_mins(1);
 
+/// The version of rows of an earlier era; the table service gives out later ones.
+const HELD_VERSION: u64 = 0;
+
 /// What a mirror has to know of the rows of its table.
 pub(crate) trait RowRules {
     /// Whether two values of a row differ in nothing that decisions depend on.
@@ -44,10 +47,19 @@
     value: Vec<u8>,
 }
 
+impl MirrorRow {
+    fn is_of_earlier_era(&self) -> bool {
+        self.version == HELD_VERSION
+    }
+}
+
 #[derive(Debug)]
 struct Tombstone {
     version: u64,
     at: Instant,
+    /// Whether the row was not written again after a restore in time. It may be written
+    /// again late, as it was.
+    was_lost: bool,
     /// The last value, if the row was known.
     value: Option<Vec<u8>>,
 }
@@ -158,6 +170,10 @@
         if self.era.is_some() && batch.era.is_some() && self.era != batch.era {
             self.begin_era(now);
         }
+        if batch.rows.iter().any(|row| row.version == HELD_VERSION) {
+            // The first copy, from an instance that holds rows.
+            self.restored_at.get_or_insert(now);
+        }
         self.era = batch.era.or(self.era);
         if let Some(proof) = started.checked_sub(batch.age) {
             self.last_proof = Some(self.last_proof.map_or(proof, |known| known.max(proof)));
@@ -169,9 +185,16 @@
             // this copy, but may be in the copies of its readers.
             self.compacted_upto = batch.upto;
         }
+        let is_copy = batch.is_copy;
         for row in batch.rows {
-            let known = self.rows.get(&row.key).map(|known| known.version);
-            if known.is_some_and(|known| known >= row.version) {
+            let is_known = |known: &MirrorRow| {
+                known.version > row.version
+                    || (known.version == row.version && row.version != HELD_VERSION)
+            };
+            let is_removed = |tombstone: &Tombstone| is_copy && tombstone.version > row.version;
+            if self.rows.get(&row.key).is_some_and(is_known)
+                || self.tombstones.get(&row.key).is_some_and(is_removed)
+            {
                 continue;
             }
             let key = row.key.clone();
@@ -190,11 +213,11 @@
         self.upto = None;
         self.held.clear();
         for row in self.rows.values_mut() {
-            row.version = 0;
-            row.meaning_version = 0;
+            row.version = HELD_VERSION;
+            row.meaning_version = HELD_VERSION;
         }
         for tombstone in self.tombstones.values_mut() {
-            tombstone.version = 0;
+            tombstone.version = HELD_VERSION;
         }
     }
 
@@ -213,33 +236,39 @@
         rules: &dyn RowRules,
     ) -> Vec<String> {
         let present: BTreeSet<&str> = batch.rows.iter().map(|row| row.key.as_str()).collect();
-        let missing: Vec<String> = self
+        let missing: Vec<(String, bool)> = self
             .rows
-            .keys()
-            .filter(|key| !present.contains(key.as_str()))
-            .cloned()
+            .iter()
+            .filter(|(key, _)| !present.contains(key.as_str()))
+            .map(|(key, row)| (key.clone(), row.is_of_earlier_era()))
             .collect();
         let rows = &self.rows;
         self.held
             .retain(|key, _| present.contains(key.as_str()) || rows.contains_key(key));
         let mut removed = Vec::new();
-        for key in missing {
-            if self.is_settling(now) || (rules.has_own_rows() && self.is_held(&key)) {
+        for (key, may_be_lost) in missing {
+            if may_be_lost && (self.is_settling(now) || rules.has_own_rows()) {
                 self.held.insert(key, None);
             } else {
-                self.remove_row(&key, batch.upto, now);
+                self.remove_row(&key, batch.upto, may_be_lost, now);
                 removed.push(key);
             }
         }
         removed
     }
 
-    fn remove_row(&mut self, key: &str, version: u64, now: Instant) {
+    fn remove_row(&mut self, key: &str, version: u64, was_lost: bool, now: Instant) {
         self.held.remove(key);
-        let value = self.rows.remove(key).map(|row| row.value);
+        let earlier = self.tombstones.remove(key);
+        let known = self.rows.remove(key);
+        let value = known
+            .map(|row| row.value)
+            .or_else(|| earlier.and_then(|tombstone| tombstone.value));
         let tombstone = Tombstone {
-            version,
+            // A table that nothing was written to has version zero.
+            version: version.max(HELD_VERSION + 1),
             at: now,
+            was_lost,
             value,
         };
         self.tombstones.insert(key.to_owned(), tombstone);
@@ -249,7 +278,7 @@
     /// changed the copy.
     fn apply_row(&mut self, row: TableRow, now: Instant, rules: &dyn RowRules) -> bool {
         let Some(value) = row.value else {
-            self.remove_row(&row.key, row.version, now);
+            self.remove_row(&row.key, row.version, false, now);
             return true;
         };
         if self.must_hold(&row.key, &value, now, rules) {
@@ -275,6 +304,7 @@
     /// values do not tell, it is taken for older until [`REWRITE_GRACE`] has passed,
     /// unless the table service had caught up with the known state before.
     fn must_hold(&self, key: &str, value: &[u8], now: Instant, rules: &dyn RowRules) -> bool {
+        let tombstone = self.tombstones.get(key);
         if self.restored_at.is_none() {
             return false;
         }
@@ -288,13 +318,15 @@
                     Some(Ordering::Equal) | None => is_unsettled,
                 };
         }
-        let removed = self.tombstones.get(key);
-        removed
-            .and_then(|tombstone| tombstone.value.as_deref())
-            .is_some_and(|known| match rules.compare_age(key, value, known) {
-                Some(order) => order != Ordering::Greater,
-                None => is_unsettled,
-            })
+        let Some(tombstone) = tombstone else {
+            return false;
+        };
+        let order = |known: &Vec<u8>| rules.compare_age(key, value, known);
+        match tombstone.value.as_ref().map(order) {
+            None => false,
+            Some(Some(order)) if !tombstone.was_lost => order != Ordering::Greater,
+            Some(_) => is_unsettled,
+        }
     }
 
     fn expire_tombstones(&mut self, now: Instant) {
@@ -325,8 +357,7 @@
             .filter(|(_, row)| changed(row.meaning_version))
             .map(|(key, row)| TableRow {
                 key: key.clone(),
-                // A held row has no version of this era; zero would be ignored.
-                version: row.version.max(1),
+                version: row.version,
                 value: Some(row.value.clone()),
             })
             .collect();
@@ -348,6 +379,7 @@
             age,
             service_time: None,
             era: self.era,
+            is_copy: true,
         })
     }
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -241,6 +241,7 @@
         let extension = extension.transpose()?.unwrap_or_default();
         if let Some(copy) = &mut copy {
             copy.batch.era = extension.era;
+            copy.batch.is_copy = true;
         }
         Ok(copy)
     };
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -78,6 +78,10 @@
     /// different eras cannot be compared.
     #[serde(skip)]
     pub era: Option<TableEra>,
+    /// Whether the rows come from another instance's copy, which after a restore may
+    /// contain rows that the table lost, and lack others.
+    #[serde(skip)]
+    pub is_copy: bool,
 }
 
 /// Why a table call failed.
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -5,4 +5,5 @@
 mod framing;
 mod mirror;
 mod peers;
+mod restore;
 mod supervise;
--- a/crates/edge/src/tests/mirror.rs
+++ b/crates/edge/src/tests/mirror.rs
@@ -120,6 +120,7 @@
             age: Duration::ZERO,
             service_time: None,
             era: None,
+            is_copy: false,
         }
     }
 }
