--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -20,7 +20,8 @@
 /// version, and to recognise rows that a restore brings back.
 const TOMBSTONE_RETENTION: Duration = Duration::from_mins(1);
 
-/// The version of rows of an earlier era; the table service gives out later ones.
+/// The version of rows and tombstones of an earlier era. The table service gives out
+/// later ones.
 const HELD_VERSION: u64 = 0;
 
 /// What a mirror has to know of the rows of its table.
@@ -106,7 +107,8 @@
     /// The version of a row in the table service; `None` if it has no such row.
     pub(crate) fn version(&self, key: &str) -> Option<u64> {
         let known = || self.rows.get(key).map(|row| row.version);
-        self.held.get(key).copied().unwrap_or_else(known)
+        let version = self.held.get(key).copied().unwrap_or_else(known);
+        version.filter(|version| *version != HELD_VERSION)
     }
 
     /// The value of a row.
@@ -304,7 +306,6 @@
     /// values do not tell, it is taken for older until [`REWRITE_GRACE`] has passed,
     /// unless the table service had caught up with the known state before.
     fn must_hold(&self, key: &str, value: &[u8], now: Instant, rules: &dyn RowRules) -> bool {
-        let tombstone = self.tombstones.get(key);
         if self.restored_at.is_none() {
             return false;
         }
@@ -318,14 +319,15 @@
                     Some(Ordering::Equal) | None => is_unsettled,
                 };
         }
-        let Some(tombstone) = tombstone else {
+        let Some(tombstone) = self.tombstones.get(key) else {
             return false;
         };
-        let order = |known: &Vec<u8>| rules.compare_age(key, value, known);
-        match tombstone.value.as_ref().map(order) {
-            None => false,
-            Some(Some(order)) if !tombstone.was_lost => order != Ordering::Greater,
-            Some(_) => is_unsettled,
+        let Some(known) = &tombstone.value else {
+            return false;
+        };
+        match rules.compare_age(key, value, known) {
+            Some(order) if !tombstone.was_lost => order != Ordering::Greater,
+            _ => is_unsettled,
         }
     }
 
