--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -29,7 +29,7 @@
     /// The numbers of requests running, requests waiting, and slots of a
     /// backend server.
     pub load: &'static str,
-    /// The requests per second that a backend server in need takes from all
+    /// The requests per second that an overloaded backend server accepts from all
     /// instances together.
     pub rate_limit: &'static str,
     /// Set by a backend server that did not run a request.
--- a/crates/edge/src/forward/named_limits.rs
+++ b/crates/edge/src/forward/named_limits.rs
@@ -1,4 +1,4 @@
-//! This instance's part of the limits that servers name.
+//! This instance's share of the rate limits that servers state.
 
 use std::cell::OnceCell;
 use std::time::Instant;
@@ -52,7 +52,7 @@
 
 impl Instance {
     /// Updates what is known of a server's limit, and logs a change. `request` is the
-    /// one whose response told it; `None` if other instances did.
+    /// one whose response stated it; `None` if other instances reported it.
     pub(crate) fn update_limit(
         &self,
         server: &Server,
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -311,7 +311,7 @@
         self.servers.values().filter_map(suspect).collect()
     }
 
-    /// What servers told this instance of their limits, for the digest.
+    /// The limits that servers stated to this instance, for the digest.
     pub(crate) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
         let report = |server: &Rc<Server>| {
             let limit = server.limit.borrow();
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -167,7 +167,7 @@
     pub regions: Vec<ServiceDemand>,
     /// Servers that the instance does not use.
     pub suspects: Vec<(ServerTag, SuspectReason)>,
-    /// What servers told the instance of their limits. Encoded after the other fields,
+    /// The limits that servers stated to the instance. Encoded after the other fields,
     /// where instances of earlier versions ignore it.
     #[serde(skip)]
     pub server_limits: Vec<LimitReport>,
--- a/crates/policy/src/entry/server_limit.rs
+++ b/crates/policy/src/entry/server_limit.rs
@@ -1,7 +1,7 @@
-//! The limit on requests that a backend server in need names in its responses.
+//! The rate limit that an overloaded backend server states in its responses.
 //!
-//! The limit applies to all instances together, from the response that names it until
-//! a response that does not. Instances report what they were told in their digests, and
+//! The limit applies to all instances together, from the response that states it until
+//! a response that does not. Instances report in their digests what responses stated, and
 //! divide the requests that the limit permits by rendezvous hashing. An instance without
 //! a share learns from the others' reports that the limit has ended.
 
@@ -140,7 +140,7 @@
 /// to it.
 #[derive(Debug, Default)]
 pub struct ServerLimit {
-    told: Option<LimitStatement>,
+    observed: Option<LimitStatement>,
     reported: ReportedLimit,
     sends: SendHistory,
 }
@@ -149,13 +149,13 @@
     /// The limit in force.
     #[must_use]
     pub fn rate(&self, now: Instant) -> Option<LimitRate> {
-        let told = self
-            .told
+        let observed = self
+            .observed
             .and_then(|statement| Some((statement.rate?, statement.at)));
-        let latest = told.into_iter().chain(self.reported.named);
+        let latest = observed.into_iter().chain(self.reported.named);
         let (rate, at) = latest.max_by_key(|(_, at)| *at)?;
-        let told_end = self.told.filter(|statement| statement.rate.is_none());
-        let ended_at = told_end
+        let observed_end = self.observed.filter(|statement| statement.rate.is_none());
+        let ended_at = observed_end
             .map(|statement| statement.at)
             .max(self.reported.ended_at);
         let is_in_force = ended_at.is_none_or(|end| end < at)
@@ -165,8 +165,8 @@
 
     /// Records what a response of the server said.
     pub fn record_response(&mut self, rate: Option<LimitRate>, now: Instant) {
-        if rate.is_some() || self.told.is_some() || self.reported.named.is_some() {
-            self.told = Some(LimitStatement { rate, at: now });
+        if rate.is_some() || self.observed.is_some() || self.reported.named.is_some() {
+            self.observed = Some(LimitStatement { rate, at: now });
         }
     }
 
@@ -175,14 +175,14 @@
         self.reported = reported;
     }
 
-    /// What this instance was told, for the digest.
+    /// What responses to this instance stated, for the digest.
     #[must_use]
     pub fn report(&self, server: ServerTag, now: Instant) -> Option<LimitReport> {
-        let told = self.told?;
-        let age = now.saturating_duration_since(told.at);
+        let observed = self.observed?;
+        let age = now.saturating_duration_since(observed.at);
         (age < LIMIT_RETENTION).then(|| LimitReport {
             server,
-            rate: told.rate,
+            rate: observed.rate,
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         })
     }
