--- a/review/src/crash.rs
+++ b/review/src/crash.rs
@@ -14,7 +14,7 @@
 use crate::server::Server;
 use crate::store::Store;
 
-const SERVERS: usize = 6;
+const SERVERS: usize = 8;
 /// Clients that ask for the board, the same object each time, and clients that look up
 /// changing objects.
 const BOARD_CLIENTS: usize = 4;
--- a/review/src/fleet.rs
+++ b/review/src/fleet.rs
@@ -16,6 +16,9 @@
 
 pub const SIGTERM: i32 = 15;
 
+/// `memory-mb` of the settings.
+pub const MEMORY_MB: usize = 260;
+
 pub struct Instance {
     pub name: String,
     pub front: SocketAddr,
@@ -124,6 +127,22 @@
     }
 }
 
+impl Instance {
+    /// The resident memory of the process.
+    pub fn resident_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn kill_and_start(&mut self, delay: Duration) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        thread::sleep(delay);
+        self.start_again();
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         drop(self.child.kill());
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Ends with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
 
+mod bodies;
 mod closing;
 mod crash;
 mod fleet;
@@ -46,6 +47,7 @@
     let mut record = Record::default();
     let is_broken = match case.as_str() {
         "pipeline" => pipeline::run(has_trouble, &mut record),
+        "bodies" => bodies::run(has_trouble, &mut record),
         "closing" => closing::run(has_trouble, &mut record),
         "crash" => crash::run(has_trouble, &mut record),
         _ => cannot_run("unknown case"),
