--- a/review/src/crash.rs
+++ b/review/src/crash.rs
@@ -126,7 +126,7 @@
     if has_trouble {
         // The upstream crashes while it works on two requests for the board.
         let busy = loop {
-            if let Some(server) = servers.iter().find(|server| server.is_at_work("/board/today") >= 2) {
+            if let Some(server) = servers.iter().find(|server| server.count_at_work("/board/today", WORK / 2) >= 2) {
                 break server;
             }
             if start.elapsed() > 3 * WARM_UP {
--- a/review/src/http.rs
+++ b/review/src/http.rs
@@ -19,10 +19,6 @@
         self.start_line.split(' ').nth(index).unwrap_or_default()
     }
 
-    pub fn method(&self) -> &str {
-        self.word(0)
-    }
-
     pub fn target(&self) -> &str {
         self.word(1)
     }
--- a/review/src/server.rs
+++ b/review/src/server.rs
@@ -165,9 +165,11 @@
         self.listen(listener);
     }
 
-    pub fn is_at_work(&self, target: &str) -> usize {
+    /// The requests for a target on which the server works since less than `span`.
+    pub fn count_at_work(&self, target: &str, span: Duration) -> usize {
         let runs = self.runs.lock().expect("no panic");
-        runs.iter().filter(|run| run.began.is_some() && run.ended.is_none() && run.target == target).count()
+        let is_recent = |run: &&Run| run.began.is_some_and(|began| began.elapsed() < span);
+        runs.iter().filter(is_recent).filter(|run| run.ended.is_none() && run.target == target).count()
     }
 
     fn serve(&self, mut stream: TcpStream) {
--- a/review/src/store.rs
+++ b/review/src/store.rs
@@ -66,10 +66,6 @@
         self.write(table, key, Some(value.as_bytes().to_vec()));
     }
 
-    pub fn remove(&self, table: &str, key: &str) {
-        self.write(table, key, None);
-    }
-
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state.lock().expect("no panic");
         state.version += 1;
