--- a/review/src/closing.rs
+++ b/review/src/closing.rs
@@ -29,7 +29,7 @@
 /// A burst, and the time from its end to the next one.
 const BURST: Duration = Duration::from_secs(3);
 const BETWEEN: Duration = Duration::from_secs(3);
-const BURSTS: usize = 10;
+const BURSTS: usize = 15;
 
 const CONFIG: &str = r#"{"version":"r1","routes":{"report":{"host":"shop.example","prefix":"/report/","kind":"safe",
 "timeout":"2500ms","target-latency":"1200ms","priority":2,"service":"books","max-attempts":2,"public":false,
