--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -49,9 +49,11 @@
 pub(crate) enum ShutdownPhase {
     /// Handles requests.
     Running,
-    /// Handles requests, and closes each connection after its next response.
+    /// Handles requests, and closes each connection after a response behind which no
+    /// other request was received.
     Draining,
-    /// Closes connections without a request, and accepts no new ones.
+    /// Accepts no connections, and reads no request behind one in progress. Closes each
+    /// connection with the response to its last request in progress.
     Closing,
 }
 
@@ -218,7 +220,9 @@
             if partial && self.partial_since.is_none() {
                 self.partial_since = Some(self.last_byte);
             }
-            let deadline = if self.head.is_some() {
+            let deadline = if !accepts_requests {
+                None
+            } else if self.head.is_some() {
                 Some(self.last_byte + limits.header_timeout.max(limits.idle_timeout))
             } else if partial {
                 self.partial_since
@@ -309,10 +313,14 @@
         let Some(request) = self.pending.pop_front() else {
             return ConnectionState::Dropped;
         };
+        let closes_when_idle = match phase {
+            ShutdownPhase::Running => false,
+            ShutdownPhase::Draining => !self.reader.is_partial(),
+            ShutdownPhase::Closing => true,
+        };
         let close = response.close
             || !request.keeps_alive
-            || (self.closes_after_pending && self.pending.is_empty())
-            || (self.is_idle() && phase >= ShutdownPhase::Draining);
+            || (self.pending.is_empty() && (self.closes_after_pending || closes_when_idle));
         let (head, body) = encode_response(response, request.is_head, close);
         let writer = &mut self.writer;
         let write = async {
@@ -376,6 +384,9 @@
     loop {
         let limits = handler.limits();
         let phase = *shutdown.borrow_and_update();
+        if phase == ShutdownPhase::Closing && !connection.pending.is_empty() {
+            connection.closes_after_pending = true;
+        }
         if phase == ShutdownPhase::Closing && connection.is_idle() {
             if connection.closes_after_pending {
                 return;
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -1,7 +1,8 @@
 //! Property tests of the parts of an instance that read what others send, and tests
-//! of what keeps its tasks running.
+//! of its connections and of what keeps its tasks running.
 
 mod budget;
+mod connections;
 mod framing;
 mod mirror;
 mod peers;
--- /dev/null
+++ b/crates/edge/src/tests/connections.rs
@@ -0,0 +1,231 @@
+//! Connections of callers that end while several requests on them are in progress.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use tarragonpulley_policy::entry::config::CallerLimits;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use yare::parameterized;
+
+use crate::http::message::{CallerRequest, CallerResponse};
+use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve};
+
+/// The timeout of a test.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The targets of the requests that were begun, completed or dropped.
+#[derive(Debug, Default)]
+struct HandledTargets {
+    begun: Vec<String>,
+    dropped: Vec<String>,
+}
+
+/// Responds as the target says: `/MILLIS` after this time, `/MILLIS/close` so that the
+/// connection is to be closed, and `/MILLIS/panic` panics then.
+#[derive(Debug, Default)]
+struct TargetHandler {
+    targets: Rc<RefCell<HandledTargets>>,
+}
+
+/// Records a request as dropped unless it completed.
+struct HandlingGuard {
+    targets: Rc<RefCell<HandledTargets>>,
+    target: Option<String>,
+}
+
+impl Drop for HandlingGuard {
+    fn drop(&mut self) {
+        if let Some(target) = self.target.take() {
+            self.targets.borrow_mut().dropped.push(target);
+        }
+    }
+}
+
+impl RequestHandler for TargetHandler {
+    fn handle(&self, request: CallerRequest) -> LocalBoxFuture<'static, CallerResponse> {
+        let target = request.head.target;
+        self.targets.borrow_mut().begun.push(target.clone());
+        let mut guard = HandlingGuard {
+            targets: Rc::clone(&self.targets),
+            target: Some(target.clone()),
+        };
+        Box::pin(async move {
+            let mut parts = target.split('/').skip(1);
+            let millis = parts.next().and_then(|part| part.parse().ok());
+            tokio::time::sleep(Duration::from_millis(millis.unwrap_or(0))).await;
+            guard.target = None;
+            match parts.next() {
+                Some("close") => CallerResponse::empty(503).closing(),
+                Some("panic") => panic!("the request asked for it"),
+                _ => CallerResponse::empty(200),
+            }
+        })
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 64 * 1024,
+            header_timeout: Duration::from_millis(300),
+            idle_timeout: Duration::from_millis(300),
+        }
+    }
+
+    fn record_panic(&self, _reason: &str) {}
+}
+
+/// A running server and a connection to it.
+struct TestServer {
+    phase: watch::Sender<ShutdownPhase>,
+    targets: Rc<RefCell<HandledTargets>>,
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl TestServer {
+    async fn start() -> Self {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let (phase, receiver) = watch::channel(ShutdownPhase::Running);
+        let handler = TargetHandler::default();
+        let targets = Rc::clone(&handler.targets);
+        actix_rt::spawn(serve(listener, Rc::new(handler), receiver));
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        stream.set_nodelay(true).expect("an open connection");
+        Self {
+            phase,
+            targets,
+            stream,
+            received: Vec::new(),
+        }
+    }
+
+    /// Sends requests at once, without waiting for responses.
+    async fn send(&mut self, targets: &[&str]) {
+        let text: String = targets
+            .iter()
+            .map(|target| format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n"))
+            .collect();
+        self.stream
+            .write_all(text.as_bytes())
+            .await
+            .expect("the connection is open");
+    }
+
+    /// The status of the next response, and whether it closes the connection; `None` at
+    /// the end of the connection.
+    async fn next_response(&mut self) -> Option<(u16, bool)> {
+        let end = loop {
+            let end = self.received.windows(4).position(|part| part == b"\r\n\r\n");
+            if let Some(end) = end {
+                break end;
+            }
+            let count = self.stream.read_buf(&mut self.received).await.ok()?;
+            if count == 0 {
+                return None;
+            }
+        };
+        let head: Vec<u8> = self.received.drain(..end + 4).collect();
+        let head = String::from_utf8(head).expect("text");
+        let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+        Some((status?, head.contains("Connection: close")))
+    }
+
+    /// All responses until the end of the connection.
+    async fn all_responses(&mut self) -> Vec<(u16, bool)> {
+        let mut responses = Vec::new();
+        while let Some(response) = self.next_response().await {
+            responses.push(response);
+        }
+        responses
+    }
+
+    fn dropped(&self) -> Vec<String> {
+        self.targets.borrow().dropped.clone()
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new()
+        .block_on(async { tokio::time::timeout(TEST_TIMEOUT, test).await })
+        .expect("the test completes");
+}
+
+/// Guards against requests that are cut because a caller which pipelines without a pause
+/// is never told to leave before the process ends.
+#[parameterized(
+    in_progress_at_the_signal = { &[ShutdownPhase::Draining, ShutdownPhase::Closing] },
+    late_signal = { &[ShutdownPhase::Closing] },
+)]
+fn a_stop_ends_a_connection_that_always_has_requests_in_progress(phases: &[ShutdownPhase]) {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&["/100", "/150", "/200"]).await;
+        assert_eq!(server.next_response().await, Some((200, false)));
+        for phase in phases {
+            server.send(&["/150"]).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            server.phase.send_replace(*phase);
+        }
+        let mut statuses = Vec::new();
+        let mut closed = false;
+        for _ in 0..20 {
+            let Some((status, closes)) = server.next_response().await else {
+                break;
+            };
+            statuses.push(status);
+            closed |= closes;
+            if closes {
+                break;
+            }
+            // One request takes the place of each that is answered.
+            server.send(&["/150"]).await;
+        }
+        assert!(closed, "{statuses:?}");
+        let begun = server.targets.borrow().begun.len();
+        assert_eq!(begun, statuses.len() + 1, "responses: {statuses:?}");
+        assert_eq!(server.dropped(), Vec::<String>::new());
+    });
+}
+
+/// Guards against a request that is passed on after the instance began to close its
+/// connections: it could still be in progress when the process ends.
+#[test]
+fn requests_behind_others_are_not_begun_while_connections_are_closed() {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&["/200"]).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        server.phase.send_replace(ShutdownPhase::Closing);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        server.send(&["/0/late", "/0/later"]).await;
+        assert_eq!(server.all_responses().await, [(200, true)]);
+        assert_eq!(server.targets.borrow().begun, ["/200"]);
+    });
+}
+
+/// Guards against a half-read request that ends a connection on which others are in
+/// progress.
+#[test]
+fn a_half_read_request_cuts_none_in_progress_at_a_stop() {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&["/700"]).await;
+        server
+            .stream
+            .write_all(b"POST /0/half HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345")
+            .await
+            .expect("the connection is open");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        server.phase.send_replace(ShutdownPhase::Closing);
+        assert_eq!(server.all_responses().await, [(200, true)]);
+        assert_eq!(server.dropped(), Vec::<String>::new());
+    });
+}
