Send no request late in a planned stop that may be cut (LOST)

What callers saw: a request whose last byte arrived late in a stop, such as the rest of a body, was sent to a server and cut when the process ended.

Cause: such a request was accepted if its expected latency was shorter than the time left, and the estimate is a mean. From the time on at which connections are closed, nothing else arrives, and another instance serves the request at once.

Change: policy::entry::stopping decides with the times of the stop.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -12,6 +12,7 @@
 use tarragonpulley_policy::entry::placement::{
     Placement, RegionFractions, ServerView, choose_server, expected_latency,
 };
+use tarragonpulley_policy::entry::stopping::StoppingRequest;
 
 use super::named_limits::NamedLimits;
 use super::rejection::Rejection;
@@ -111,8 +112,13 @@
         let view = views[placement.index];
         // Another instance serves the request at once, while one that is in progress
         // when this process ends is lost. So the longer of the estimates counts.
-        if let Some(end) = self.shutdown_deadline.get()
-            && expected_latency(&view, false, target) > end.saturating_duration_since(now)
+        let stopping_request = StoppingRequest {
+            received: forward.request.received,
+            expected_latency: expected_latency(&view, false, target),
+            deadline: forward.deadline,
+        };
+        if let Some(schedule) = self.stop_schedule.get()
+            && !schedule.accepts(&stopping_request, now)
         {
             return Err((Rejection::Stopping, default_retry_after));
         }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -18,6 +18,7 @@
 use tarragonpulley_policy::entry::quota::QuotaBound;
 use tarragonpulley_policy::entry::reach::ReachTracker;
 use tarragonpulley_policy::entry::split::RouteSplitter;
+use tarragonpulley_policy::entry::stopping::StopSchedule;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
 
@@ -80,8 +81,8 @@
     pub(crate) crashes: RefCell<CrashTracker>,
     pub(crate) splitters: RefCell<BTreeMap<String, RouteSplitter>>,
     pub(crate) leaving: Cell<bool>,
-    /// When a process that is shutting down ends.
-    pub(crate) shutdown_deadline: Cell<Option<Instant>>,
+    /// The times of the shutdown, once it has begun.
+    pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
     pub(crate) table_failed_at: Cell<Option<Instant>>,
     pub(crate) table_recovered_at: Cell<Option<Instant>>,
     /// The latest era of the table service that any table was read in.
@@ -150,7 +151,7 @@
             crashes: RefCell::default(),
             splitters: RefCell::default(),
             leaving: Cell::new(false),
-            shutdown_deadline: Cell::new(None),
+            stop_schedule: Cell::new(None),
             table_failed_at: Cell::new(None),
             table_recovered_at: Cell::new(None),
             table_era: Cell::new(None),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 use tarragonpulley_policy::clock::TimeSource;
+use tarragonpulley_policy::entry::stopping::StopSchedule;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, mpsc, watch};
@@ -189,20 +190,26 @@
 }
 
 async fn shut_down_instance(instance: &Rc<Instance>, shutdown: &watch::Sender<ShutdownPhase>) {
-    let started = instance.now();
     let timeout = instance.options.borrow().shutdown_timeout;
-    let deadline = started + timeout.saturating_sub(SHUTDOWN_MARGIN);
+    let schedule = StopSchedule::new(
+        instance.now(),
+        DRAIN_PERIOD,
+        timeout.saturating_sub(SHUTDOWN_MARGIN),
+    );
     instance.leaving.set(true);
-    instance.shutdown_deadline.set(Some(deadline));
+    instance.stop_schedule.set(Some(schedule));
     instance
         .log
         .event("stopping", json!({"limit_ms": timeout.as_millis()}));
     instance.digest_requested.notify_one();
     shutdown.send_replace(ShutdownPhase::Draining);
-    actix_rt::time::sleep(DRAIN_PERIOD.min(timeout / 2)).await;
+    let drain_period = schedule
+        .closes_at()
+        .saturating_duration_since(instance.now());
+    actix_rt::time::sleep(drain_period).await;
     shutdown.send_replace(ShutdownPhase::Closing);
     // Each connection holds a receiver until its last response is written.
-    while shutdown.receiver_count() > 1 && instance.now() < deadline {
+    while shutdown.receiver_count() > 1 && instance.now() < schedule.ends_at() {
         actix_rt::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
     instance.log.event(
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -38,6 +38,12 @@
     target: Option<String>,
 }
 
+impl HandlingGuard {
+    fn complete(&mut self) {
+        self.target = None;
+    }
+}
+
 impl Drop for HandlingGuard {
     fn drop(&mut self) {
         if let Some(target) = self.target.take() {
@@ -58,7 +64,7 @@
             let mut parts = target.split('/').skip(1);
             let millis = parts.next().and_then(|part| part.parse().ok());
             tokio::time::sleep(Duration::from_millis(millis.unwrap_or(0))).await;
-            guard.target = None;
+            guard.complete();
             match parts.next() {
                 Some("close") => CallerResponse::empty(503).closing(),
                 Some("panic") => panic!("the request asked for it"),
@@ -109,10 +115,10 @@
 
     /// Sends requests at once, without waiting for responses.
     async fn send(&mut self, targets: &[&str]) {
-        let text: String = targets
+        let requests = targets
             .iter()
-            .map(|target| format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n"))
-            .collect();
+            .map(|target| format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        let text = requests.collect::<Vec<_>>().concat();
         self.stream
             .write_all(text.as_bytes())
             .await
@@ -123,7 +129,10 @@
     /// the end of the connection.
     async fn next_response(&mut self) -> Option<(u16, bool)> {
         let end = loop {
-            let end = self.received.windows(4).position(|part| part == b"\r\n\r\n");
+            let end = self
+                .received
+                .windows(4)
+                .position(|part| part == b"\r\n\r\n");
             if let Some(end) = end {
                 break end;
             }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -22,3 +22,4 @@
 pub mod server_limit;
 pub mod share;
 pub mod split;
+pub mod stopping;
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod regions;
 mod servers;
 mod simulation;
+mod stopping;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/crates/policy/tests/entry/stopping.rs
@@ -0,0 +1,47 @@
+//! Requests that arrive while an instance stops.
+
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::entry::stopping::{StopSchedule, StoppingRequest};
+use yare::parameterized;
+
+use crate::at;
+
+const DRAIN_PERIOD: Duration = Duration::from_millis(2700);
+const STOP_TIMEOUT: Duration = Duration::from_millis(5850);
+
+/// Guards against a request that arrives late in a stop, is sent because of a wrong
+/// estimate and is cut when the process ends.
+#[parameterized(
+    early_and_short = { 100, 100, 500, 8000, true },
+    early_and_longer_than_the_stop = { 100, 100, 6000, 8000, false },
+    early_and_sent_again_late = { 100, 5000, 500, 8000, true },
+    early_and_sent_again_too_late = { 100, 5500, 500, 8000, false },
+    late_and_certain = { 3000, 3000, 500, 2500, true },
+    late_and_only_expected_to_complete = { 3000, 3000, 500, 8000, false },
+    late_and_after_the_end = { 4500, 4500, 500, 1500, false },
+)]
+fn requests_are_sent_if_they_complete_before_the_end(
+    received: u64,
+    now: u64,
+    expected_ms: u64,
+    timeout_ms: u64,
+    accepted: bool,
+) {
+    let start = Instant::now();
+    let schedule = StopSchedule::new(start, DRAIN_PERIOD, STOP_TIMEOUT);
+    let request = StoppingRequest {
+        received: at(start, received),
+        expected_latency: Duration::from_millis(expected_ms),
+        deadline: at(start, received + timeout_ms),
+    };
+    assert_eq!(schedule.accepts(&request, at(start, now)), accepted);
+}
+
+#[test]
+fn connections_are_closed_halfway_through_a_short_stop() {
+    let start = Instant::now();
+    let schedule = StopSchedule::new(start, DRAIN_PERIOD, Duration::from_secs(2));
+    assert_eq!(schedule.closes_at(), at(start, 1000));
+    assert_eq!(schedule.ends_at(), at(start, 2000));
+}
