--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -100,7 +100,8 @@
     pub(crate) status: u16,
     pub(crate) fields: Vec<HeaderField>,
     pub(crate) body: Bytes,
-    /// Whether the connection is closed after the response.
+    /// Whether the connection is closed once the requests in progress on it have their
+    /// responses.
     pub(crate) close: bool,
     /// Counts the body of a server's response as memory in use.
     #[expect(dead_code, reason = "released when the response is dropped")]
@@ -135,7 +136,7 @@
         response
     }
 
-    /// Closes the connection after the response.
+    /// Closes the connection, see [`CallerResponse::close`].
     pub(crate) fn closing(mut self) -> Self {
         self.close = true;
         self
--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -256,7 +256,8 @@
     reader: RequestReader,
     writer: OwnedWriteHalf,
     pending: VecDeque<PendingRequest>,
-    /// No requests are read after one that closes the connection.
+    /// No further requests are read, and the last response in progress closes the
+    /// connection.
     closes_after_pending: bool,
 }
 
@@ -318,9 +319,9 @@
             ShutdownPhase::Draining => !self.reader.is_partial(),
             ShutdownPhase::Closing => true,
         };
-        let close = response.close
-            || !request.keeps_alive
-            || (self.pending.is_empty() && (self.closes_after_pending || closes_when_idle));
+        // Servers work on the requests behind this one.
+        self.closes_after_pending |= response.close || !request.keeps_alive;
+        let close = self.pending.is_empty() && (self.closes_after_pending || closes_when_idle);
         let (head, body) = encode_response(response, request.is_head, close);
         let writer = &mut self.writer;
         let write = async {
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -238,3 +238,35 @@
         assert_eq!(server.dropped(), Vec::<String>::new());
     });
 }
+
+/// Guards against requests that are cut, though a server works on them, because the
+/// response to an earlier request of the connection closes it.
+#[parameterized(
+    rejection = { "/50/close", 503 },
+    panic = { "/50/panic", 500 },
+)]
+fn a_response_that_closes_the_connection_cuts_none_in_progress(first: &str, status: u16) {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&[first, "/200", "/300"]).await;
+        assert_eq!(server.next_response().await, Some((status, false)));
+        // Sent again by the caller, as it was sent behind the last response.
+        server.send(&["/0/late"]).await;
+        assert_eq!(server.all_responses().await, [(200, false), (200, true)]);
+        let targets = server.targets.borrow();
+        assert_eq!(targets.begun, [first, "/200", "/300"]);
+        let dropped: Vec<&String> = targets.dropped.iter().filter(|it| *it != first).collect();
+        assert_eq!(dropped, Vec::<&String>::new());
+    });
+}
+
+/// A rejection without other requests in progress closes the connection at once, and
+/// those behind it were not begun.
+#[test]
+fn a_response_that_closes_the_connection_is_the_last_one() {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&["/0/close"]).await;
+        assert_eq!(server.all_responses().await, [(503, true)]);
+    });
+}
