--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -35,6 +35,10 @@
 /// Timeout for writing a response to a caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long bytes of a caller are discarded after the last response, until it closes its
+/// side. Longer than packets wait at the link of a busy machine.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The maximum size of requests read ahead while earlier ones are handled.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 
@@ -144,7 +148,6 @@
 struct PendingRequest {
     response: PendingResponse,
     is_head: bool,
-    keeps_alive: bool,
 }
 
 enum ReadEvent {
@@ -320,7 +323,7 @@
             ShutdownPhase::Closing => true,
         };
         // Servers work on the requests behind this one.
-        self.closes_after_pending |= response.close || !request.keeps_alive;
+        self.closes_after_pending |= response.close;
         let close = self.pending.is_empty() && (self.closes_after_pending || closes_when_idle);
         let (head, body) = encode_response(response, request.is_head, close);
         let writer = &mut self.writer;
@@ -343,13 +346,11 @@
         match event {
             ReadEvent::Request(request) => {
                 let is_head = request.head.method == "HEAD";
-                let keeps_alive = request.head.keeps_alive();
-                self.closes_after_pending |= !keeps_alive;
+                self.closes_after_pending |= !request.head.keeps_alive();
                 let task = actix_rt::spawn(handler.handle(request));
                 self.pending.push_back(PendingRequest {
                     response: PendingResponse::Task(ResponseTask(task)),
                     is_head,
-                    keeps_alive,
                 });
             }
             ReadEvent::Invalid(error) => self.reject(rejection_status(error)),
@@ -366,7 +367,6 @@
         self.pending.push_back(PendingRequest {
             response: PendingResponse::Ready(CallerResponse::empty(status).closing()),
             is_head: false,
-            keeps_alive: false,
         });
         self.closes_after_pending = true;
     }
@@ -448,10 +448,9 @@
 }
 
 /// Shuts down the write half and discards what is still received for a moment.
-/// Closing with unread bytes would reset the connection, and the response could
-/// be lost.
+/// Closing with unread bytes would reset the connection, and the end of the response
+/// could be lost.
 async fn close_gracefully(mut write_half: OwnedWriteHalf, mut read_half: OwnedReadHalf) {
-    const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
     if write_half.shutdown().await.is_err() {
         return;
     }
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -8,7 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use tarragonpulley_policy::entry::config::CallerLimits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 use yare::parameterized;
 
@@ -18,6 +18,9 @@
 /// The timeout of a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Small, so that most of a long response waits at the server until it is read.
+const RECEIVE_BUFFER_BYTES: u32 = 4 * 1024;
+
 /// The targets of the requests that were begun, completed or dropped.
 #[derive(Debug, Default)]
 struct HandledTargets {
@@ -25,8 +28,12 @@
     dropped: Vec<String>,
 }
 
+/// The size of the body of `/MILLIS/long` in bytes.
+const LONG_BODY_BYTES: usize = 40 * 1024;
+
 /// Responds as the target says: `/MILLIS` after this time, `/MILLIS/close` so that the
-/// connection is to be closed, and `/MILLIS/panic` panics then.
+/// connection is to be closed, `/MILLIS/long` so too and with a long body, and
+/// `/MILLIS/panic` panics then.
 #[derive(Debug, Default)]
 struct TargetHandler {
     targets: Rc<RefCell<HandledTargets>>,
@@ -67,6 +74,9 @@
             guard.complete();
             match parts.next() {
                 Some("close") => CallerResponse::empty(503).closing(),
+                Some("long") => CallerResponse::empty(200)
+                    .with_body("text/plain", vec![b'x'; LONG_BODY_BYTES])
+                    .closing(),
                 Some("panic") => panic!("the request asked for it"),
                 _ => CallerResponse::empty(200),
             }
@@ -103,7 +113,11 @@
         let handler = TargetHandler::default();
         let targets = Rc::clone(&handler.targets);
         actix_rt::spawn(serve(listener, Rc::new(handler), receiver));
-        let stream = TcpStream::connect(address).await.expect("a connection");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .expect("an open socket");
+        let stream = socket.connect(address).await.expect("a connection");
         stream.set_nodelay(true).expect("an open connection");
         Self {
             phase,
@@ -270,3 +284,20 @@
         assert_eq!(server.all_responses().await, [(503, true)]);
     });
 }
+
+/// Guards against the end of a response that is lost because the connection is closed,
+/// with requests behind it unread, before a slow caller has received all of it.
+#[test]
+fn a_closing_response_reaches_a_caller_that_reads_late() {
+    run(async {
+        let mut server = TestServer::start().await;
+        server.send(&["/0/long"]).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        server.send(&["/0/late"]).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let mut received = Vec::new();
+        let end = server.stream.read_to_end(&mut received).await;
+        let is_whole = received.ends_with(&vec![b'x'; LONG_BODY_BYTES]);
+        assert!(is_whole, "{} bytes, then {end:?}", received.len());
+    });
+}
