Read the response of a server that closes before it has the whole request

What callers saw: a server rejects a long request early, truthfully, and closes the connection. The caller got status 502, which promises nothing, or the request went to another server as a retry of one that may have run.

Cause: the failed write ended the exchange, while the response was still unread in the receive buffer.

Change: after a failed write the exchange reads on until a response or the end. A response without a length is not complete then, as the connection was reset.

Evidence: a_response_before_the_end_of_the_request_is_read_when_the_server_closes failed before (connection reset by peer).

--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -148,6 +148,7 @@
         let is_reused = self.last_id.is_some();
         self.last_id = id.map(|(_, value)| value.to_owned());
         let mut written = 0;
+        let mut write_error = None;
         let expected = ExpectedResponse {
             method,
             id,
@@ -169,13 +170,28 @@
             let mut unread = (&mut self.buffer).limit(MAX_READ_BYTES);
             tokio::select! {
                 biased;
-                count = writer.write(&request[written..]), if written < request.len() => {
-                    written += count?;
-                    progress.sent.set(true);
+                count = writer.write(&request[written..]),
+                    if written < request.len() && write_error.is_none() =>
+                {
+                    match count {
+                        Ok(count) => {
+                            written += count;
+                            progress.sent.set(true);
+                        }
+                        // The server may have responded before it closed the connection.
+                        Err(error) => write_error = Some(error),
+                    }
                 }
                 count = reader.read_buf(&mut unread) => {
-                    let count = count?;
+                    let count = match count {
+                        Ok(0) | Err(_) if write_error.is_some() => 0,
+                        count => count?,
+                    };
                     if count == 0 {
+                        // A reset can look like an orderly close after a failed write.
+                        if let Some(error) = write_error {
+                            return Err(error.into());
+                        }
                         let response = state.end_of_stream().ok_or(ExchangeError::Closed)?;
                         return Ok(response);
                     }
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod connections;
+mod exchanges;
 mod framing;
 mod mirror;
 mod peers;
