Recognise the second copy of a rejection after other requests on its connection (REFUSED)

What callers saw: a booking was answered with status 503, which promises that it has not run, although a server was running it; or it ran at a second server as well.

Cause: a connection remembered only the id of its last request. A booking that was rejected there, and sent there again after another request had used the connection, took a late second copy of the first rejection for the answer to the new attempt.

Change: a connection remembers the ids of all requests that got an error on it, and carries none of these again.

--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -2,6 +2,7 @@
 //! responses.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +38,9 @@
 /// sends faster than the process reads would otherwise hold them up.
 const YIELD_BYTES: usize = 64 * 1024;
 
+/// The maximum number of requests that got an error on a connection that is used again.
+const MAX_FAILED_IDS: usize = 64;
+
 /// How long an idle connection is used if the server does not send a timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -92,6 +96,9 @@
     reusable: bool,
     /// The id of the last request.
     last_id: Option<String>,
+    /// The ids of the requests that got an error here. They may be sent again, while all
+    /// others are complete.
+    failed_ids: BTreeSet<String>,
 }
 
 impl ServerConnection {
@@ -109,6 +116,7 @@
             keep_alive: DEFAULT_KEEP_ALIVE,
             reusable: true,
             last_id: None,
+            failed_ids: BTreeSet::new(),
         })
     }
 
@@ -116,7 +124,7 @@
     /// A late second response to that attempt could not be told from the response
     /// to another one.
     pub(crate) fn has_carried(&self, id: &str) -> bool {
-        self.last_id.as_deref() == Some(id)
+        self.last_id.as_deref() == Some(id) || self.failed_ids.contains(id)
     }
 
     /// Whether the connection may carry another request: the last exchange
@@ -206,8 +214,12 @@
         let head = &response.head;
         // With bytes left after the response, the next response could not be
         // matched to its request.
+        if head.status >= 400 {
+            self.failed_ids.extend(self.last_id.clone());
+        }
         self.reusable = may_reuse
             && self.buffer.is_empty()
+            && self.failed_ids.len() <= MAX_FAILED_IDS
             && !head.is_http10
             && !head.has_token("connection", "close");
         self.keep_alive = keep_alive_timeout(head).unwrap_or(DEFAULT_KEEP_ALIVE);
