--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -10,7 +10,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -32,7 +32,7 @@
 /// The maximum number of requests of one connection that are handled at a time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
 
-/// Timeout for writing a response to a caller.
+/// How long a caller may take to receive the next part of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How long bytes of a caller are discarded after the last response, until it closes its
@@ -326,13 +326,10 @@
         self.closes_after_pending |= response.close;
         let close = self.pending.is_empty() && (self.closes_after_pending || closes_when_idle);
         let (head, body) = encode_response(response, request.is_head, close);
-        let writer = &mut self.writer;
-        let write = async {
-            writer.write_all(&head).await?;
-            writer.write_all(&body).await
-        };
-        if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
-            return ConnectionState::Dropped;
+        for bytes in [head, body] {
+            if !write_while_read(&mut self.writer, &bytes).await {
+                return ConnectionState::Dropped;
+            }
         }
         self.reader.last_byte = self.reader.last_byte.max(Instant::now());
         if close {
@@ -447,6 +444,20 @@
     }
 }
 
+/// Writes for as long as the caller reads. Returns whether all bytes were written.
+pub(crate) async fn write_while_read(
+    writer: &mut (impl AsyncWrite + Unpin),
+    mut bytes: &[u8],
+) -> bool {
+    while !bytes.is_empty() {
+        match tokio::time::timeout(WRITE_TIMEOUT, writer.write(bytes)).await {
+            Ok(Ok(count)) if count > 0 => bytes = &bytes[count..],
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// Shuts down the write half and discards what is still received for a moment.
 /// Closing with unread bytes would reset the connection, and the end of the response
 /// could be lost.
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -13,7 +13,7 @@
 use yare::parameterized;
 
 use crate::http::message::{CallerRequest, CallerResponse};
-use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve};
+use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve, write_while_read};
 
 /// The timeout of a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -301,3 +301,29 @@
         assert!(is_whole, "{} bytes, then {end:?}", received.len());
     });
 }
+
+/// Guards against a long response that is cut because a caller takes longer to receive it
+/// than one write may wait, although it reads all the time.
+#[test]
+fn a_response_is_written_for_as_long_as_its_caller_reads() {
+    const PIECES: usize = 30;
+    const PIECE_BYTES: usize = 100;
+    let read_some = async |reader: &mut tokio::io::DuplexStream, pieces: usize| {
+        for _ in 0..pieces {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let mut piece = [0; PIECE_BYTES];
+            reader.read_exact(&mut piece).await.expect("a piece");
+        }
+    };
+    for (pieces_read, is_written) in [(PIECES, true), (PIECES / 2, false)] {
+        actix_rt::System::new().block_on(async {
+            tokio::time::pause();
+            let (mut writer, mut reader) = tokio::io::duplex(PIECE_BYTES);
+            let bytes = [b'x'; PIECES * PIECE_BYTES];
+            let write = write_while_read(&mut writer, &bytes);
+            let read = read_some(&mut reader, pieces_read);
+            let (written, ()) = tokio::join!(write, read);
+            assert_eq!(written, is_written, "{pieces_read} pieces read");
+        });
+    }
+}
