--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -322,8 +322,9 @@
             let bytes = [b'x'; PIECES * PIECE_BYTES];
             let write = write_while_read(&mut writer, &bytes);
             let read = read_some(&mut reader, pieces_read);
-            let (written, ()) = tokio::join!(write, read);
-            assert_eq!(written, is_written, "{pieces_read} pieces read");
+            let both = async { tokio::join!(write, read).0 };
+            let written = tokio::time::timeout(Duration::from_mins(2), both).await;
+            assert_eq!(written, Ok(is_written), "{pieces_read} pieces read");
         });
     }
 }
