Judge in one place what a server has asked for, and read two new fields

Servers now say in any response that they are leaving, and may ask for a pause with a rejection (status 503 with Retry-After). policy::entry::send_gate holds what one server has asked for: leaving, pause, named limit, rate while cold. It answers for each send: now, wait, or never. Placement asks it for candidates, and each write of a request to a connection, the second one after a stale connection included, asks it again right before the first byte. Until now the second send checked neither the rate of a cold server nor whether the request is still permitted.

After a pause an instance returns gradually, and the instances one after the other.

--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -34,6 +34,8 @@
     pub rate_limit: &'static str,
     /// Set by a backend server that did not run a request.
     pub not_run: &'static str,
+    /// Set to 1 by a backend server that is leaving.
+    pub leaving: &'static str,
 }
 
 /// The path and query parameters of a lookup.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,9 +1,10 @@
 //! Forwards a caller's request to a backend server and returns the response.
 
+mod asked;
 mod attempt;
-mod named_limits;
 mod place;
 mod rejection;
+mod shares;
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -7,10 +7,11 @@
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::placement::{ServerView, expected_latency};
-use tarragonpulley_policy::entry::server_limit::LimitRate;
+use tarragonpulley_policy::entry::send_gate::SendDecision;
 
-use super::named_limits::NamedLimits;
+use super::asked::MISDIRECTED;
 use super::place::PlacedServer;
+use super::shares::FleetShares;
 use super::{ForwardRequest, HOP_BY_HOP_FIELDS};
 use crate::crashes::CrashSuspect;
 use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection, ServerResponse};
@@ -58,8 +59,8 @@
 /// A request in progress at one server. When dropped before it completes, it
 /// records a timeout or that the caller left.
 pub(super) struct ServerAttempt<'a> {
-    instance: &'a Instance,
-    forward: &'a ForwardRequest,
+    pub(super) instance: &'a Instance,
+    pub(super) forward: &'a ForwardRequest,
     placed: &'a PlacedServer,
     choice: &'a VersionChoice,
     expected: Duration,
@@ -96,7 +97,7 @@
         }
     }
 
-    fn server(&self) -> &Rc<Server> {
+    pub(super) fn server(&self) -> &Rc<Server> {
         &self.placed.server
     }
 
@@ -109,8 +110,7 @@
         let Some(connection) = self.connect_unless_pooled(pooled).await else {
             return AttemptOutcome::NotSent;
         };
-        if let Err(rejection) = self.instance.check_still_permitted(self.forward) {
-            self.log("not_sent", &json!({"reason": rejection.name()}));
+        if !self.may_still_send() {
             return AttemptOutcome::NotSent;
         }
         let progress = ExchangeProgress::default();
@@ -119,7 +119,8 @@
         let is_stale = was_pooled && result.is_err() && !progress.received.get();
         if is_stale && self.may_retry_stale(&progress) {
             server.close_idle_connections();
-            let Some(connection) = self.connect_unless_pooled(None).await else {
+            let connection = self.connect_unless_pooled(None).await;
+            let Some(connection) = connection.filter(|_| self.may_send_again(&progress)) else {
                 return self.handle_broken_connection(&ExchangeError::Closed, &progress);
             };
             let fresh = ExchangeProgress::default();
@@ -143,7 +144,6 @@
         let now = self.instance.now();
         let sharer_count = self.instance.peers.borrow().sharer_count(now);
         self.forward.route.retryable
-            && NamedLimits::new(self.instance, now).try_acquire(self.server())
             && self.instance.retry_budget.borrow_mut().try_acquire(
                 &self.forward.service,
                 sharer_count,
@@ -151,6 +151,36 @@
             )
     }
 
+    /// Whether the request may be sent on the connection that is open now.
+    fn may_still_send(&self) -> bool {
+        let now = self.instance.now();
+        let decision = self.server().gate.borrow().decide_acquired(now);
+        self.is_permitted(decision)
+    }
+
+    /// The same for the second connection. A request that may have arrived over the first
+    /// one counts once more.
+    fn may_send_again(&self, first: &ExchangeProgress) -> bool {
+        if !first.sent.get() {
+            return self.may_still_send();
+        }
+        let shares = FleetShares::new(self.instance, self.forward, self.instance.now());
+        self.is_permitted(shares.acquire(self.server()))
+    }
+
+    fn is_permitted(&self, decision: SendDecision) -> bool {
+        if let Some((reason, _)) = decision.hold() {
+            self.instance.metrics.record_hold(reason);
+            self.log("not_sent", &json!({"reason": reason.name()}));
+            return false;
+        }
+        if let Err(rejection) = self.instance.check_still_permitted(self.forward) {
+            self.log("not_sent", &json!({"reason": rejection.name()}));
+            return false;
+        }
+        true
+    }
+
     async fn exchange(
         &self,
         mut connection: ServerConnection,
@@ -283,15 +313,19 @@
         if let Some(load) = load {
             server.health.borrow_mut().record_reported_load(load, now);
         }
-        if status == 421 {
+        let asks_for_pause = self.record_asked(&response, now);
+        if status == MISDIRECTED {
             server.health.borrow_mut().mark_replaced();
             server.close_idle_connections();
             self.log("misdirected", &json!({"status": status}));
             return AttemptOutcome::NotRun(RejectionLoad::Full);
         }
-        self.record_named_limit(&response, now);
         if response.head.text(names.not_run).is_some() {
-            server.health.borrow_mut().record_rejection(now);
+            if asks_for_pause {
+                server.health.borrow_mut().record_activity(now);
+            } else {
+                server.health.borrow_mut().record_rejection(now);
+            }
             let reported = response.head.text(names.load);
             self.log(
                 "shed",
@@ -306,11 +340,16 @@
             .text(names.request_id)
             .is_none_or(|id| id == self.forward.id);
         let failed = status >= 500 || !sealed || !matched;
-        server
-            .health
-            .borrow_mut()
-            .record_response(observed, self.expected, failed, now);
-        self.record_evidence(failed);
+        if asks_for_pause {
+            server.health.borrow_mut().record_activity(now);
+        } else {
+            server
+                .health
+                .borrow_mut()
+                .record_response(observed, self.expected, failed, now);
+            self.record_evidence(failed);
+            self.record_accepted(now);
+        }
         if !failed {
             if let Some(object) = self.forward.object {
                 server.record_object(object, now);
@@ -328,33 +367,6 @@
         }
     }
 
-    /// Records whether the response names a limit of its server. Only a sealed response
-    /// ends a limit by not naming it: rejections need not have all fields.
-    fn record_named_limit(&self, response: &ServerResponse, now: Instant) {
-        let names = self.instance.adapter.headers();
-        let is_own = |id: &str| id == self.forward.id;
-        if !response.head.text(names.request_id).is_none_or(is_own) {
-            return;
-        }
-        let rate = match response
-            .head
-            .text(names.rate_limit)
-            .map(str::parse::<LimitRate>)
-        {
-            Some(Ok(rate)) => Some(rate),
-            Some(Err(error)) => {
-                self.log("limit_ignored", &json!({"reason": error.to_string()}));
-                return;
-            }
-            None if response.head.text(names.seal).is_none() => return,
-            None => None,
-        };
-        self.instance
-            .update_limit(self.server(), Some(&self.forward.id), now, |limit| {
-                limit.record_response(rate, now);
-            });
-    }
-
     fn handle_broken_connection(
         &self,
         error: &ExchangeError,
@@ -402,7 +414,7 @@
             "expected_ms": self.expected.as_millis()})
     }
 
-    fn log(&self, result: &str, details: &serde_json::Value) {
+    pub(super) fn log(&self, result: &str, details: &serde_json::Value) {
         let observed = self.instance.now().saturating_duration_since(self.started);
         self.instance.log.event(
             "attempt",
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -1,21 +1,22 @@
 //! Selects the backend server of an attempt among the eligible servers.
 
-use std::cell::OnceCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use tarragonpulley_policy::entry::admission::{AdmissionDecision, admit, jittered_retry_after};
-use tarragonpulley_policy::entry::cold::instance_allowance;
+use tarragonpulley_policy::entry::admission::{
+    AdmissionDecision, admit, jittered_retry_after, retry_after_pause,
+};
 use tarragonpulley_policy::entry::names::RegionName;
 use tarragonpulley_policy::entry::placement::{
     Placement, RegionFractions, ServerView, choose_server, expected_latency,
 };
+use tarragonpulley_policy::entry::send_gate::{HoldReason, SendDecision};
 use tarragonpulley_policy::entry::stopping::StoppingRequest;
 
-use super::named_limits::NamedLimits;
 use super::rejection::Rejection;
+use super::shares::FleetShares;
 use super::{DEFAULT_RETRY_AFTER, ForwardRequest};
 use crate::instance::Instance;
 use crate::metrics::PlaceLabel;
@@ -66,22 +67,33 @@
             return Err((Rejection::NoServerReachable, retry_after));
         }
         let target = forward.route.target_latency;
-        let named_limits = NamedLimits::new(self, now);
-        if !candidates.is_empty() {
-            candidates.retain(|server| named_limits.permit(server));
-            if candidates.is_empty() {
-                return Err((
-                    Rejection::ServerLimitsReached,
-                    jittered_retry_after(target, rand::random()),
-                ));
+        let shares = FleetShares::new(self, forward, now);
+        let mut holds: BTreeMap<HoldReason, Option<Instant>> = BTreeMap::new();
+        let mut decisions = Vec::with_capacity(candidates.len());
+        candidates.retain(|server| {
+            let decision = shares.decide(server);
+            if let Some((reason, until)) = decision.hold() {
+                let earliest = holds.entry(reason).or_insert(until);
+                *earliest = (*earliest).min(until);
+            }
+            let is_candidate = matches!(decision.hold(), None | Some((HoldReason::ColdRate, _)));
+            if is_candidate {
+                decisions.push(decision);
             }
+            is_candidate
+        });
+        for reason in holds.keys() {
+            self.metrics.record_hold(*reason);
+        }
+        if candidates.is_empty() && !holds.is_empty() {
+            return Err(reject_held(&holds, target, now));
         }
         let remaining = forward.deadline.saturating_duration_since(now);
         let default_retry_after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
-        let cold_rate = ColdRate::new(self, forward, now);
         let views: Vec<ServerView> = candidates
             .iter()
-            .map(|server| self.view(forward, server, &cold_rate, now))
+            .zip(&decisions)
+            .map(|(server, decision)| self.view(forward, server, *decision, now))
             .collect();
         let region_fractions = if forward.home_regions.is_none() {
             self.regions.fractions(&forward.service)
@@ -122,17 +134,12 @@
         {
             return Err((Rejection::Stopping, default_retry_after));
         }
-        let mut cold_limiter = self.cold_limiter.borrow_mut();
+        if !shares.acquire(&server).may_send() {
+            return Err((Rejection::OnlyColdServers, default_retry_after));
+        }
         if view.cold {
-            let allowed = cold_rate.allowance(&server);
-            if !cold_limiter.try_acquire(&server.id(), allowed, now) {
-                return Err((Rejection::OnlyColdServers, default_retry_after));
-            }
-            self.log_cold_send(forward, &server, allowed, now);
-        } else {
-            cold_limiter.remove(&server.id());
+            self.log_cold_send(forward, &server, shares.cold_allowance(&server), now);
         }
-        server.limit.borrow_mut().record_send(now);
         let place = match (view.known, placement.rank) {
             (true, _) => "known",
             (false, 0) => "owner",
@@ -209,7 +216,7 @@
         &self,
         forward: &ForwardRequest,
         server: &Server,
-        cold_rate: &ColdRate<'_>,
+        decision: SendDecision,
         now: Instant,
     ) -> ServerView {
         let health = server.health.borrow();
@@ -217,11 +224,6 @@
         let entry = server.entry.borrow();
         let region = server.region.borrow();
         let cold = server.is_cold(now);
-        let has_room = !cold
-            || self
-                .cold_limiter
-                .borrow()
-                .has_capacity(&entry.id, cold_rate.allowance(server), now);
         ServerView {
             hash: server.hash,
             slots: entry.slots,
@@ -232,7 +234,8 @@
             in_own_region: region
                 .as_ref()
                 .is_some_and(|region| region.name == self.peers.borrow().own().region),
-            suspended: !has_room || health.is_suspended(forward.route.target_latency, now),
+            suspended: !decision.may_send()
+                || health.is_suspended(forward.route.target_latency, now),
             known: forward
                 .object
                 .is_some_and(|object| server.knows_object(object, now)),
@@ -241,47 +244,30 @@
     }
 }
 
-/// The rate of requests to cold servers that this instance may use for one request.
-struct ColdRate<'a> {
-    instance: &'a Instance,
-    forward: &'a ForwardRequest,
+/// The rejection of a request for which no server is left because of what servers asked
+/// for. `holds` has the earliest end by reason.
+fn reject_held(
+    holds: &BTreeMap<HoldReason, Option<Instant>>,
+    target: Duration,
     now: Instant,
-    /// The instances that share the rate; looked up for the first cold server only.
-    sharers: OnceCell<Option<Vec<u64>>>,
-}
-
-impl<'a> ColdRate<'a> {
-    fn new(instance: &'a Instance, forward: &'a ForwardRequest, now: Instant) -> Self {
-        Self {
-            instance,
-            forward,
-            now,
-            sharers: OnceCell::new(),
+) -> (Rejection, Duration) {
+    let pauses = [HoldReason::Paused, HoldReason::Returning];
+    let paused_until = pauses
+        .iter()
+        .filter_map(|reason| holds.get(reason).copied()?);
+    match paused_until.min() {
+        _ if holds.contains_key(&HoldReason::ServerLimit) => (
+            Rejection::ServerLimitsReached,
+            jittered_retry_after(target, rand::random()),
+        ),
+        Some(until) => {
+            let left = until.saturating_duration_since(now);
+            let after = retry_after_pause(left, target, rand::random());
+            (Rejection::ServersPaused, after)
         }
-    }
-
-    /// The requests per second that this instance may send to a cold server.
-    /// The limit is divided among the instances; an instance that does not know
-    /// the others yet sends none.
-    fn allowance(&self, server: &Server) -> usize {
-        let config = &self.forward.config;
-        let Some(rule) = config.services.get(&self.forward.service) else {
-            return 1;
-        };
-        let peers = self.instance.peers.borrow();
-        let sharers = self
-            .sharers
-            .get_or_init(|| peers.cold_sharer_hashes(self.now));
-        let Some(sharers) = sharers else {
-            return 0;
-        };
-        let limit = self.instance.options.borrow().cold;
-        instance_allowance(
-            limit,
-            rule.cold_rate,
-            server.hash,
-            peers.own_hash(),
-            sharers,
-        )
+        None => (
+            Rejection::NoServer,
+            jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random()),
+        ),
     }
 }
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -17,6 +17,8 @@
     OnlyColdServers,
     /// All servers named a limit, and this instance has used its share of them.
     ServerLimitsReached,
+    /// All servers asked for a pause, or this instance returns to them gradually.
+    ServersPaused,
     /// This instance is partitioned from all servers.
     NoServerReachable,
     /// The request would not be complete when this process ends.
@@ -39,6 +41,7 @@
             | Self::AllServersShed
             | Self::OnlyColdServers
             | Self::ServerLimitsReached
+            | Self::ServersPaused
             | Self::NoServerReachable
             | Self::Stopping => 503,
         }
@@ -59,6 +62,7 @@
             Self::AllServersShed => "all_servers_shed",
             Self::OnlyColdServers => "only_cold_servers",
             Self::ServerLimitsReached => "server_limits_reached",
+            Self::ServersPaused => "servers_paused",
             Self::NoServerReachable => "no_server_reachable",
             Self::Stopping => "stopping",
         }
--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -28,6 +28,13 @@
         std::str::from_utf8(&field.value).ok().map(str::trim)
     }
 
+    /// The values of all fields with this name.
+    fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let is_named = move |field: &&HeaderField| field.name.eq_ignore_ascii_case(name);
+        let fields = self.fields().iter().filter(is_named);
+        fields.map(|field| field.value.as_slice())
+    }
+
     /// Whether a comma-separated field contains a token.
     fn has_token(&self, name: &str, token: &str) -> bool {
         self.fields()
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::entry::budget::{RetryBound, RetryBudget};
-use tarragonpulley_policy::entry::cold::{ColdBound, ColdLimiter};
+use tarragonpulley_policy::entry::cold::ColdBound;
 use tarragonpulley_policy::entry::config::{RolloutRecord, TrafficConfig};
 use tarragonpulley_policy::entry::crash::CrashTracker;
 use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
@@ -77,7 +77,6 @@
     pub(crate) limits: TeamLimits,
     pub(crate) regions: RegionBalancer,
     pub(crate) retry_budget: RefCell<RetryBudget>,
-    pub(crate) cold_limiter: RefCell<ColdLimiter>,
     pub(crate) crashes: RefCell<CrashTracker>,
     pub(crate) splitters: RefCell<BTreeMap<String, RouteSplitter>>,
     pub(crate) leaving: Cell<bool>,
@@ -147,7 +146,6 @@
             evacuated_centres: RefCell::default(),
             rollout_records: RefCell::default(),
             rollouts: RefCell::default(),
-            cold_limiter: RefCell::default(),
             crashes: RefCell::default(),
             splitters: RefCell::default(),
             leaving: Cell::new(false),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tarragonpulley_policy::entry::send_gate::HoldReason;
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0];
@@ -17,6 +18,11 @@
     pub(crate) reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct HoldLabel {
+    pub(crate) reason: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PlaceLabel {
     pub(crate) place: &'static str,
@@ -28,6 +34,7 @@
     registry: Registry,
     pub(crate) outcomes: Family<OutcomeLabel, Counter>,
     pub(crate) placements: Family<PlaceLabel, Counter>,
+    pub(crate) holds: Family<HoldLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) retries: Counter,
@@ -41,11 +48,18 @@
 }
 
 impl InstanceMetrics {
+    /// Counts a request that was not sent to a server because of what it asked for.
+    pub(crate) fn record_hold(&self, reason: HoldReason) {
+        let reason = reason.name();
+        self.holds.get_or_create(&HoldLabel { reason }).inc();
+    }
+
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("tarragonpulley"),
             outcomes: Family::default(),
             placements: Family::default(),
+            holds: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
             retries: Counter::default(),
@@ -68,6 +82,11 @@
             "Requests by whether the server knows the object, is the owner, or neither",
             metrics.placements.clone(),
         );
+        registry.register(
+            "sends_held",
+            "Placements in which a server got no request because of what it asked for",
+            metrics.holds.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until the answer",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,7 +10,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tarragonpulley_policy::entry::digest::{InstanceDigest, ServerTag, split_by_size};
+use tarragonpulley_policy::entry::digest::{
+    InstanceDigest, ServerIncarnation, ServerTag, split_by_size,
+};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 use tarragonpulley_policy::entry::server_limit::LimitReport;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -89,6 +91,12 @@
     server_limits: Vec<LimitReport>,
 }
 
+/// The fields that were added after [`DigestExtension`], which they follow.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct LeavingExtension {
+    leaving_servers: Vec<ServerIncarnation>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct CopyRequest {
     table: TableKind,
@@ -140,16 +148,23 @@
     Ok([encode(value)?, encode(extension)?].concat())
 }
 
-/// Decodes a message of at most `LIMIT` bytes and its extension. Without a limit, a
-/// length in the message would be allocated before it is compared with the bytes that
-/// follow.
-fn decode_extended<T: DeserializeOwned, E: DeserializeOwned, const LIMIT: usize>(
+/// Decodes a value of at most `LIMIT` bytes; returns it with the bytes that follow it.
+/// Without a limit, a length in the message would be allocated before it is compared with
+/// the bytes that follow.
+fn decode_part<T: DeserializeOwned, const LIMIT: usize>(
     bytes: &[u8],
-) -> Result<Extended<T, E>, bincode::error::DecodeError> {
+) -> Result<(T, &[u8]), bincode::error::DecodeError> {
     let config = bincode::config::standard().with_limit::<LIMIT>();
     let (value, length) = bincode::serde::decode_from_slice(bytes, config)?;
-    let rest = &bytes[length..];
-    let decode_rest = || bincode::serde::decode_from_slice(rest, config).map(|(value, _)| value);
+    Ok((value, &bytes[length..]))
+}
+
+/// Decodes a message and its extension.
+fn decode_extended<T: DeserializeOwned, E: DeserializeOwned, const LIMIT: usize>(
+    bytes: &[u8],
+) -> Result<Extended<T, E>, bincode::error::DecodeError> {
+    let (value, rest) = decode_part::<_, LIMIT>(bytes)?;
+    let decode_rest = || decode_part::<_, LIMIT>(rest).map(|(value, _)| value);
     Ok((value, (!rest.is_empty()).then(decode_rest)))
 }
 
@@ -163,27 +178,45 @@
 pub(crate) fn encode_digest(
     digest: &InstanceDigest,
 ) -> Result<Vec<u8>, bincode::error::EncodeError> {
-    if digest.server_limits.is_empty() {
+    let leaving_servers = digest.leaving_servers.clone();
+    if digest.server_limits.is_empty() && leaving_servers.is_empty() {
         return encode(digest);
     }
     let server_limits = digest.server_limits.clone();
-    encode_extended(digest, &DigestExtension { server_limits })
+    let mut bytes = encode_extended(digest, &DigestExtension { server_limits })?;
+    if !leaving_servers.is_empty() {
+        bytes.extend(encode(&LeavingExtension { leaving_servers })?);
+    }
+    Ok(bytes)
 }
 
-/// Decodes a digest with its extension, if there is one. The second value says why the
-/// extension cannot be decoded; its sender is live all the same.
+/// Decodes a digest with its extensions, if there are any. The second value says why an
+/// extension cannot be decoded; the sender is live all the same.
 pub(crate) fn decode_digest(
     bytes: &[u8],
 ) -> Result<(InstanceDigest, Option<bincode::error::DecodeError>), bincode::error::DecodeError> {
-    let (mut digest, extension): Extended<InstanceDigest, DigestExtension> =
-        decode_extended::<_, _, MAX_DATAGRAM_BYTES>(bytes)?;
-    match extension.transpose() {
-        Ok(extension) => {
-            digest.server_limits = extension.unwrap_or_default().server_limits;
-            Ok((digest, None))
-        }
-        Err(error) => Ok((digest, Some(error))),
+    let (mut digest, rest) = decode_part::<InstanceDigest, MAX_DATAGRAM_BYTES>(bytes)?;
+    let result = decode_digest_extensions(&mut digest, rest);
+    Ok((digest, result.err()))
+}
+
+/// The extensions follow each other in the order in which they were added, and instances
+/// of earlier versions send only the first ones.
+fn decode_digest_extensions(
+    digest: &mut InstanceDigest,
+    bytes: &[u8],
+) -> Result<(), bincode::error::DecodeError> {
+    if bytes.is_empty() {
+        return Ok(());
     }
+    let (limits, rest) = decode_part::<DigestExtension, MAX_DATAGRAM_BYTES>(bytes)?;
+    digest.server_limits = limits.server_limits;
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (leaving, _later) = decode_part::<LeavingExtension, MAX_DATAGRAM_BYTES>(rest)?;
+    digest.leaving_servers = leaving.leaving_servers;
+    Ok(())
 }
 
 async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
@@ -349,6 +382,7 @@
             regions: self.regions.report(now),
             suspects: self.servers.borrow().suspects(&self.reach.borrow(), now),
             server_limits: self.servers.borrow().limit_reports(now),
+            leaving_servers: self.servers.borrow().leaving_reports(now),
         }
     }
 
@@ -552,6 +586,11 @@
         let loads = peers.other_loads(now);
         let suspects = peers.suspects(now);
         let limits = peers.server_limits(now);
+        let leaving = peers.leaving_servers(now);
+        let reported = self.servers.borrow_mut().add_reported_leaving(&leaving);
+        for server in reported {
+            self.record_leaving(&server, None, now);
+        }
         let mut view = FleetView {
             ready: peers.ready(now).map(|record| record.name.clone()).collect(),
             excluded: BTreeSet::new(),
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -1,19 +1,20 @@
 //! The known backend servers, their health and their connection pools.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::config::ServerEntry;
-use tarragonpulley_policy::entry::digest::{ServerTag, SuspectReason};
+use tarragonpulley_policy::entry::digest::{ServerIncarnation, ServerTag, SuspectReason};
 use tarragonpulley_policy::entry::health::{AttemptTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::{
     CentreName, RegionName, ServerId, ServiceName, VersionName,
 };
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::reach::ReachTracker;
-use tarragonpulley_policy::entry::server_limit::{LimitRate, LimitReport, ServerLimit};
+use tarragonpulley_policy::entry::send_gate::SendGate;
+use tarragonpulley_policy::entry::server_limit::{LimitRate, LimitReport};
 
 use crate::http::client::ServerConnection;
 
@@ -27,6 +28,13 @@
 /// The maximum number of idle connections in the pool of a server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// The maximum number of servers that are remembered as leaving.
+const MAX_LEAVING_SERVERS: usize = 4096;
+
+/// How long a server that said that it is leaving is reported to the other instances:
+/// three intervals between data centres.
+const LEAVING_REPORT_PERIOD: Duration = Duration::from_secs(3);
+
 /// The region of a server's data centre, from the settings.
 #[derive(Debug)]
 pub(crate) struct ServerRegion {
@@ -52,7 +60,9 @@
     /// `None` if the settings do not name its data centre.
     pub(crate) region: RefCell<Option<ServerRegion>>,
     pub(crate) health: RefCell<ServerHealth>,
-    pub(crate) limit: RefCell<ServerLimit>,
+    /// What the server has asked for.
+    pub(crate) gate: RefCell<SendGate>,
+    pub(crate) incarnation: ServerIncarnation,
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
@@ -71,7 +81,8 @@
             cold_until: Cell::new(cold_until(&entry, now)),
             removed_at: Cell::new(None),
             health: RefCell::new(ServerHealth::new(now)),
-            limit: RefCell::default(),
+            gate: RefCell::default(),
+            incarnation: ServerIncarnation::new(entry.id.as_str(), entry.started),
             logged_limit: Cell::default(),
             known_objects: RefCell::default(),
             pool: RefCell::default(),
@@ -89,7 +100,9 @@
 
     /// Whether new requests may be sent to the server.
     pub(crate) fn is_available(&self, now: Instant) -> bool {
-        !self.entry.borrow().draining && self.removed_at.get().is_none_or(|at| now < at)
+        !self.entry.borrow().draining
+            && self.removed_at.get().is_none_or(|at| now < at)
+            && !self.gate.borrow().is_leaving()
     }
 
     /// Whether the server responded to a request for the object recently.
@@ -187,6 +200,9 @@
 pub(crate) struct ServerSet {
     servers: BTreeMap<ServerId, Rc<Server>>,
     by_service: BTreeMap<ServiceName, Vec<Rc<Server>>>,
+    /// Servers that said that they are leaving, and when this instance last heard it from
+    /// them. Kept when their entries go: a restored table may contain these again.
+    leaving: BTreeMap<ServerIncarnation, Option<Instant>>,
 }
 
 impl ServerSet {
@@ -216,9 +232,11 @@
             }
             server.close_idle_connections();
         }
-        let id = entry.id.clone();
-        self.servers
-            .insert(id, Rc::new(Server::new(entry, region, now)));
+        let server = Server::new(entry, region, now);
+        if self.leaving.contains_key(&server.incarnation) {
+            server.gate.borrow_mut().record_leaving();
+        }
+        self.servers.insert(server.id(), Rc::new(server));
         self.rebuild_service_index();
         true
     }
@@ -241,6 +259,55 @@
         }
     }
 
+    /// Records that a server said to this instance that it is leaving.
+    pub(crate) fn record_leaving(&mut self, server: ServerIncarnation, now: Instant) {
+        self.leaving.insert(server, Some(now));
+        self.limit_leaving();
+    }
+
+    /// Adds servers that said to other instances that they are leaving. Returns those
+    /// that were not known to be.
+    pub(crate) fn add_reported_leaving(
+        &mut self,
+        reported: &BTreeSet<ServerIncarnation>,
+    ) -> Vec<Rc<Server>> {
+        let is_known = |server: &ServerIncarnation| self.leaving.contains_key(server);
+        if reported.iter().all(is_known) {
+            return Vec::new();
+        }
+        for server in reported {
+            self.leaving.entry(*server).or_insert(None);
+        }
+        self.limit_leaving();
+        let is_new = |server: &&Rc<Server>| {
+            reported.contains(&server.incarnation) && !server.gate.borrow().is_leaving()
+        };
+        self.servers.values().filter(is_new).cloned().collect()
+    }
+
+    /// Forgets the servers of which this was heard the longest ago.
+    fn limit_leaving(&mut self) {
+        while self.leaving.len() > MAX_LEAVING_SERVERS {
+            let oldest = self.leaving.iter().min_by_key(|(_, heard_at)| **heard_at);
+            let Some(oldest) = oldest.map(|(server, _)| *server) else {
+                return;
+            };
+            self.leaving.remove(&oldest);
+        }
+    }
+
+    /// The servers that recently said to this instance that they are leaving, for the
+    /// digest.
+    pub(crate) fn leaving_reports(&self, now: Instant) -> Vec<ServerIncarnation> {
+        let is_recent =
+            |heard_at: &Instant| now.saturating_duration_since(*heard_at) < LEAVING_REPORT_PERIOD;
+        self.leaving
+            .iter()
+            .filter(|(_, heard_at)| heard_at.as_ref().is_some_and(is_recent))
+            .map(|(server, _)| *server)
+            .collect()
+    }
+
     /// Closes the unusable idle connections of all servers.
     pub(crate) fn close_unusable_connections(&self) {
         for server in self.servers.values() {
@@ -314,8 +381,8 @@
     /// The limits that servers stated to this instance, for the digest.
     pub(crate) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
         let report = |server: &Rc<Server>| {
-            let limit = server.limit.borrow();
-            limit.report(ServerTag::new(server.hash), now)
+            let gate = server.gate.borrow();
+            gate.limit().report(ServerTag::new(server.hash), now)
         };
         self.servers.values().filter_map(report).collect()
     }
@@ -328,6 +395,7 @@
 
     /// Servers that show whether this instance reaches any: random ones, half of them in
     /// its own region if there are enough, and those that did not fail lately first.
+    /// Servers that asked for a pause are left out.
     pub(crate) fn probe_targets(
         &self,
         count: usize,
@@ -338,6 +406,7 @@
             .servers
             .values()
             .filter(|server| server.is_available(now))
+            .filter(|server| server.gate.borrow().paused_until(now).is_none())
             .map(|server| {
                 let has_failed = server.health.borrow().has_failed_recently(now);
                 (has_failed, rand::random(), server)
--- a/crates/edge/src/tests/peers.rs
+++ b/crates/edge/src/tests/peers.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 use tarragonpulley_policy::entry::canary::RolloutEvidence;
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, InstanceState, ServerTag, SuspectReason,
+    InstanceDigest, InstanceRecord, InstanceState, ServerIncarnation, ServerTag, SuspectReason,
 };
 use tarragonpulley_policy::entry::region_share::ServiceDemand;
 
@@ -41,11 +42,30 @@
             rate: Some("2.3".parse().expect("a rate")),
             age_ms: 70,
         }],
+        leaving_servers: vec![
+            ServerIncarnation::new("i-1", Some(7)),
+            ServerIncarnation::new("i-2", Some(1_700_000_000_000)),
+        ],
     }
 }
 
-/// The digest as instances of the previous version know it.
+/// The digest as instances know it that know no extension.
 fn previous_digest() -> InstanceDigest {
+    InstanceDigest {
+        server_limits: Vec::new(),
+        ..digest_with_limits()
+    }
+}
+
+/// The digest as instances know it that know only the limits of servers.
+fn digest_with_limits() -> InstanceDigest {
+    InstanceDigest {
+        leaving_servers: Vec::new(),
+        ..digest()
+    }
+}
+
+fn digest_without_limits() -> InstanceDigest {
     InstanceDigest {
         server_limits: Vec::new(),
         ..digest()
@@ -70,7 +90,12 @@
 
 #[test]
 fn a_digest_is_decoded_as_it_was_encoded() {
-    for digest in [digest(), previous_digest()] {
+    for digest in [
+        digest(),
+        digest_with_limits(),
+        digest_without_limits(),
+        previous_digest(),
+    ] {
         let bytes = encode_digest(&digest).expect("a digest can be encoded");
         assert_eq!(decoded(&bytes), digest);
     }
@@ -86,6 +111,40 @@
     assert_eq!(read, previous_digest());
 }
 
+/// The extension of limits as the build 65748dd has it, which reads it alone.
+#[derive(Debug, Serialize, Deserialize)]
+struct LimitsOnly {
+    server_limits: Vec<LimitReport>,
+}
+
+#[test]
+fn digests_are_exchanged_with_a_version_that_knows_only_limits() {
+    for digest in [digest(), digest_without_limits()] {
+        let bytes = encode_digest(&digest).expect("a digest can be encoded");
+        let config = bincode::config::standard();
+        let (read, length): (InstanceDigest, usize) =
+            bincode::serde::decode_from_slice(&bytes, config).expect("a valid digest");
+        assert_eq!(read, previous_digest());
+        let (read, _): (LimitsOnly, usize) =
+            bincode::serde::decode_from_slice(&bytes[length..], config).expect("valid limits");
+        assert_eq!(read.server_limits, digest.server_limits);
+    }
+    let limits = LimitsOnly {
+        server_limits: digest().server_limits,
+    };
+    let sent = [encode(&digest()), encode(&limits)].map(|bytes| bytes.expect("it can be encoded"));
+    assert_eq!(decoded(&sent.concat()), digest_with_limits());
+}
+
+#[test]
+fn a_digest_counts_whose_second_extension_cannot_be_decoded() {
+    let mut bytes = encode_digest(&digest_with_limits()).expect("a digest can be encoded");
+    bytes.extend([250, 1, 2, 3]);
+    let (read, error) = decode_digest(&bytes).expect("a valid digest");
+    assert_eq!(read, digest_with_limits());
+    assert!(error.is_some());
+}
+
 #[test]
 fn a_digest_counts_whose_extension_cannot_be_decoded() {
     let mut bytes = encode(&digest()).expect("a digest can be encoded");
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -19,6 +19,7 @@
 pub mod quota;
 pub mod reach;
 pub mod region_share;
+pub mod send_gate;
 pub mod server_limit;
 pub mod share;
 pub mod split;
--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// The retry delay for the caller when the first server is free again in `left`. The
+/// callers that wait for it return over the time of about one request, `target`. `jitter`
+/// is from 0 to 1.
+#[must_use]
+pub fn retry_after_pause(left: Duration, target: Duration, jitter: f64) -> Duration {
+    left + target.max(MIN_RETRY_AFTER).mul_f64(jitter.clamp(0.0, 1.0))
+}
+
 /// Whether a request is sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum AdmissionDecision {
--- a/crates/policy/src/entry/cold.rs
+++ b/crates/policy/src/entry/cold.rs
@@ -3,10 +3,8 @@
 //! The limit applies to all instances together in any second. The requests that
 //! it permits are divided among the instances.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::names::ServerId;
 use super::share::{SendHistory, instance_share};
 
 /// The fraction of the bound that is used. The margin covers short periods in
@@ -33,10 +31,10 @@
     pub slack: f64,
 }
 
-/// The recent send times of this instance for each cold server.
+/// The recent requests of this instance to one cold server.
 #[derive(Debug, Default)]
 pub struct ColdLimiter {
-    recent_sends: BTreeMap<ServerId, SendHistory>,
+    recent_sends: SendHistory,
 }
 
 /// How many requests per [`SEND_WINDOW`] this instance may send to a cold server.
@@ -63,24 +61,22 @@
 impl ColdLimiter {
     /// Records a request and returns `true` if fewer than `allowed` were sent in
     /// the last [`SEND_WINDOW`].
-    pub fn try_acquire(&mut self, server: &ServerId, allowed: usize, now: Instant) -> bool {
-        if !self.has_capacity(server, allowed, now) {
-            return false;
+    pub fn try_acquire(&mut self, allowed: usize, now: Instant) -> bool {
+        let has_capacity = self.has_capacity(allowed, now);
+        if has_capacity {
+            self.record_send(now);
         }
-        let history = self.recent_sends.entry(server.clone()).or_default();
-        history.record(SEND_WINDOW, now);
-        true
+        has_capacity
     }
 
     /// Whether [`ColdLimiter::try_acquire`] would succeed.
     #[must_use]
-    pub fn has_capacity(&self, server: &ServerId, allowed: usize, now: Instant) -> bool {
-        let recent = self.recent_sends.get(server);
-        recent.map_or(0, |history| history.count(SEND_WINDOW, now)) < allowed
+    pub fn has_capacity(&self, allowed: usize, now: Instant) -> bool {
+        self.recent_sends.count(SEND_WINDOW, now) < allowed
     }
 
-    /// Removes the state of a server that is no longer cold.
-    pub fn remove(&mut self, server: &ServerId) {
-        self.recent_sends.remove(server);
+    /// Records a request.
+    pub fn record_send(&mut self, now: Instant) {
+        self.recent_sends.record(SEND_WINDOW, now);
     }
 }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -105,6 +105,19 @@
     }
 }
 
+/// Identifies one backend server from its start on in digests: a hash of its id and the
+/// time of its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerIncarnation(u64);
+
+impl ServerIncarnation {
+    /// Creates the identifier of a server that started at a time in Unix milliseconds.
+    #[must_use]
+    pub fn new(id: &str, started: Option<i64>) -> Self {
+        Self(text_hash(&format!("{id} {started:?}")))
+    }
+}
+
 /// Why an instance does not use a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum SuspectReason {
@@ -171,6 +184,10 @@
     /// where instances of earlier versions ignore it.
     #[serde(skip)]
     pub server_limits: Vec<LimitReport>,
+    /// The servers that told the instance that they are leaving. Encoded after the limits,
+    /// where instances of earlier versions ignore it.
+    #[serde(skip)]
+    pub leaving_servers: Vec<ServerIncarnation>,
 }
 
 /// Groups encoded digests into datagrams of at most `max_bytes`, in order. Each
@@ -633,6 +650,14 @@
         limits
     }
 
+    /// The servers that told other instances that they are leaving.
+    #[must_use]
+    pub fn leaving_servers(&self, now: Instant) -> BTreeSet<ServerIncarnation> {
+        self.retained(now)
+            .flat_map(|member| member.digest.leaving_servers.iter().copied())
+            .collect()
+    }
+
     /// The sum of the other instances' evidence on one rollout, failed instances
     /// included.
     #[must_use]
--- a/crates/policy/tests/entry/fleet_limits.rs
+++ b/crates/policy/tests/entry/fleet_limits.rs
@@ -11,7 +11,7 @@
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, InstanceRecord, InstanceState, InstanceTable,
 };
-use tarragonpulley_policy::entry::names::{ServerId, ServiceName, TeamName};
+use tarragonpulley_policy::entry::names::{ServiceName, TeamName};
 use tarragonpulley_policy::entry::placement::mix;
 use tarragonpulley_policy::entry::quota::{QuotaBound, QuotaDecision, TeamQuota};
 use yare::parameterized;
@@ -205,13 +205,12 @@
     };
     let rate = 2.7;
     let names: Vec<u64> = (1..=count).map(mix).collect();
-    let server: ServerId = "i-1".parse().expect("a name");
     let mut limiters: Vec<ColdLimiter> = names.iter().map(|_| ColdLimiter::default()).collect();
     let mut times = Vec::new();
     for milli in 0..5000 {
         for (limiter, own) in limiters.iter_mut().zip(&names) {
             let allowed = instance_allowance(bound, rate, 42, *own, &names);
-            if limiter.try_acquire(&server, allowed, at(start, milli)) {
+            if limiter.try_acquire(allowed, at(start, milli)) {
                 times.push(milli);
             }
         }
@@ -272,7 +271,6 @@
     let rate = 4.3;
     let allowed_per_s = rate * bound.excess + bound.slack;
     let begin = Instant::now();
-    let server: ServerId = "i-1".parse().expect("a name");
     let started = |index: u64| index * spread_ms / INSTANCES / 5 * 5;
     let mut random = StdRng::seed_from_u64(5);
     let mut fleet: Vec<(InstanceTable, ColdLimiter)> = (0..INSTANCES)
@@ -310,7 +308,7 @@
                 continue;
             };
             let allowed = instance_allowance(bound, rate, 42, table.own_hash(), &sharers);
-            if limiter.try_acquire(&server, allowed, now) {
+            if limiter.try_acquire(allowed, now) {
                 times.push(milli);
             }
         }
@@ -392,7 +390,6 @@
     let rate = 4.3;
     let allowed_per_s = rate * bound.excess + bound.slack;
     let begin = Instant::now();
-    let server: ServerId = "i-1".parse().expect("a name");
     let is_disturbed = |index: u64, milli| index.is_multiple_of(one_of) && kind.covers(milli);
     let mut random = StdRng::seed_from_u64(7);
     let start = |own: u64, now: Instant| {
@@ -432,7 +429,7 @@
             };
             let allowed = instance_allowance(bound, rate, 42, table.own_hash(), &sharers);
             // Requests come at random, about one in 50 ms at each instance.
-            if random.random_bool(0.1) && limiter.try_acquire(&server, allowed, now) {
+            if random.random_bool(0.1) && limiter.try_acquire(allowed, now) {
                 times.push(milli);
             }
         }
@@ -469,6 +466,7 @@
         regions: Vec::new(),
         suspects: Vec::new(),
         server_limits: Vec::new(),
+        leaving_servers: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -38,6 +38,7 @@
         regions: Vec::new(),
         suspects: Vec::new(),
         server_limits: Vec::new(),
+        leaving_servers: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod reach;
 mod regions;
+mod send_gate;
 mod servers;
 mod simulation;
 mod stopping;
