--- a/crates/policy/tests/entry/send_gate.rs
+++ b/crates/policy/tests/entry/send_gate.rs
@@ -66,7 +66,7 @@
 /// What happens at a time in milliseconds.
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    Leaving(u64),
+    Leaving,
     /// A pause, with the delay of the return.
     Pause(u64, &'static str, u64),
     /// A limit that permits this instance nothing from now on.
@@ -79,7 +79,7 @@
     let mut gate = SendGate::default();
     for event in events {
         match *event {
-            Event::Leaving(_) => {
+            Event::Leaving => {
                 gate.record_leaving();
             }
             Event::Pause(time, length, delay) => {
@@ -104,7 +104,7 @@
 /// The decision for the next request: `Ok` to send, else why not and until when.
 #[parameterized(
     nothing = { &[], FREE, 0, Ok(()) },
-    leaving = { &[Event::Leaving(0)], FREE, 3_600_000, Err((HoldReason::Leaving, None)) },
+    leaving = { &[Event::Leaving], FREE, 3_600_000, Err((HoldReason::Leaving, None)) },
     paused = { &[Event::Pause(0, "2", 0)], FREE, 1999, Err((HoldReason::Paused, Some(2000))) },
     pause_is_over = { &[Event::Pause(0, "2", 0)], FREE, 2000, Ok(()) },
     zero_is_no_pause = { &[Event::Pause(0, "0", 500)], FREE, 0, Ok(()) },
@@ -122,7 +122,7 @@
     limit = { &[Event::Limit(0)], FixedShares { has_limit_permit: false, ..FREE }, 100, Err((HoldReason::ServerLimit, None)) },
     pause_before_limit = { &[Event::Limit(0), Event::Pause(0, "1", 0)], FixedShares { has_limit_permit: false, ..FREE }, 100, Err((HoldReason::Paused, Some(1000))) },
     limit_after_pause = { &[Event::Limit(0), Event::Pause(0, "1", 0)], FixedShares { has_limit_permit: false, ..FREE }, 1100, Err((HoldReason::ServerLimit, None)) },
-    leaving_before_pause = { &[Event::Pause(0, "1", 0), Event::Leaving(100)], FREE, 5000, Err((HoldReason::Leaving, None)) },
+    leaving_before_pause = { &[Event::Pause(0, "1", 0), Event::Leaving], FREE, 5000, Err((HoldReason::Leaving, None)) },
     cold = { &[], FixedShares { cold_allowance: Some(0), ..FREE }, 0, Err((HoldReason::ColdRate, None)) },
     cold_with_room = { &[], FixedShares { cold_allowance: Some(1), ..FREE }, 0, Ok(()) },
     pause_before_cold = { &[Event::Pause(0, "1", 0)], FixedShares { cold_allowance: Some(0), ..FREE }, 0, Err((HoldReason::Paused, Some(1000))) },
@@ -145,7 +145,7 @@
 /// sent after it over a connection that took long to open.
 #[parameterized(
     nothing = { &[], 100, SendDecision::Send },
-    leaving = { &[Event::Leaving(50)], 100, SendDecision::Never },
+    leaving = { &[Event::Leaving], 100, SendDecision::Never },
     returning = { &[Event::Pause(0, "1", 400)], 1100, SendDecision::Send },
 )]
 fn acquired_requests_are_checked_again(events: &[Event], now: u64, expected: SendDecision) {
