--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -21,7 +21,7 @@
 use self::attempt::{AttemptOutcome, ServerAttempt};
 use self::rejection::Rejection;
 use crate::http::client::ServerResponse;
-use crate::http::message::{CallerRequest, CallerResponse, HeaderLookup};
+use crate::http::message::{CallerRequest, CallerResponse, HeaderLookup, RequestHead};
 use crate::instance::Instance;
 use crate::metrics::OutcomeLabel;
 use crate::rollout::VersionChoice;
@@ -34,6 +34,9 @@
 /// that they use another instance.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The number of bytes of a body by which copies of a request are recognised.
+const MAX_FINGERPRINT_BYTES: usize = 16 * 1024;
+
 /// Header fields that concern one connection only, or that the instance sets.
 const HOP_BY_HOP_FIELDS: [&str; 10] = [
     "connection",
@@ -95,6 +98,21 @@
         response
     }
 
+    /// Rejects a request whose body does not fit the memory that is left. Another instance
+    /// may have more, and this one again once a request in progress ends.
+    pub(crate) fn reject_body(&self, head: &RequestHead) -> CallerResponse {
+        let field = self.adapter.headers().request_id;
+        let id = head.text(field).unwrap_or_default();
+        let after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
+        let inputs = json!({"length": head.text("content-length"),
+            "memory_in_use": self.request_budget.used()});
+        let response = self.reject(id, Rejection::NoMemory, Some(after), &inputs);
+        if id.is_empty() {
+            return response;
+        }
+        response.with_field(field, id)
+    }
+
     fn reject(
         &self,
         id: &str,
@@ -521,7 +539,8 @@
 /// used to recognise requests that crash servers.
 fn fingerprint(request: &CallerRequest, team: Option<&TeamRule>) -> u64 {
     let team = team.map_or("", |team| team.name.as_str());
-    let body = String::from_utf8_lossy(&request.body);
+    let body = &request.body[..request.body.len().min(MAX_FINGERPRINT_BYTES)];
+    let body = String::from_utf8_lossy(body);
     text_hash(&format!(
         "{} {} {team} {body}",
         request.head.method, request.head.target
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -14,8 +14,10 @@
 use super::shares::FleetShares;
 use super::{ForwardRequest, HOP_BY_HOP_FIELDS};
 use crate::crashes::CrashSuspect;
-use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection, ServerResponse};
-use crate::http::message::{HeaderField, HeaderLookup};
+use crate::http::client::{
+    ExchangeError, ExchangeProgress, RequestBytes, ServerConnection, ServerResponse,
+};
+use crate::http::message::{HeaderField, HeaderLookup, MAX_JOINED_BODY_BYTES};
 use crate::instance::Instance;
 use crate::rollout::VersionChoice;
 use crate::servers::{InFlightRequest, Server};
@@ -187,7 +189,12 @@
         exchange_started: &Cell<bool>,
         progress: &ExchangeProgress,
     ) -> Result<ServerResponse, ExchangeError> {
-        let bytes = self.encode();
+        let head = self.encode();
+        let body = &self.forward.request.body;
+        let request = RequestBytes {
+            head: &head,
+            body: if is_joined(body) { &[] } else { body },
+        };
         let id = Some((
             self.instance.adapter.headers().request_id,
             self.forward.id.as_str(),
@@ -197,7 +204,7 @@
         self.completed.set(false);
         let budget = &self.instance.response_budget;
         let result = connection
-            .exchange(method, &bytes, id, progress, budget)
+            .exchange(method, request, id, progress, budget)
             .await;
         self.completed.set(true);
         if result.is_ok() {
@@ -241,7 +248,8 @@
         }
     }
 
-    /// The request as it is written to the server, without hop-by-hop fields.
+    /// The request as it is written to the server, without hop-by-hop fields and without
+    /// a long body.
     fn encode(&self) -> Vec<u8> {
         let forward = self.forward;
         let server = self.server();
@@ -267,7 +275,8 @@
             .saturating_duration_since(self.instance.now())
             .as_millis()
             .max(1);
-        let mut bytes = Vec::with_capacity(512 + forward.request.body.len());
+        let body = &forward.request.body;
+        let mut bytes = Vec::with_capacity(512 + body.len().min(MAX_JOINED_BODY_BYTES));
         bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
         let mut field = |name: &str, value: &[u8]| {
             bytes.extend_from_slice(name.as_bytes());
@@ -291,14 +300,15 @@
         if let Some(team) = &forward.team {
             field(names.team, team.name.as_str().as_bytes());
         }
-        let body = &forward.request.body;
         if !body.is_empty()
             || !matches!(head.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS")
         {
             field("Content-Length", body.len().to_string().as_bytes());
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body);
+        if is_joined(body) {
+            bytes.extend_from_slice(body);
+        }
         bytes
     }
 
@@ -457,6 +467,11 @@
     }
 }
 
+/// Whether a body is written together with its head.
+fn is_joined(body: &[u8]) -> bool {
+    body.len() <= MAX_JOINED_BODY_BYTES
+}
+
 /// The number of requests running and queued, from `running,waiting,slots`.
 fn reported_load(text: &str) -> Option<f64> {
     let mut numbers = text.split(',').map(|number| number.trim().parse::<f64>());
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -19,6 +19,8 @@
     ServerLimitsReached,
     /// All servers asked for a pause, or this instance returns to them gradually.
     ServersPaused,
+    /// This instance has no memory left for the body of the request.
+    NoMemory,
     /// This instance is partitioned from all servers.
     NoServerReachable,
     /// The request would not be complete when this process ends.
@@ -42,6 +44,7 @@
             | Self::OnlyColdServers
             | Self::ServerLimitsReached
             | Self::ServersPaused
+            | Self::NoMemory
             | Self::NoServerReachable
             | Self::Stopping => 503,
         }
@@ -63,6 +66,7 @@
             Self::OnlyColdServers => "only_cold_servers",
             Self::ServerLimitsReached => "server_limits_reached",
             Self::ServersPaused => "servers_paused",
+            Self::NoMemory => "no_memory",
             Self::NoServerReachable => "no_server_reachable",
             Self::Stopping => "stopping",
         }
--- a/crates/edge/src/http/budget.rs
+++ b/crates/edge/src/http/budget.rs
@@ -63,6 +63,20 @@
     }
 }
 
+impl BufferShare {
+    /// Changes the size of a message that is not received in parts of unknown number. It
+    /// may take all that is free. Returns `false`, and changes nothing, if it does not fit.
+    pub(crate) fn reserve(&mut self, bytes: usize) -> bool {
+        let used = self.budget.used.get() - self.held + bytes;
+        if bytes > self.held && bytes > MIN_SHARE_BYTES && used > self.budget.capacity {
+            return false;
+        }
+        self.budget.used.set(used);
+        self.held = bytes;
+        true
+    }
+}
+
 impl Drop for BufferShare {
     fn drop(&mut self) {
         self.budget.used.set(self.budget.used.get() - self.held);
--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -76,6 +76,29 @@
     pub(crate) share: BufferShare,
 }
 
+/// A request as it is written to a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RequestBytes<'a> {
+    /// The head, with the body if that is short.
+    pub(crate) head: &'a [u8],
+    /// A long body, which is not copied.
+    pub(crate) body: &'a [u8],
+}
+
+impl<'a> RequestBytes<'a> {
+    fn len(self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// The bytes to write next.
+    fn rest(self, written: usize) -> &'a [u8] {
+        match written.checked_sub(self.head.len()) {
+            None => &self.head[written..],
+            Some(written) => &self.body[written..],
+        }
+    }
+}
+
 /// The progress of an exchange, which remains readable after the exchange was
 /// cancelled.
 #[derive(Debug, Default)]
@@ -145,7 +168,7 @@
     pub(crate) async fn exchange(
         &mut self,
         method: &str,
-        request: &[u8],
+        request: RequestBytes<'_>,
         id: Option<(&str, &str)>,
         progress: &ExchangeProgress,
         budget: &Rc<BufferBudget>,
@@ -174,11 +197,12 @@
                 read_since_yield = 0;
                 tokio::task::yield_now().await;
             }
+            let unwritten = request.rest(written);
             let (mut reader, mut writer) = self.stream.split();
             let mut unread = (&mut self.buffer).limit(MAX_READ_BYTES);
             tokio::select! {
                 biased;
-                count = writer.write(&request[written..]),
+                count = writer.write(unwritten),
                     if written < request.len() && write_error.is_none() =>
                 {
                     match count {
--- a/crates/edge/src/http/framing.rs
+++ b/crates/edge/src/http/framing.rs
@@ -33,6 +33,8 @@
     Chunk,
     #[error("the body is too large")]
     BodyTooLarge,
+    #[error("no memory is left for the body")]
+    NoMemory,
 }
 
 /// Decides when a head that arrives in pieces is parsed.
--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -7,6 +7,10 @@
 
 use super::budget::BufferShare;
 
+/// Bodies up to this size in bytes are written together with the head. Larger ones
+/// are not copied for that.
+pub(crate) const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
+
 /// A header field with its name as received.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HeaderField {
@@ -99,6 +103,9 @@
     pub(crate) body: Bytes,
     /// When the request was complete.
     pub(crate) received: Instant,
+    /// Counts the body as memory in use.
+    #[expect(dead_code, reason = "released when the request is dropped")]
+    pub(crate) share: Rc<BufferShare>,
 }
 
 /// A response to a caller.
--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -20,14 +20,13 @@
 
 use crate::supervise::panic_reason;
 
+use super::budget::{BufferBudget, BufferShare};
 use super::framing::{
     BodyLength, BodyReader, FramingError, HeadScanner, request_length, take_request_head,
 };
-use super::message::{CallerRequest, CallerResponse, HeaderLookup, RequestHead, reason_phrase};
-
-/// Bodies up to this size in bytes are written together with the head. Larger ones
-/// are not copied for that.
-const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
+use super::message::{
+    CallerRequest, CallerResponse, HeaderLookup, MAX_JOINED_BODY_BYTES, RequestHead, reason_phrase,
+};
 
 /// The maximum number of requests of one connection that are handled at a time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -69,6 +68,12 @@
     /// The current limits on requests.
     fn limits(&self) -> CallerLimits;
 
+    /// The memory that the bodies of all requests may hold.
+    fn body_budget(&self) -> Rc<BufferBudget>;
+
+    /// The response to a request whose body does not fit the memory that is left.
+    fn reject_body(&self, head: &RequestHead) -> CallerResponse;
+
     /// Records that the handling of a request panicked.
     fn record_panic(&self, reason: &str);
 }
@@ -153,8 +158,12 @@
 enum ReadEvent {
     Request(CallerRequest),
     Invalid(FramingError),
+    /// No memory is left for the body of a request with this head.
+    NoMemory(RequestHead),
     Disconnected,
-    TimedOut { partial: bool },
+    TimedOut {
+        partial: bool,
+    },
 }
 
 /// Reads requests from a connection. All progress is kept in the struct, so
@@ -164,6 +173,9 @@
     buffer: BytesMut,
     scanner: HeadScanner,
     head: Option<(RequestHead, BodyReader)>,
+    budget: Rc<BufferBudget>,
+    /// The memory of the body that is being received.
+    share: BufferShare,
     last_byte: Instant,
     partial_since: Option<Instant>,
     expects_continue: bool,
@@ -179,14 +191,29 @@
             };
             let length = request_length(&head)?;
             let reader = BodyReader::new(length, limits.max_body_bytes)?;
+            let announced = match length {
+                BodyLength::Fixed(bytes) => bytes,
+                BodyLength::Chunked | BodyLength::UntilClose => 0,
+            };
+            let has_memory = self.share.reserve(announced);
             self.expects_continue =
                 head.has_token("expect", "100-continue") && length != BodyLength::Fixed(0);
             self.head = Some((head, reader));
+            if !has_memory {
+                return Err(FramingError::NoMemory);
+            }
+            self.buffer
+                .reserve(announced.saturating_sub(self.buffer.len()));
         }
         let Some((_, reader)) = &mut self.head else {
             return Ok(None);
         };
-        let Some(body) = reader.take(&mut self.buffer)? else {
+        let body = reader.take(&mut self.buffer)?;
+        // The buffer of a body in chunks grows by doubling.
+        if reader.received() > 0 && !self.share.reserve(2 * reader.received()) {
+            return Err(FramingError::NoMemory);
+        }
+        let Some(body) = body else {
             return Ok(None);
         };
         let Some((head, _)) = self.head.take() else {
@@ -198,6 +225,10 @@
             head,
             body,
             received: Instant::now(),
+            share: Rc::new(std::mem::replace(
+                &mut self.share,
+                BufferShare::new(&self.budget),
+            )),
         }))
     }
 
@@ -216,7 +247,12 @@
                 match self.parse(limits) {
                     Ok(Some(request)) => return ReadEvent::Request(request),
                     Ok(None) => {}
-                    Err(error) => return ReadEvent::Invalid(error),
+                    Err(error) => {
+                        return match (error, self.head.take()) {
+                            (FramingError::NoMemory, Some((head, _))) => ReadEvent::NoMemory(head),
+                            _ => ReadEvent::Invalid(error),
+                        };
+                    }
                 }
             }
             let partial = accepts_requests && self.is_partial();
@@ -275,7 +311,7 @@
 }
 
 impl CallerConnection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, budget: Rc<BufferBudget>) -> Self {
         let (read_half, writer) = stream.into_split();
         Self {
             reader: RequestReader {
@@ -283,6 +319,8 @@
                 buffer: BytesMut::new(),
                 scanner: HeadScanner::default(),
                 head: None,
+                share: BufferShare::new(&budget),
+                budget,
                 last_byte: Instant::now(),
                 partial_since: None,
                 expects_continue: false,
@@ -350,8 +388,11 @@
                     is_head,
                 });
             }
-            ReadEvent::Invalid(error) => self.reject(rejection_status(error)),
-            ReadEvent::TimedOut { partial: true } => self.reject(408),
+            ReadEvent::Invalid(error) => {
+                self.reject(CallerResponse::empty(rejection_status(error)));
+            }
+            ReadEvent::NoMemory(head) => self.reject(handler.reject_body(&head)),
+            ReadEvent::TimedOut { partial: true } => self.reject(CallerResponse::empty(408)),
             ReadEvent::TimedOut { partial: false } | ReadEvent::Disconnected => {
                 return ConnectionState::Dropped;
             }
@@ -359,10 +400,10 @@
         ConnectionState::Open
     }
 
-    /// Rejects bytes that are not a valid request, and reads no more.
-    fn reject(&mut self, status: u16) {
+    /// Rejects bytes that are not a valid request or cannot be held, and reads no more.
+    fn reject(&mut self, response: CallerResponse) {
         self.pending.push_back(PendingRequest {
-            response: PendingResponse::Ready(CallerResponse::empty(status).closing()),
+            response: PendingResponse::Ready(response.closing()),
             is_head: false,
         });
         self.closes_after_pending = true;
@@ -378,7 +419,7 @@
         // The caller has reset the connection.
         return;
     }
-    let mut connection = CallerConnection::new(stream);
+    let mut connection = CallerConnection::new(stream, handler.body_budget());
     loop {
         let limits = handler.limits();
         let phase = *shutdown.borrow_and_update();
@@ -440,6 +481,7 @@
     match error {
         FramingError::HeadTooLarge => 431,
         FramingError::BodyTooLarge => 413,
+        FramingError::NoMemory => 503,
         FramingError::Head | FramingError::Length | FramingError::Chunk => 400,
     }
 }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -55,6 +55,8 @@
     /// The memory for responses of backend servers, in bytes. Not changed by a
     /// reload.
     pub response_memory_bytes: usize,
+    /// The memory for the bodies of requests, in bytes.
+    pub request_memory_bytes: usize,
 }
 
 /// The state of a running instance, shared by its tasks.
@@ -99,6 +101,8 @@
     pub(crate) crash_suspects: Sender<CrashSuspect>,
     /// The memory for responses of servers that are received or passed on.
     pub(crate) response_budget: Rc<BufferBudget>,
+    /// The memory for bodies of requests that are received or in progress.
+    pub(crate) request_budget: Rc<BufferBudget>,
     /// The sequence number of the last digest.
     pub(crate) digest_sequence: Cell<u64>,
     /// What the last log lines on the fleet said.
@@ -128,6 +132,7 @@
         crash_suspects: Sender<CrashSuspect>,
     ) -> Self {
         let response_memory = options.response_memory_bytes;
+        let request_memory = options.request_memory_bytes;
         Self {
             peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
             limits: TeamLimits::new(options.quota),
@@ -160,6 +165,7 @@
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
+            request_budget: BufferBudget::new(request_memory),
             digest_sequence: Cell::new(0),
             logged_view: RefCell::default(),
             socket: OnceCell::new(),
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -9,7 +9,8 @@
 use tarragonpulley_policy::entry::directory::{LOOKUP_TTL, instances_for};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 
-use crate::http::message::{CallerRequest, CallerResponse};
+use crate::http::budget::BufferBudget;
+use crate::http::message::{CallerRequest, CallerResponse, RequestHead};
 use crate::http::server::RequestHandler;
 use crate::instance::Instance;
 
@@ -29,6 +30,14 @@
             .map_or_else(CallerLimits::default, |config| config.limits)
     }
 
+    fn body_budget(&self) -> Rc<BufferBudget> {
+        Rc::clone(&self.0.request_budget)
+    }
+
+    fn reject_body(&self, head: &RequestHead) -> CallerResponse {
+        self.0.reject_body(head)
+    }
+
     fn record_panic(&self, reason: &str) {
         self.0.record_panic("request", reason);
     }
@@ -76,6 +85,14 @@
         CallerLimits::default()
     }
 
+    fn body_budget(&self) -> Rc<BufferBudget> {
+        Rc::clone(&self.0.request_budget)
+    }
+
+    fn reject_body(&self, _head: &RequestHead) -> CallerResponse {
+        CallerResponse::empty(503)
+    }
+
     fn record_panic(&self, reason: &str) {
         self.0.record_panic("management request", reason);
     }
--- a/crates/edge/src/service_client.rs
+++ b/crates/edge/src/service_client.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 
 use crate::http::budget::BufferBudget;
-use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection};
+use crate::http::client::{ExchangeError, ExchangeProgress, RequestBytes, ServerConnection};
 use crate::http::framing::ResponseHead;
 use crate::http::message::HeaderLookup;
 
@@ -118,7 +118,10 @@
         let response = connection
             .exchange(
                 method,
-                &bytes,
+                RequestBytes {
+                    head: &bytes,
+                    body: &[],
+                },
                 None,
                 &ExchangeProgress::default(),
                 &self.budget,
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 use yare::parameterized;
 
-use crate::http::message::{CallerRequest, CallerResponse};
+use crate::http::budget::BufferBudget;
+use crate::http::message::{CallerRequest, CallerResponse, RequestHead};
 use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve, write_while_read};
 
 /// The timeout of a test.
@@ -21,6 +22,9 @@
 /// Small, so that most of a long response waits at the server until it is read.
 const RECEIVE_BUFFER_BYTES: u32 = 4 * 1024;
 
+/// The memory for the bodies of all requests.
+const BODY_MEMORY_BYTES: usize = 256 * 1024;
+
 /// The targets of the requests that were begun, completed or dropped.
 #[derive(Debug, Default)]
 struct HandledTargets {
@@ -34,9 +38,10 @@
 /// Responds as the target says: `/MILLIS` after this time, `/MILLIS/close` so that the
 /// connection is to be closed, `/MILLIS/long` so too and with a long body, and
 /// `/MILLIS/panic` panics then.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct TargetHandler {
     targets: Rc<RefCell<HandledTargets>>,
+    budget: Rc<BufferBudget>,
 }
 
 /// Records a request as dropped unless it completed.
@@ -61,7 +66,7 @@
 
 impl RequestHandler for TargetHandler {
     fn handle(&self, request: CallerRequest) -> LocalBoxFuture<'static, CallerResponse> {
-        let target = request.head.target;
+        let target = request.head.target.clone();
         self.targets.borrow_mut().begun.push(target.clone());
         let mut guard = HandlingGuard {
             targets: Rc::clone(&self.targets),
@@ -72,6 +77,8 @@
             let millis = parts.next().and_then(|part| part.parse().ok());
             tokio::time::sleep(Duration::from_millis(millis.unwrap_or(0))).await;
             guard.complete();
+            // Held until the response, as by the instance.
+            drop(request);
             match parts.next() {
                 Some("close") => CallerResponse::empty(503).closing(),
                 Some("long") => CallerResponse::empty(200)
@@ -86,12 +93,20 @@
     fn limits(&self) -> CallerLimits {
         CallerLimits {
             max_header_bytes: 16 * 1024,
-            max_body_bytes: 64 * 1024,
+            max_body_bytes: 1024 * 1024,
             header_timeout: Duration::from_millis(300),
             idle_timeout: Duration::from_millis(300),
         }
     }
 
+    fn body_budget(&self) -> Rc<BufferBudget> {
+        Rc::clone(&self.budget)
+    }
+
+    fn reject_body(&self, _head: &RequestHead) -> CallerResponse {
+        CallerResponse::empty(503).with_field("Retry-After", "1")
+    }
+
     fn record_panic(&self, _reason: &str) {}
 }
 
@@ -99,6 +114,8 @@
 struct TestServer {
     phase: watch::Sender<ShutdownPhase>,
     targets: Rc<RefCell<HandledTargets>>,
+    budget: Rc<BufferBudget>,
+    address: SocketAddr,
     stream: TcpStream,
     received: Vec<u8>,
 }
@@ -110,8 +127,11 @@
             .expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let (phase, receiver) = watch::channel(ShutdownPhase::Running);
-        let handler = TargetHandler::default();
-        let targets = Rc::clone(&handler.targets);
+        let handler = TargetHandler {
+            targets: Rc::default(),
+            budget: BufferBudget::new(BODY_MEMORY_BYTES),
+        };
+        let (targets, budget) = (Rc::clone(&handler.targets), Rc::clone(&handler.budget));
         actix_rt::spawn(serve(listener, Rc::new(handler), receiver));
         let socket = TcpSocket::new_v4().expect("a socket");
         socket
@@ -122,11 +142,27 @@
         Self {
             phase,
             targets,
+            budget,
+            address,
             stream,
             received: Vec::new(),
         }
     }
 
+    /// Another connection to the same server.
+    async fn connect_again(&self) -> Self {
+        Self {
+            phase: self.phase.clone(),
+            targets: Rc::clone(&self.targets),
+            budget: Rc::clone(&self.budget),
+            address: self.address,
+            stream: TcpStream::connect(self.address)
+                .await
+                .expect("a connection"),
+            received: Vec::new(),
+        }
+    }
+
     /// Sends requests at once, without waiting for responses.
     async fn send(&mut self, targets: &[&str]) {
         let requests = targets
@@ -328,3 +364,48 @@
         });
     }
 }
+
+/// Guards against bodies that together take more memory than the process has.
+#[parameterized(
+    with_a_length = { "Content-Length: 131072\r\n\r\n", 131_072, 2 },
+    in_chunks = { "Transfer-Encoding: chunked\r\n\r\n10000\r\n", 65_536, 2 },
+    short_with_a_length = { "Content-Length: 20000\r\n\r\n", 20_000, 20 },
+)]
+fn bodies_beyond_the_memory_are_rejected(head: &str, bytes: usize, accepted: usize) {
+    run(async {
+        let server = TestServer::start().await;
+        let mut statuses = Vec::new();
+        let mut open = Vec::new();
+        for index in 0..=accepted {
+            let mut caller = server.connect_again().await;
+            let text = format!("POST /500/{index} HTTP/1.1\r\nHost: x\r\n{head}");
+            let mut request = text.into_bytes();
+            request.extend(vec![b'x'; bytes]);
+            if head.contains("chunked") {
+                request.extend(b"\r\n0\r\n\r\n");
+            }
+            // The server may not read all of a request that it rejects.
+            drop(caller.stream.write_all(&request).await);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            open.push(caller);
+        }
+        assert!(server.budget.used() <= BODY_MEMORY_BYTES + 20 * 20_000);
+        for caller in &mut open {
+            statuses.push(caller.next_response().await);
+        }
+        let expected = if bytes > 32 * 1024 {
+            (503, true)
+        } else {
+            (200, false)
+        };
+        let (last, others) = statuses.split_last().expect("a response");
+        assert_eq!(*last, Some(expected));
+        assert!(
+            others.iter().all(|status| *status == Some((200, false))),
+            "{others:?}"
+        );
+        drop(open);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(server.budget.used(), 0, "all memory is released");
+    });
+}
--- a/crates/edge/src/tests/exchanges.rs
+++ b/crates/edge/src/tests/exchanges.rs
@@ -8,7 +8,9 @@
 use yare::parameterized;
 
 use crate::http::budget::BufferBudget;
-use crate::http::client::{ExchangeError, ExchangeProgress, ServerConnection, ServerResponse};
+use crate::http::client::{
+    ExchangeError, ExchangeProgress, RequestBytes, ServerConnection, ServerResponse,
+};
 
 const ID_FIELD: &str = "X-Request";
 const REQUEST_ID: &str = "request-1";
@@ -39,7 +41,11 @@
     let head = format!(
         "POST / HTTP/1.1\r\n{ID_FIELD}: {REQUEST_ID}\r\nContent-Length: {body_bytes}\r\n\r\n"
     );
-    let request = [head.into_bytes(), vec![b'x'; body_bytes]].concat();
+    let body = vec![b'x'; body_bytes];
+    let request = RequestBytes {
+        head: head.as_bytes(),
+        body: &body,
+    };
     actix_rt::System::new().block_on(async {
         let mut connection = ServerConnection::open(address, TEST_TIMEOUT)
             .await
@@ -49,7 +55,7 @@
             BufferBudget::new(LONG_BODY_BYTES),
         );
         let id = Some((ID_FIELD, REQUEST_ID));
-        let exchange = connection.exchange("POST", &request, id, &progress, &budget);
+        let exchange = connection.exchange("POST", request, id, &progress, &budget);
         tokio::time::timeout(TEST_TIMEOUT, exchange)
             .await
             .expect("the exchange ends")
