--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tarragonpulley_policy::entry::digest::ServerIncarnation;
+use tarragonpulley_policy::entry::share::instance_share;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::sync::mpsc::Receiver;
@@ -32,6 +34,7 @@
     pub(crate) request: String,
     pub(crate) fingerprint: u64,
     pub(crate) address: SocketAddr,
+    pub(crate) server: ServerIncarnation,
 }
 
 impl Instance {
@@ -49,7 +52,7 @@
             if refused && self.reaches_others(suspect.address).await {
                 self.crashes
                     .borrow_mut()
-                    .record(suspect.fingerprint, self.now());
+                    .record(suspect.fingerprint, suspect.server, self.now());
                 self.log.event(
                     "server_crashed",
                     json!({"request": suspect.request, "fingerprint": suspect.fingerprint,
@@ -60,6 +63,26 @@
         }
     }
 
+    /// Whether a request is rejected because it crashes servers.
+    pub(crate) fn rejects_crashing(&self, fingerprint: u64) -> bool {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let reported = peers.other_crashes(fingerprint, now);
+        let sharers = peers.sharer_hashes(now);
+        let makes_trials = sharers
+            .is_some_and(|sharers| instance_share(1, fingerprint, peers.own_hash(), &sharers) > 0);
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.rejects(fingerprint, &reported, makes_trials, now)
+    }
+
+    /// Records that a server completed a request.
+    pub(crate) fn record_served(&self, fingerprint: u64) {
+        let now = self.now();
+        let reported = self.peers.borrow().other_crashes(fingerprint, now);
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.record_served(fingerprint, &reported, now);
+    }
+
     /// Queues a broken connection for [`Instance::probe_crash_suspects`].
     pub(crate) fn report_crash_suspect(&self, suspect: CrashSuspect) {
         if let Err(error) = self.crash_suspects.try_send(suspect) {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -207,8 +207,7 @@
         let service = route.destinations[destination].service.clone();
         self.retry_budget.borrow_mut().record_request(&service, now);
         let fingerprint = fingerprint(&request, team.as_deref());
-        let reported = self.peers.borrow().other_crashes(fingerprint);
-        if self.crashes.borrow().rejects(fingerprint, reported) {
+        if self.rejects_crashing(fingerprint) {
             return Err((Rejection::CrashesServers, None));
         }
         Ok(ForwardRequest {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -361,6 +361,7 @@
             self.record_accepted(now);
         }
         if !failed {
+            self.instance.record_served(self.forward.fingerprint);
             if let Some(object) = self.forward.object {
                 server.record_object(object, now);
             }
@@ -401,6 +402,7 @@
                 request: self.forward.id.clone(),
                 fingerprint: self.forward.fingerprint,
                 address: server.entry.borrow().address,
+                server: server.incarnation,
             });
         }
         AttemptOutcome::Failed { response: None }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tarragonpulley_policy::entry::crash::{CrashReport, ServedReport};
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, ServerIncarnation, ServerTag, split_by_size,
 };
@@ -93,8 +94,18 @@
 
 /// The fields that were added after [`DigestExtension`], which they follow.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct LeavingExtension {
+struct LaterExtension {
     leaving_servers: Vec<ServerIncarnation>,
+    crash_reports: Vec<CrashReport>,
+    served_reports: Vec<ServedReport>,
+}
+
+impl LaterExtension {
+    fn is_empty(&self) -> bool {
+        self.leaving_servers.is_empty()
+            && self.crash_reports.is_empty()
+            && self.served_reports.is_empty()
+    }
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -178,14 +189,18 @@
 pub(crate) fn encode_digest(
     digest: &InstanceDigest,
 ) -> Result<Vec<u8>, bincode::error::EncodeError> {
-    let leaving_servers = digest.leaving_servers.clone();
-    if digest.server_limits.is_empty() && leaving_servers.is_empty() {
+    let later = LaterExtension {
+        leaving_servers: digest.leaving_servers.clone(),
+        crash_reports: digest.crash_reports.clone(),
+        served_reports: digest.served_reports.clone(),
+    };
+    if digest.server_limits.is_empty() && later.is_empty() {
         return encode(digest);
     }
     let server_limits = digest.server_limits.clone();
     let mut bytes = encode_extended(digest, &DigestExtension { server_limits })?;
-    if !leaving_servers.is_empty() {
-        bytes.extend(encode(&LeavingExtension { leaving_servers })?);
+    if !later.is_empty() {
+        bytes.extend(encode(&later)?);
     }
     Ok(bytes)
 }
@@ -214,8 +229,10 @@
     if rest.is_empty() {
         return Ok(());
     }
-    let (leaving, _later) = decode_part::<LeavingExtension, MAX_DATAGRAM_BYTES>(rest)?;
-    digest.leaving_servers = leaving.leaving_servers;
+    let (later, _unknown) = decode_part::<LaterExtension, MAX_DATAGRAM_BYTES>(rest)?;
+    digest.leaving_servers = later.leaving_servers;
+    digest.crash_reports = later.crash_reports;
+    digest.served_reports = later.served_reports;
     Ok(())
 }
 
@@ -377,12 +394,14 @@
             state: self.state(),
             demands,
             trials: self.rollouts.borrow().evidence(),
-            crashes: self.crashes.borrow().report(),
+            crashes: self.crashes.borrow().counts(now),
             loads: self.servers.borrow().loads(),
             regions: self.regions.report(now),
             suspects: self.servers.borrow().suspects(&self.reach.borrow(), now),
             server_limits: self.servers.borrow().limit_reports(now),
             leaving_servers: self.servers.borrow().leaving_reports(now),
+            crash_reports: self.crashes.borrow().crash_reports(now),
+            served_reports: self.crashes.borrow().served_reports(now),
         }
     }
 
--- a/crates/edge/src/tests/peers.rs
+++ b/crates/edge/src/tests/peers.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use serde::{Deserialize, Serialize};
 use tarragonpulley_policy::entry::canary::RolloutEvidence;
+use tarragonpulley_policy::entry::crash::{CrashReport, ServedReport};
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, InstanceRecord, InstanceState, ServerIncarnation, ServerTag, SuspectReason,
 };
@@ -46,6 +47,15 @@
             ServerIncarnation::new("i-1", Some(7)),
             ServerIncarnation::new("i-2", Some(1_700_000_000_000)),
         ],
+        crash_reports: vec![CrashReport {
+            fingerprint: 9,
+            server: ServerIncarnation::new("i-1", Some(7)),
+            age_ms: 1200,
+        }],
+        served_reports: vec![ServedReport {
+            fingerprint: 8,
+            age_ms: 10,
+        }],
     }
 }
 
@@ -61,6 +71,8 @@
 fn digest_with_limits() -> InstanceDigest {
     InstanceDigest {
         leaving_servers: Vec::new(),
+        crash_reports: Vec::new(),
+        served_reports: Vec::new(),
         ..digest()
     }
 }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -19,6 +19,7 @@
 
 use super::canary::RolloutEvidence;
 use super::cold::STARTUP_PAUSE;
+use super::crash::{CrashReport, ReportedCrashes, ServedReport};
 use super::names::{CentreName, InstanceName, RegionName, TeamName};
 use super::placement::text_hash;
 use super::region_share::ServiceDemand;
@@ -188,6 +189,12 @@
     /// where instances of earlier versions ignore it.
     #[serde(skip)]
     pub leaving_servers: Vec<ServerIncarnation>,
+    /// The crashes behind the numbers in `crashes`. Encoded after the leaving servers.
+    #[serde(skip)]
+    pub crash_reports: Vec<CrashReport>,
+    /// Requests that were served although servers had crashed. Encoded after the crashes.
+    #[serde(skip)]
+    pub served_reports: Vec<ServedReport>,
 }
 
 /// Groups encoded digests into datagrams of at most `max_bytes`, in order. Each
@@ -237,6 +244,8 @@
     last_heard_at: Option<Instant>,
     /// When this instance last heard others again.
     rejoined_at: Option<Instant>,
+    /// The last digest that reported crashes.
+    crashes_heard_at: Option<Instant>,
     members: BTreeMap<InstanceName, Member>,
     known: BTreeMap<InstanceName, InstanceRecord>,
 }
@@ -253,6 +262,7 @@
             heard_since: None,
             last_heard_at: None,
             rejoined_at: None,
+            crashes_heard_at: None,
             members: BTreeMap::new(),
             known: BTreeMap::new(),
         }
@@ -291,6 +301,9 @@
             return false;
         }
         self.record_heard(now);
+        if !digest.crashes.is_empty() || !digest.served_reports.is_empty() {
+            self.crashes_heard_at = Some(now);
+        }
         self.known.insert(name.clone(), digest.record.clone());
         self.members.insert(
             name,
@@ -671,14 +684,33 @@
             })
     }
 
-    /// The crashes of a fingerprint that the other instances reported.
+    /// What the other instances reported of a fingerprint. Instances of earlier versions
+    /// report only numbers of crashes.
     #[must_use]
-    pub fn other_crashes(&self, fingerprint: u64) -> u32 {
-        self.members
-            .values()
-            .flat_map(|member| &member.digest.crashes)
-            .filter(|(key, _)| *key == fingerprint)
-            .map(|(_, count)| count)
-            .sum()
+    pub fn other_crashes(&self, fingerprint: u64, now: Instant) -> ReportedCrashes {
+        let mut reported = ReportedCrashes::default();
+        let is_recent = |at| now.saturating_duration_since(at) < DIGEST_RETENTION;
+        if !self.crashes_heard_at.is_some_and(is_recent) {
+            return reported;
+        }
+        for member in self.retained(now) {
+            let digest = &member.digest;
+            let is_same = |found: u64| found == fingerprint;
+            let named = digest.crash_reports.iter();
+            let named: Vec<&CrashReport> = named.filter(|it| is_same(it.fingerprint)).collect();
+            if named.is_empty() {
+                let counts = digest.crashes.iter().filter(|(found, _)| is_same(*found));
+                counts.for_each(|(_, count)| reported.add_unnamed(*count));
+            }
+            for report in named {
+                reported.add_crash(report, member.received_at);
+            }
+            for report in &digest.served_reports {
+                if is_same(report.fingerprint) {
+                    reported.add_served(report, member.received_at);
+                }
+            }
+        }
+        reported
     }
 }
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -39,6 +39,8 @@
         suspects: Vec::new(),
         server_limits: Vec::new(),
         leaving_servers: Vec::new(),
+        crash_reports: Vec::new(),
+        served_reports: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod canary;
+mod crashes;
 mod fleet_limits;
 mod fleet_simulation;
 mod instances;
