Do not take the whole limit of a team while others are not known (QUOTA)

Cause: an instance that knows of no other one was taken for the only one, by quota_holder and centre_count, until it had read the registrations or heard a digest. The shares of cold servers and of retries were zero in this state.

Change: until then the role of an instance is unsure, all data centres of the settings count, and it uses the fallback share of an instance that does not reach its holder. A holder that hears nobody for more than an interval of digests does the same: it may be cut off, and the next one takes its place.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -131,10 +131,12 @@
         log: EventLog,
         crash_suspects: Sender<CrashSuspect>,
     ) -> Self {
+        let mut peers = InstanceTable::new(options.record.clone(), clock.instant());
+        peers.set_configured_centres(options.regions.len());
         let response_memory = options.response_memory_bytes;
         let request_memory = options.request_memory_bytes;
         Self {
-            peers: RefCell::new(InstanceTable::new(options.record.clone(), clock.instant())),
+            peers: RefCell::new(peers),
             limits: TeamLimits::new(options.quota),
             regions: RegionBalancer::default(),
             retry_budget: RefCell::new(RetryBudget::new(options.retries)),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -180,6 +180,8 @@
     match reload() {
         Ok(options) => {
             instance.servers.borrow().update_regions(&options.regions);
+            let centres = options.regions.len();
+            instance.peers.borrow_mut().set_configured_centres(centres);
             *instance.options.borrow_mut() = options;
             instance.log.event("settings_reloaded", json!({}));
         }
--- a/crates/edge/src/team_limits.rs
+++ b/crates/edge/src/team_limits.rs
@@ -5,7 +5,8 @@
 //! Divided among all instances, a low limit would leave each with so few tokens
 //! that a good part of the requests would be rejected by chance. A token
 //! request within the data centre takes a fraction of a millisecond. An
-//! instance whose quota holder does not respond uses a small share of its own.
+//! instance whose quota holder does not respond uses a small share of its own,
+//! and so does one that may not be the only holder.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::config::TeamRule;
+use tarragonpulley_policy::entry::digest::QuotaRole;
 use tarragonpulley_policy::entry::names::TeamName;
 use tarragonpulley_policy::entry::quota::{QuotaBound, QuotaDecision, TeamQuota};
 use tokio::sync::oneshot;
@@ -115,7 +117,14 @@
     pub(crate) async fn acquire_token(&self, team: &TeamRule) -> Option<Duration> {
         let rate = team.rate?;
         let now = self.now();
-        let Some(holder) = self.peers.borrow().quota_holder(now).cloned() else {
+        let holder = match self.peers.borrow().quota_role(now) {
+            QuotaRole::Holder => None,
+            QuotaRole::Member(holder) => Some(holder.clone()),
+            QuotaRole::Unsure => {
+                return self.acquire_fallback_token(&team.name, rate, team.burst);
+            }
+        };
+        let Some(holder) = holder else {
             return self.acquire_centre_token(&team.name, rate, team.burst);
         };
         let is_unreachable = self
@@ -164,7 +173,7 @@
         let now = self.now();
         let mut quota = self.limits.fallback_quota.borrow_mut();
         let peers = self.peers.borrow();
-        let members = peers.centre_peers().count() + 1;
+        let members = peers.centre_members(now);
         quota.set_holders(peers.centre_count(now) * members * FALLBACK_DIVISOR);
         token_wait(quota.try_acquire(team, rate, burst, now))
     }
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -53,6 +53,23 @@
 /// of this instance is zero.
 pub const UNKNOWN_SHARERS: usize = usize::MAX;
 
+/// The number of instances that a data centre is assumed to have while it is not known.
+pub const UNKNOWN_CENTRE_MEMBERS: usize = 4;
+
+/// The part of an instance in the limits of teams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaRole<'a> {
+    /// It holds the data centre's share.
+    Holder,
+    /// Another instance holds it.
+    Member(&'a InstanceRecord),
+    /// Another instance may hold it without this one knowing: right after a start, while
+    /// no other instance is known, and while a holder hears nobody, for up to
+    /// [`MISSING_LIMIT`]. It may be cut off from the others, and the next one takes its
+    /// place.
+    Unsure,
+}
+
 /// Whether callers may be directed to an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum InstanceState {
@@ -236,6 +253,8 @@
 pub struct InstanceTable {
     own: InstanceRecord,
     own_hash: u64,
+    /// The number of data centres in the settings.
+    configured_centres: usize,
     started: Instant,
     /// When the registered instances were first read, or began to count again.
     registrations_read: Option<Instant>,
@@ -257,6 +276,7 @@
         Self {
             own_hash: text_hash(own.name.as_str()),
             own,
+            configured_centres: 1,
             started: now,
             registrations_read: None,
             heard_since: None,
@@ -334,8 +354,12 @@
     /// Whether there are other instances and none was heard for [`FAILURE_TIMEOUT`]. They
     /// may have failed, or this instance is cut off or was paused.
     fn hears_nobody(&self, now: Instant) -> bool {
+        self.hears_nobody_for(FAILURE_TIMEOUT, now)
+    }
+
+    fn hears_nobody_for(&self, span: Duration, now: Instant) -> bool {
         let last_heard_at = self.last_heard_at.unwrap_or(self.started);
-        !self.known.is_empty() && now.saturating_duration_since(last_heard_at) >= FAILURE_TIMEOUT
+        !self.known.is_empty() && now.saturating_duration_since(last_heard_at) >= span
     }
 
     fn received_within(&self, span: Duration, now: Instant) -> impl Iterator<Item = &Member> {
@@ -379,12 +403,7 @@
     /// read them relies on digests once it has received them for [`STARTUP_PERIOD`].
     #[must_use]
     pub fn sharer_hashes(&self, now: Instant) -> Option<Vec<u64>> {
-        let within = |since: Instant, span| now.saturating_duration_since(since) < span;
-        let counts_known = match (self.registrations_read, self.heard_since) {
-            (Some(read), _) => within(read, DIGEST_RETENTION) || self.hears_nobody(now),
-            (None, Some(since)) if !within(since, STARTUP_PERIOD) => self.hears_nobody(now),
-            (None, _) => return None,
-        };
+        let counts_known = self.counts_registered(now)?;
         let mut hashes: Vec<u64> = if counts_known {
             let names = self.known.keys();
             names.map(|name| text_hash(name.as_str())).collect()
@@ -395,6 +414,17 @@
         Some(hashes)
     }
 
+    /// Whether registered instances without a digest count as sharers, or `None` if the
+    /// sharers are not known.
+    fn counts_registered(&self, now: Instant) -> Option<bool> {
+        let within = |since: Instant, span| now.saturating_duration_since(since) < span;
+        match (self.registrations_read, self.heard_since) {
+            (Some(read), _) => Some(within(read, DIGEST_RETENTION) || self.hears_nobody(now)),
+            (None, Some(since)) if !within(since, STARTUP_PERIOD) => Some(self.hears_nobody(now)),
+            (None, _) => None,
+        }
+    }
+
     /// The instances that share the rate of cold servers, as in
     /// [`InstanceTable::sharer_hashes`], or `None` while this instance must not send
     /// to cold servers: right after its start, and while it hears nobody or has just
@@ -474,6 +504,39 @@
         self.lowest_below_own(self.direct_in_centre(now, InstanceState::is_current))
     }
 
+    /// The part of this instance in the limits of teams.
+    #[must_use]
+    pub fn quota_role(&self, now: Instant) -> QuotaRole<'_> {
+        if self.counts_registered(now).is_none() {
+            return QuotaRole::Unsure;
+        }
+        match self.quota_holder(now) {
+            Some(holder) => QuotaRole::Member(holder),
+            None if self.hears_nobody_for(OVERDUE_AFTER, now)
+                && !self.hears_nobody_for(MISSING_LIMIT, now) =>
+            {
+                QuotaRole::Unsure
+            }
+            None => QuotaRole::Holder,
+        }
+    }
+
+    /// Sets the number of data centres in the settings.
+    pub fn set_configured_centres(&mut self, count: usize) {
+        self.configured_centres = count;
+    }
+
+    /// The number of instances in this data centre. While others are not known, it is
+    /// assumed to be [`UNKNOWN_CENTRE_MEMBERS`] at least.
+    #[must_use]
+    pub fn centre_members(&self, now: Instant) -> usize {
+        let known = self.centre_peers().count() + 1;
+        match self.counts_registered(now) {
+            Some(_) => known,
+            None => known.max(UNKNOWN_CENTRE_MEMBERS),
+        }
+    }
+
     /// The instance that holds the token buckets of this data centre: the live one
     /// with the lowest name, or right after a start the registered one. `None` if it
     /// is this instance.
@@ -487,9 +550,14 @@
         self.lowest_below_own(live.chain(registered))
     }
 
-    /// The number of data centres that have instances, this one included.
+    /// The number of data centres that have instances, this one included. While others
+    /// are not known, all data centres of the settings count.
     #[must_use]
     pub fn centre_count(&self, now: Instant) -> usize {
+        let assumed = match self.counts_registered(now) {
+            Some(_) => 1,
+            None => self.configured_centres,
+        };
         let starting = now.saturating_duration_since(self.started) < STARTUP_PERIOD;
         let received = self.retained(now).map(|member| &member.digest.record);
         let registered = self.known.values().filter(|_| starting);
@@ -498,7 +566,7 @@
             .map(|record| &record.centre)
             .collect();
         centres.insert(&self.own.centre);
-        centres.len()
+        centres.len().max(assumed)
     }
 
     /// The known instances of this data centre, live or not, which get the digest of
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -5,8 +5,8 @@
 
 use tarragonpulley_policy::entry::canary::RolloutEvidence;
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, InstanceState, InstanceTable, ServerTag, SuspectReason,
-    UNKNOWN_SHARERS, split_by_size,
+    InstanceDigest, InstanceRecord, InstanceState, InstanceTable, QuotaRole, ServerTag,
+    SuspectReason, UNKNOWN_SHARERS, split_by_size,
 };
 use tarragonpulley_policy::entry::directory::instances_for;
 use yare::parameterized;
@@ -319,3 +319,50 @@
     assert_eq!(first.centre_count(at(start, 31_000)), 1);
     assert!(missed(&first, 81_000).is_empty());
 }
+
+/// Guards against several instances that each take themselves for the only quota holder:
+/// after a start, before they know of the others, and while they hear nobody.
+#[parameterized(
+    right_after_the_start = { false, false, None, 100, "unsure", 4 },
+    registered_alone = { true, false, None, 100, "holder", 1 },
+    others_registered = { true, true, None, 100, "holder", 2 },
+    others_registered_and_silent = { true, true, None, 1300, "unsure", 2 },
+    others_heard = { true, true, Some(1000), 1500, "holder", 2 },
+    others_no_longer_heard = { true, true, Some(1000), 2300, "unsure", 2 },
+    heard_without_registrations = { false, false, Some(100), 200, "unsure", 4 },
+    heard_for_long_without_registrations = { false, false, Some(100), 3200, "unsure", 2 },
+    others_gone = { true, true, Some(1000), 20_000, "unsure", 1 },
+    others_gone_for_long = { true, true, Some(1000), 61_000, "holder", 1 },
+)]
+fn an_instance_that_may_not_be_the_only_quota_holder_is_unsure(
+    reads_registrations: bool,
+    is_other_registered: bool,
+    heard_at: Option<u64>,
+    now: u64,
+    expected: &str,
+    centres: usize,
+) {
+    let start = Instant::now();
+    let other = digest("b", "south-a", 1, InstanceState::Ready);
+    let mut table = InstanceTable::new(
+        digest("a", "north-a", 1, InstanceState::Ready).record,
+        start,
+    );
+    table.set_configured_centres(4);
+    if is_other_registered {
+        table.register(other.record.clone());
+    }
+    if reads_registrations {
+        table.record_registrations_read(start);
+    }
+    if let Some(heard_at) = heard_at {
+        assert!(table.receive(other, false, at(start, heard_at)));
+    }
+    let now = at(start, now);
+    let role = match table.quota_role(now) {
+        QuotaRole::Holder => "holder",
+        QuotaRole::Member(_) => "member",
+        QuotaRole::Unsure => "unsure",
+    };
+    assert_eq!((role, table.centre_count(now)), (expected, centres));
+}
