Notice a frozen table reader in time for departures (DRAIN)

Cause, by reading: the other instances of a data centre waited 1.6 s for its table reader, which itself reads the servers' rows every second, and then read the table service.

Change: a read of the reader's copy of these rows waits 0.4 s for a change, and 0.4 s more for the response.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,7 +14,7 @@
 
 use crate::instance::Instance;
 use crate::mirror::{REWRITE_GRACE, TableMirror};
-use crate::peers::read_from_peer;
+use crate::peers::{PeerError, read_from_peer};
 use crate::table::{TableBatch, TableError, TableKind};
 
 /// How long a read of the operator's rows waits for a change. The proof of the
@@ -49,6 +49,14 @@
 /// How long a read from the data centre's table reader waits for a change.
 const RELAY_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same for the servers' rows. The reader itself reads them at an interval, and a
+/// frozen reader must be noticed in the rest of the time allowed for a drain.
+const SERVERS_RELAY_POLL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Timeout of a read from the table reader beyond its wait: scheduling pauses of two
+/// machines of one data centre.
+const RELAY_EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The maximum age of the table reader's copy that is used. The reader responds
 /// at an age of 1.35 s at the latest; a machine that has used up its processor
 /// time adds up to a tenth of a second twice.
@@ -70,6 +78,14 @@
     }
 }
 
+fn relay_poll_timeout(table: TableKind) -> Duration {
+    if table == TableKind::Servers {
+        SERVERS_RELAY_POLL_TIMEOUT
+    } else {
+        RELAY_POLL_TIMEOUT
+    }
+}
+
 impl Instance {
     /// Keeps the copy of one table current until the process ends.
     pub(crate) async fn follow_table(self: Rc<Self>, table: TableKind) {
@@ -214,8 +230,10 @@
     ) -> bool {
         let (era, after) = instance.position(table);
         let started = instance.proof_now();
-        let read = read_from_peer(reader.peer, table, era, after, RELAY_POLL_TIMEOUT);
-        let reason = match read.await {
+        let poll_timeout = relay_poll_timeout(table);
+        let read = read_from_peer(reader.peer, table, era, after, poll_timeout);
+        let read = tokio::time::timeout(poll_timeout + RELAY_EXCHANGE_TIMEOUT, read);
+        let reason = match read.await.unwrap_or(Err(PeerError::Timeout)) {
             Ok(Some(copy))
                 if copy.is_direct
                     && copy.batch.age <= MAX_RELAYED_COPY_AGE
