--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -68,6 +68,9 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let reported = peers.other_crashes(fingerprint, now);
+        if !self.crashes.borrow().knows(fingerprint) && reported.is_empty() {
+            return false;
+        }
         let sharers = peers.sharer_hashes(now);
         let makes_trials = sharers
             .is_some_and(|sharers| instance_share(1, fingerprint, peers.own_hash(), &sharers) > 0);
--- a/crates/policy/src/entry/crash.rs
+++ b/crates/policy/src/entry/crash.rs
@@ -66,6 +66,12 @@
 }
 
 impl ReportedCrashes {
+    /// Whether no crash was reported.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.unnamed == 0
+    }
+
     /// Adds a crash in a digest received at `received_at`.
     pub fn add_crash(&mut self, report: &CrashReport, received_at: Instant) {
         if let Some(at) = age_to_time(report.age_ms, received_at) {
@@ -130,6 +136,12 @@
         }
     }
 
+    /// Whether this instance saw a crash with a request in progress.
+    #[must_use]
+    pub fn knows(&self, fingerprint: u64) -> bool {
+        self.own.contains_key(&fingerprint)
+    }
+
     fn entry(&mut self, fingerprint: u64, now: Instant) -> Option<&mut OwnCrashes> {
         self.own.retain(|_, own| {
             let is_recent = |at| now.saturating_duration_since(at) < CRASH_RETENTION;
@@ -144,9 +156,7 @@
     /// Records that a server completed a request. `reported` is what the other instances
     /// know of it.
     pub fn record_served(&mut self, fingerprint: u64, reported: &ReportedCrashes, now: Instant) {
-        let is_suspected = self.own.contains_key(&fingerprint)
-            || !reported.crashes.is_empty()
-            || reported.unnamed > 0;
+        let is_suspected = self.knows(fingerprint) || !reported.is_empty();
         if is_suspected && let Some(own) = self.entry(fingerprint, now) {
             own.served_at = Some(now);
         }
