Digests carry sections by tag that only some deployments use

New state in digests needed a further extension each, in a fixed order. Sections follow the known extensions and are looked up by tag; instances ignore those that they do not know, and a process of ignores all of them (test).

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tarragonpulley_policy::entry::crash::{CrashReport, ServedReport};
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, ServerIncarnation, ServerTag, split_by_size,
+    InstanceDigest, SectionTag, ServerIncarnation, ServerTag, split_by_size,
 };
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 use tarragonpulley_policy::entry::server_limit::LimitReport;
@@ -108,6 +108,12 @@
     }
 }
 
+/// The sections of a digest, which follow [`LaterExtension`].
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct SectionExtension {
+    sections: BTreeMap<SectionTag, Vec<u8>>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct CopyRequest {
     table: TableKind,
@@ -185,6 +191,16 @@
     decode_extended::<T, (), MAX_DATAGRAM_BYTES>(bytes).map(|(value, _)| value)
 }
 
+/// Decodes a section of a digest. `None` if the digest has no such section.
+#[cfg_attr(not(test), expect(dead_code, reason = "no feature has a section yet"))]
+pub(crate) fn decode_section<T: DeserializeOwned>(
+    digest: &InstanceDigest,
+    tag: SectionTag,
+) -> Option<Result<T, bincode::error::DecodeError>> {
+    let bytes = digest.sections.get(&tag)?;
+    Some(decode_part::<T, MAX_DATAGRAM_BYTES>(bytes).map(|(value, _)| value))
+}
+
 /// Encodes a digest with its extension, if that holds anything.
 pub(crate) fn encode_digest(
     digest: &InstanceDigest,
@@ -194,14 +210,20 @@
         crash_reports: digest.crash_reports.clone(),
         served_reports: digest.served_reports.clone(),
     };
-    if digest.server_limits.is_empty() && later.is_empty() {
+    let has_sections = !digest.sections.is_empty();
+    let has_later = has_sections || !later.is_empty();
+    if digest.server_limits.is_empty() && !has_later {
         return encode(digest);
     }
     let server_limits = digest.server_limits.clone();
     let mut bytes = encode_extended(digest, &DigestExtension { server_limits })?;
-    if !later.is_empty() {
+    if has_later {
         bytes.extend(encode(&later)?);
     }
+    if has_sections {
+        let sections = digest.sections.clone();
+        bytes.extend(encode(&SectionExtension { sections })?);
+    }
     Ok(bytes)
 }
 
@@ -229,10 +251,15 @@
     if rest.is_empty() {
         return Ok(());
     }
-    let (later, _unknown) = decode_part::<LaterExtension, MAX_DATAGRAM_BYTES>(rest)?;
+    let (later, rest) = decode_part::<LaterExtension, MAX_DATAGRAM_BYTES>(rest)?;
     digest.leaving_servers = later.leaving_servers;
     digest.crash_reports = later.crash_reports;
     digest.served_reports = later.served_reports;
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (last, _unknown) = decode_part::<SectionExtension, MAX_DATAGRAM_BYTES>(rest)?;
+    digest.sections = last.sections;
     Ok(())
 }
 
@@ -402,6 +429,7 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
+            sections: BTreeMap::new(),
         }
     }
 
--- a/crates/edge/src/tests/peers.rs
+++ b/crates/edge/src/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Messages of other instances: real ones that were changed, and random bytes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
@@ -7,13 +8,16 @@
 use tarragonpulley_policy::entry::canary::RolloutEvidence;
 use tarragonpulley_policy::entry::crash::{CrashReport, ServedReport};
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, InstanceState, ServerIncarnation, ServerTag, SuspectReason,
+    InstanceDigest, InstanceRecord, InstanceState, SectionTag, ServerIncarnation, ServerTag,
+    SuspectReason,
 };
 use tarragonpulley_policy::entry::region_share::ServiceDemand;
 
 use tarragonpulley_policy::entry::server_limit::LimitReport;
 
-use crate::peers::{PeerMessage, decode_datagram, decode_digest, encode, encode_digest};
+use crate::peers::{
+    PeerMessage, decode_datagram, decode_digest, decode_section, encode, encode_digest,
+};
 
 fn digest() -> InstanceDigest {
     let address = SocketAddr::from(([127, 0, 0, 1], 7));
@@ -56,6 +60,7 @@
             fingerprint: 8,
             age_ms: 10,
         }],
+        sections: BTreeMap::from([(SectionTag::DUTIES, vec![1, 2, 3])]),
     }
 }
 
@@ -73,6 +78,7 @@
         leaving_servers: Vec::new(),
         crash_reports: Vec::new(),
         served_reports: Vec::new(),
+        sections: BTreeMap::new(),
         ..digest()
     }
 }
@@ -148,6 +154,50 @@
     assert_eq!(decoded(&sent.concat()), digest_with_limits());
 }
 
+/// The extensions as the build 595c4ba has them, which ignores what follows the second.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct WithoutSections {
+    leaving_servers: Vec<ServerIncarnation>,
+    crash_reports: Vec<CrashReport>,
+    served_reports: Vec<ServedReport>,
+}
+
+#[test]
+fn digests_are_exchanged_with_a_version_that_knows_no_sections() {
+    let digest = digest();
+    let bytes = encode_digest(&digest).expect("a digest can be encoded");
+    let config = bincode::config::standard();
+    let (_, first): (InstanceDigest, usize) =
+        bincode::serde::decode_from_slice(&bytes, config).expect("a valid digest");
+    let (_, second): (LimitsOnly, usize) =
+        bincode::serde::decode_from_slice(&bytes[first..], config).expect("valid limits");
+    let (read, third): (WithoutSections, usize) =
+        bincode::serde::decode_from_slice(&bytes[first + second..], config)
+            .expect("a valid extension");
+    let sent = WithoutSections {
+        leaving_servers: digest.leaving_servers.clone(),
+        crash_reports: digest.crash_reports.clone(),
+        served_reports: digest.served_reports.clone(),
+    };
+    assert_eq!(read, sent);
+    let without = InstanceDigest {
+        sections: BTreeMap::new(),
+        ..digest
+    };
+    assert_eq!(decoded(&bytes[..first + second + third]), without);
+}
+
+#[test]
+fn a_section_is_decoded_by_its_tag() {
+    let mut digest = digest();
+    let bytes = encode(&(7_u32, "holder".to_owned())).expect("a section can be encoded");
+    digest.sections = BTreeMap::from([(SectionTag::DUTIES, bytes)]);
+    let read = decode_section::<(u32, String)>(&digest, SectionTag::DUTIES);
+    let read = read.expect("the section is there").expect("it is valid");
+    assert_eq!(read, (7, "holder".to_owned()));
+    assert!(decode_section::<u32>(&digest, SectionTag::QUOTA_SHARES).is_none());
+}
+
 #[test]
 fn a_digest_counts_whose_second_extension_cannot_be_decoded() {
     let mut bytes = encode_digest(&digest_with_limits()).expect("a digest can be encoded");
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -136,6 +136,24 @@
     }
 }
 
+/// Identifies a section of a digest. Instances ignore sections that they do not know, so
+/// that a feature can add one without a change of the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SectionTag(u8);
+
+impl SectionTag {
+    /// The singleton duties that the instance holds.
+    pub const DUTIES: Self = Self(1);
+    /// Shares of the teams' limits that the instance holds and hands over.
+    pub const QUOTA_SHARES: Self = Self(2);
+    /// What the instance has learned of the time that requests take.
+    pub const WORK_ESTIMATES: Self = Self(3);
+    /// The rates of objects in common use.
+    pub const POPULAR_OBJECTS: Self = Self(4);
+    /// Demand and rejections of services that are short of slots.
+    pub const SERVICE_PRESSURE: Self = Self(5);
+}
+
 /// Why an instance does not use a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum SuspectReason {
@@ -212,6 +230,10 @@
     /// Requests that were served although servers had crashed. Encoded after the crashes.
     #[serde(skip)]
     pub served_reports: Vec<ServedReport>,
+    /// Encoded sections of features that not all deployments use. They follow the served
+    /// requests.
+    #[serde(skip)]
+    pub sections: BTreeMap<SectionTag, Vec<u8>>,
 }
 
 /// Groups encoded digests into datagrams of at most `max_bytes`, in order. Each
@@ -376,6 +398,16 @@
         self.received_within(DIGEST_RETENTION, now)
     }
 
+    /// The last digests within [`DIGEST_RETENTION`], without this instance's own.
+    pub fn retained_digests(&self, now: Instant) -> impl Iterator<Item = &InstanceDigest> {
+        self.retained(now).map(|member| &member.digest)
+    }
+
+    /// The last digests of the live instances, without this instance's own.
+    pub fn live_digests(&self, now: Instant) -> impl Iterator<Item = &InstanceDigest> {
+        self.live(now).map(|member| &member.digest)
+    }
+
     /// The live instances in a state, without this one.
     pub fn in_state(
         &self,
--- a/crates/policy/tests/entry/fleet_limits.rs
+++ b/crates/policy/tests/entry/fleet_limits.rs
@@ -1,5 +1,6 @@
 //! Fleet-wide limits that each instance enforces locally.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -468,6 +469,7 @@
         leaving_servers: Vec::new(),
         crash_reports: Vec::new(),
         served_reports: Vec::new(),
+        sections: BTreeMap::new(),
     }
 }
 
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -1,5 +1,6 @@
 //! Fleet membership from digests, roles of instances, and instance lookups.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -41,6 +42,7 @@
         leaving_servers: Vec::new(),
         crash_reports: Vec::new(),
         served_reports: Vec::new(),
+        sections: BTreeMap::new(),
     }
 }
 
