--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -13,7 +13,9 @@
 
 use serde_json::json;
 use tarragonpulley_policy::entry::admission::{RejectionLoad, jittered_retry_after};
-use tarragonpulley_policy::entry::config::{RouteRule, TeamRule, TrafficConfig};
+use tarragonpulley_policy::entry::config::{
+    KeyMatch, RouteMatch, RouteRule, TeamRule, TrafficConfig,
+};
 use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::{MAX_CANDIDATES, text_hash};
 
@@ -163,23 +165,13 @@
             return Err((Rejection::NotConfigured, default_retry_after));
         };
         let config_is_recent = self.has_recent_proof();
-        let Some(route) = config
-            .route(&request.head.host(), request.head.path())
-            .cloned()
-        else {
-            let rejection = if config_is_recent {
-                Rejection::NoRoute
-            } else {
-                Rejection::KeyNotProved
-            };
-            return Err((
-                rejection,
-                if config_is_recent {
-                    None
-                } else {
-                    default_retry_after
-                },
-            ));
+        let route = match config.route(&request.head.host(), request.head.path()) {
+            RouteMatch::Rule(route) => Rc::clone(route),
+            RouteMatch::Unusable(_) => {
+                return Err((Rejection::RouteUnusable, default_retry_after));
+            }
+            RouteMatch::None if config_is_recent => return Err((Rejection::NoRoute, None)),
+            RouteMatch::None => return Err((Rejection::KeyNotProved, default_retry_after)),
         };
         let team = if route.is_public {
             None
@@ -238,9 +230,11 @@
         }
         let field = request.head.text(self.adapter.key_header());
         let key = field.and_then(|field| self.adapter.caller_key(field));
-        key.and_then(|key| config.team(key))
-            .cloned()
-            .ok_or((Rejection::UnknownKey, None))
+        match key.map_or(KeyMatch::None, |key| config.team(key)) {
+            KeyMatch::Team(team) => Ok(Rc::clone(team)),
+            KeyMatch::Unusable => Err((Rejection::TeamUnusable, default_retry_after)),
+            KeyMatch::None => Err((Rejection::UnknownKey, None)),
+        }
     }
 
     /// Whether a request may still be sent to a server. It was admitted some time
@@ -268,9 +262,13 @@
             .head
             .text(self.adapter.key_header())
             .and_then(|field| self.adapter.caller_key(field));
-        let team = key.and_then(|key| current.as_ref()?.team(key));
+        let team = match (key, current.as_ref()) {
+            (Some(key), Some(config)) => config.team(key),
+            _ => KeyMatch::None,
+        };
         match (team, &forward.team) {
-            (Some(team), Some(admitted)) if team.name == admitted.name => Ok(()),
+            (KeyMatch::Team(team), Some(admitted)) if team.name == admitted.name => Ok(()),
+            (KeyMatch::Unusable, _) => Err(Rejection::TeamUnusable),
             _ => Err(Rejection::UnknownKey),
         }
     }
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -6,7 +6,11 @@
     NoRequestId,
     NotConfigured,
     NoRoute,
+    /// The operator's row of the route cannot be used.
+    RouteUnusable,
     UnknownKey,
+    /// The operator's row of the key's team cannot be used.
+    TeamUnusable,
     KeyNotProved,
     OverTeamLimit,
     NoServer,
@@ -35,6 +39,8 @@
             Self::UnknownKey => 401,
             Self::OverTeamLimit => 429,
             Self::NotConfigured
+            | Self::RouteUnusable
+            | Self::TeamUnusable
             | Self::KeyNotProved
             | Self::NoServer
             | Self::NoTimeLeft
@@ -55,7 +61,9 @@
             Self::NoRequestId => "no_request_id",
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::RouteUnusable => "route_unusable",
             Self::UnknownKey => "unknown_key",
+            Self::TeamUnusable => "team_unusable",
             Self::KeyNotProved => "key_not_proved",
             Self::OverTeamLimit => "over_team_limit",
             Self::NoServer => "no_server",
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -426,6 +426,7 @@
     }
 
     fn apply_config(&self, config: TrafficConfig) {
+        const MAX_LOGGED_WARNINGS: usize = 20;
         let known = self.config.borrow().as_ref().map(|config| config.version);
         if known.is_some_and(|known| known >= config.version) {
             return;
@@ -433,8 +434,15 @@
         self.log.event(
             "config_applied",
             json!({"version": config.version.0, "before": known.map(|version| version.0),
-                "routes": config.routes.len(), "teams": config.teams.len(), "keys": config.keys.len()}),
+                "routes": config.routes.len(), "teams": config.teams.len(), "keys": config.keys.len(),
+                "warnings": config.warnings.len()}),
         );
+        for warning in config.warnings.iter().take(MAX_LOGGED_WARNINGS) {
+            self.log.event(
+                "config_warning",
+                json!({"version": config.version.0, "part": warning.part, "reason": warning.reason}),
+            );
+        }
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -41,6 +41,10 @@
 
 /// The rule for the requests of one host and path prefix.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent properties of one route"
+)]
 pub struct RouteRule {
     /// The name of the route, for logs.
     pub name: String,
@@ -67,6 +71,51 @@
     pub has_affinity: bool,
     /// The regions in which requests may run; empty means all.
     pub home_regions: BTreeSet<RegionName>,
+    /// Whether responses are so large that the links of the instances matter.
+    pub has_large_responses: bool,
+}
+
+/// A route that cannot be used as the operator wrote it. Its callers are rejected, and
+/// their requests go to no other route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableRoute {
+    /// The name of the route, for logs.
+    pub name: String,
+    /// The host, in lower case and without a port.
+    pub host: String,
+    /// The path prefix.
+    pub prefix: String,
+}
+
+/// The route of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RouteMatch<'a> {
+    /// The rule for the request.
+    Rule(&'a Rc<RouteRule>),
+    /// The request belongs to a route that cannot be used.
+    Unusable(&'a UnusableRoute),
+    /// No route matches.
+    None,
+}
+
+/// The team of a key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum KeyMatch<'a> {
+    /// The team that holds the key.
+    Team(&'a Rc<TeamRule>),
+    /// The key belongs to a team that cannot be used as the operator wrote it.
+    Unusable,
+    /// No team holds the key.
+    None,
+}
+
+/// A part of a configuration that is not used as the operator wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigWarning {
+    /// The kind of part and its name, such as `route lookups`.
+    pub part: String,
+    /// What is wrong, and what is done instead.
+    pub reason: String,
 }
 
 /// Properties of the backend servers of a service.
@@ -136,24 +185,50 @@
     pub teams: BTreeMap<TeamName, Rc<TeamRule>>,
     /// The limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// The routes that cannot be used.
+    pub unusable_routes: Vec<UnusableRoute>,
+    /// The keys of teams that cannot be used.
+    pub unusable_keys: BTreeSet<CallerKey>,
+    /// The parts that are not used as they were written, for the log.
+    pub warnings: Vec<ConfigWarning>,
 }
 
 impl TrafficConfig {
     /// The route of a request: of the routes of the host, the one with the
     /// longest prefix that matches the path.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<RouteRule>> {
-        self.routes
+    pub fn route(&self, host: &str, path: &str) -> RouteMatch<'_> {
+        let rule = self
+            .routes
+            .iter()
+            .filter(|route| route.host == host && path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len());
+        let unusable = self
+            .unusable_routes
             .iter()
             .filter(|route| route.host == host && path.starts_with(&route.prefix))
-            .max_by_key(|route| route.prefix.len())
+            .max_by_key(|route| route.prefix.len());
+        match (rule, unusable) {
+            (Some(rule), Some(route)) if rule.prefix.len() < route.prefix.len() => {
+                RouteMatch::Unusable(route)
+            }
+            (Some(rule), _) => RouteMatch::Rule(rule),
+            (None, Some(route)) => RouteMatch::Unusable(route),
+            (None, None) => RouteMatch::None,
+        }
     }
 
     /// The team that a key belongs to.
     #[must_use]
-    pub fn team(&self, key: &str) -> Option<&Rc<TeamRule>> {
-        let key: CallerKey = key.parse().ok()?;
-        self.keys.get(&key)
+    pub fn team(&self, key: &str) -> KeyMatch<'_> {
+        let Ok(key) = key.parse::<CallerKey>() else {
+            return KeyMatch::None;
+        };
+        match self.keys.get(&key) {
+            Some(team) => KeyMatch::Team(team),
+            None if self.unusable_keys.contains(&key) => KeyMatch::Unusable,
+            None => KeyMatch::None,
+        }
     }
 }
 
