Placement takes the expected times and the load limit with the request

No change of behaviour: the constants by target latency and priority are the defaults of WorkModel and LoadLimit, which callers can replace.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -83,11 +83,7 @@
             in_own_region: true,
             ..placed.view
         };
-        let expected = expected_latency(
-            &healthy_view,
-            healthy_view.known,
-            forward.route.target_latency,
-        );
+        let expected = expected_latency(&healthy_view, healthy_view.known, &placed.work);
         Self {
             instance,
             forward,
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -10,7 +10,8 @@
 };
 use tarragonpulley_policy::entry::names::RegionName;
 use tarragonpulley_policy::entry::placement::{
-    Placement, RegionFractions, ServerView, choose_server, expected_latency,
+    Placement, PlacementRequest, RegionFractions, ServerView, WorkModel, choose_server,
+    expected_latency,
 };
 use tarragonpulley_policy::entry::send_gate::{HoldReason, SendDecision};
 use tarragonpulley_policy::entry::stopping::StoppingRequest;
@@ -30,6 +31,8 @@
     pub(super) server: Rc<Server>,
     pub(super) view: ServerView,
     pub(super) placement: Placement,
+    /// The expected times on which the selection was based.
+    pub(super) work: WorkModel,
     /// The number of eligible servers.
     pub(super) candidate_count: usize,
 }
@@ -100,13 +103,8 @@
         } else {
             RegionFractions::new()
         };
-        let Some(placement) = choose_server(
-            forward.object,
-            &views,
-            &region_fractions,
-            target,
-            forward.priority(),
-        ) else {
+        let request = PlacementRequest::new(forward.object, target, forward.priority());
+        let Some(placement) = choose_server(&request, &views, &region_fractions) else {
             return Err((Rejection::NoServer, default_retry_after));
         };
         if placement.saturated {
@@ -126,7 +124,7 @@
         // when this process ends is lost. So the longer of the estimates counts.
         let stopping_request = StoppingRequest {
             received: forward.request.received,
-            expected_latency: expected_latency(&view, false, target),
+            expected_latency: expected_latency(&view, false, &request.work),
             deadline: forward.deadline,
         };
         if let Some(schedule) = self.stop_schedule.get()
@@ -153,6 +151,7 @@
             server,
             view,
             placement,
+            work: request.work,
             candidate_count: candidates.len(),
         })
     }
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -84,6 +84,78 @@
     pub region: u64,
 }
 
+/// The expected times of the parts of a request at a server at its usual speed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WorkModel {
+    /// Work on an object that the server knows.
+    pub known: Duration,
+    /// Work on an object that the server does not know.
+    pub unknown: Duration,
+    /// Mean work of the requests that run and wait at the server.
+    pub queued: Duration,
+    /// Time to a server in another region and back.
+    pub region_round_trip: Duration,
+}
+
+impl WorkModel {
+    /// The model of a route of which nothing is known but its target latency.
+    #[must_use]
+    pub fn for_target(target: Duration) -> Self {
+        Self {
+            known: target.mul_f64(KNOWN_OBJECT_WORK),
+            unknown: target.mul_f64(UNKNOWN_OBJECT_WORK),
+            queued: target.mul_f64(MEAN_WORK),
+            region_round_trip: REGION_ROUND_TRIP,
+        }
+    }
+}
+
+/// The load at which a server gets no more requests of one kind.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadLimit {
+    /// Running and queued requests per slot.
+    pub per_slot: f64,
+}
+
+impl LoadLimit {
+    /// The limit by priority, of which 0 is the most urgent.
+    #[must_use]
+    pub fn for_priority(priority: u32) -> Self {
+        let reserve = f64::from(priority.min(MAX_PRIORITY)) * PRIORITY_RESERVE;
+        Self {
+            per_slot: MAX_LOAD_PER_SLOT * (1.0 - reserve),
+        }
+    }
+
+    fn is_reached(self, server: &ServerView) -> bool {
+        server.load >= f64::from(server.slots) * self.per_slot
+    }
+}
+
+/// A request to place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlacementRequest {
+    /// Hash of the object; `None` to place without regard to objects.
+    pub object: Option<u64>,
+    /// The expected times of its parts.
+    pub work: WorkModel,
+    /// When servers get no more requests of its kind.
+    pub load_limit: LoadLimit,
+}
+
+impl PlacementRequest {
+    /// A request of which nothing is known but the target latency and the priority of
+    /// its route.
+    #[must_use]
+    pub fn new(object: Option<u64>, target: Duration, priority: u32) -> Self {
+        Self {
+            object,
+            work: WorkModel::for_target(target),
+            load_limit: LoadLimit::for_priority(priority),
+        }
+    }
+}
+
 /// The fractions of an instance's requests that run in each region, by the hash of
 /// the region's name. Empty to weight regions by their slots.
 pub type RegionFractions = BTreeMap<u64, f64>;
@@ -104,13 +176,6 @@
     pub queues_unknown_object: bool,
 }
 
-impl ServerView {
-    fn is_saturated(&self, priority: u32) -> bool {
-        let reserve = f64::from(priority.min(MAX_PRIORITY)) * PRIORITY_RESERVE;
-        self.load >= f64::from(self.slots) * MAX_LOAD_PER_SLOT * (1.0 - reserve)
-    }
-}
-
 /// Mixes the bits of a 64-bit value (the finaliser of `SplitMix64`).
 #[must_use]
 pub fn mix(value: u64) -> u64 {
@@ -182,42 +247,38 @@
 /// The expected time until a server responds. `known` says whether the object is
 /// taken as known there.
 #[must_use]
-pub fn expected_latency(server: &ServerView, known: bool, target: Duration) -> Duration {
-    let target_s = target.as_secs_f64();
+pub fn expected_latency(server: &ServerView, known: bool, work: &WorkModel) -> Duration {
     let slots = f64::from(server.slots.max(1));
     let speed = server.slowness * if server.cold { COLD_FACTOR } else { 1.0 };
     let waiting = (server.load + 1.0 - slots).max(0.0);
-    let queue = waiting / slots * MEAN_WORK * target_s * speed;
-    let work = if known {
-        KNOWN_OBJECT_WORK
-    } else {
-        UNKNOWN_OBJECT_WORK
-    } * target_s
-        * speed;
+    let queue = waiting / slots * work.queued.as_secs_f64() * speed;
+    let run = if known { work.known } else { work.unknown }.as_secs_f64() * speed;
     let distance = if server.in_own_region {
         0.0
     } else {
-        REGION_ROUND_TRIP.as_secs_f64()
+        work.region_round_trip.as_secs_f64()
     };
     // A failed attempt costs its work and is retried elsewhere.
     let failure_ratio = server.failure_ratio.clamp(0.0, 0.95);
-    Duration::from_secs_f64(((queue + work) / (1.0 - failure_ratio) + distance).min(3600.0))
+    Duration::from_secs_f64(((queue + run) / (1.0 - failure_ratio) + distance).min(3600.0))
 }
 
 /// Chooses a server for a request on an object, or without an object the server
-/// with the lowest expected latency. `None` if the list is empty. A `priority` of 0
-/// is the most urgent.
+/// with the lowest expected latency. `None` if the list is empty.
 ///
 /// All candidates for an object are in its region, so that full queues do not move
 /// requests between regions faster than the fractions change.
 #[must_use]
 pub fn choose_server(
-    object: Option<u64>,
+    request: &PlacementRequest,
     servers: &[ServerView],
     fractions: &RegionFractions,
-    target: Duration,
-    priority: u32,
 ) -> Option<Placement> {
+    let PlacementRequest {
+        object,
+        work,
+        load_limit,
+    } = request;
     let mut usable: Vec<usize> = {
         let fit: Vec<usize> = (0..servers.len())
             .filter(|i| !servers[*i].suspended)
@@ -228,12 +289,12 @@
             fit
         }
     };
-    let Some(object) = object else {
+    let Some(object) = *object else {
         let place = |index: usize| Placement {
             index,
             rank: 0,
-            expected_latency: expected_latency(&servers[index], true, target),
-            saturated: servers[index].is_saturated(priority),
+            expected_latency: expected_latency(&servers[index], true, work),
+            saturated: load_limit.is_reached(&servers[index]),
             queues_unknown_object: false,
         };
         return usable
@@ -255,8 +316,8 @@
         let placement = Placement {
             index: usable[position],
             rank,
-            expected_latency: expected_latency(server, rank == 0 || server.known, target),
-            saturated: server.is_saturated(priority),
+            expected_latency: expected_latency(server, rank == 0 || server.known, work),
+            saturated: load_limit.is_reached(server),
             queues_unknown_object: rank > 0
                 && !server.known
                 && server.load >= f64::from(server.slots),
--- a/crates/policy/tests/entry/fleet_simulation.rs
+++ b/crates/policy/tests/entry/fleet_simulation.rs
@@ -15,7 +15,9 @@
 use tarragonpulley_policy::entry::admission::{AdmissionDecision, admit};
 use tarragonpulley_policy::entry::health::{AttemptTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::RegionName;
-use tarragonpulley_policy::entry::placement::{RegionFractions, ServerView, choose_server, mix};
+use tarragonpulley_policy::entry::placement::{
+    PlacementRequest, RegionFractions, ServerView, choose_server, mix,
+};
 use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionShare};
 
 use crate::placement::server;
@@ -284,11 +286,15 @@
                     }
                 })
                 .collect();
-            let placement = choose_server(Some(mix(object)), &views, &fractions, TARGET, 0)
-                .filter(|placement| !placement.saturated)
-                .filter(|placement| {
-                    admit(placement.expected_latency, TIMEOUT, 0.0) == AdmissionDecision::Admit
-                });
+            let placement = choose_server(
+                &PlacementRequest::new(Some(mix(object)), TARGET, 0),
+                &views,
+                &fractions,
+            )
+            .filter(|placement| !placement.saturated)
+            .filter(|placement| {
+                admit(placement.expected_latency, TIMEOUT, 0.0) == AdmissionDecision::Admit
+            });
             let Some(placement) = placement else {
                 break;
             };
--- a/crates/policy/tests/entry/load_simulation.rs
+++ b/crates/policy/tests/entry/load_simulation.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use tarragonpulley_policy::entry::admission::{AdmissionDecision, admit};
 use tarragonpulley_policy::entry::placement::{
-    RegionFractions, ServerView, choose_server, mix, rendezvous_order,
+    PlacementRequest, RegionFractions, ServerView, choose_server, mix, rendezvous_order,
 };
 
 use crate::placement::server;
@@ -148,19 +148,15 @@
                 .map(|(index, _)| index),
             Strategy::OwnerOnly => rendezvous_order(mix(object), &views, 1).first().copied(),
             Strategy::ChooseServer => choose_server(
-                Some(mix(object)),
+                &PlacementRequest::new(Some(mix(object)), TARGET, 0),
                 &views,
                 &RegionFractions::new(),
-                TARGET,
-                0,
             )
             .map(|placement| placement.index),
             Strategy::WithAdmission => choose_server(
-                Some(mix(object)),
+                &PlacementRequest::new(Some(mix(object)), TARGET, 0),
                 &views,
                 &RegionFractions::new(),
-                TARGET,
-                0,
             )
             .filter(|placement| {
                 !placement.saturated
--- a/crates/policy/tests/entry/placement.rs
+++ b/crates/policy/tests/entry/placement.rs
@@ -4,7 +4,7 @@
 
 use tarragonpulley_policy::entry::config::RouteDestination;
 use tarragonpulley_policy::entry::placement::{
-    RegionFractions, ServerView, choose_server, mix, rendezvous_order,
+    PlacementRequest, RegionFractions, ServerView, choose_server, mix, rendezvous_order,
 };
 use tarragonpulley_policy::entry::split::RouteSplitter;
 use yare::parameterized;
@@ -84,8 +84,12 @@
     let object = mix(77);
     let owner = owner(object, &servers);
     change(&mut servers[owner]);
-    let placement = choose_server(Some(object), &servers, &RegionFractions::new(), TARGET, 0)
-        .expect("a server");
+    let placement = choose_server(
+        &PlacementRequest::new(Some(object), TARGET, 0),
+        &servers,
+        &RegionFractions::new(),
+    )
+    .expect("a server");
     assert_eq!(placement.index == owner, keeps_request, "{placement:?}");
 }
 
@@ -97,9 +101,13 @@
     servers[order[0]].load = 5.0;
     servers[order[1]].known = true;
     assert_eq!(
-        choose_server(Some(object), &servers, &RegionFractions::new(), TARGET, 0)
-            .expect("a server")
-            .index,
+        choose_server(
+            &PlacementRequest::new(Some(object), TARGET, 0),
+            &servers,
+            &RegionFractions::new()
+        )
+        .expect("a server")
+        .index,
         order[1]
     );
 }
@@ -113,8 +121,12 @@
         servers[*index].load = 3.0;
     }
     servers[order[0]].load = 9.0;
-    let placement = choose_server(Some(object), &servers, &RegionFractions::new(), TARGET, 0)
-        .expect("a server");
+    let placement = choose_server(
+        &PlacementRequest::new(Some(object), TARGET, 0),
+        &servers,
+        &RegionFractions::new(),
+    )
+    .expect("a server");
     assert!(
         placement.saturated && placement.index == order[0],
         "{placement:?}"
@@ -127,10 +139,28 @@
     for server in &mut servers {
         server.suspended = true;
     }
-    assert!(choose_server(Some(1), &servers, &RegionFractions::new(), TARGET, 0).is_some());
-    assert!(choose_server(None, &servers, &RegionFractions::new(), TARGET, 0).is_some());
+    assert!(
+        choose_server(
+            &PlacementRequest::new(Some(1), TARGET, 0),
+            &servers,
+            &RegionFractions::new()
+        )
+        .is_some()
+    );
+    assert!(
+        choose_server(
+            &PlacementRequest::new(None, TARGET, 0),
+            &servers,
+            &RegionFractions::new()
+        )
+        .is_some()
+    );
     assert_eq!(
-        choose_server(Some(1), &[], &RegionFractions::new(), TARGET, 0),
+        choose_server(
+            &PlacementRequest::new(Some(1), TARGET, 0),
+            &[],
+            &RegionFractions::new()
+        ),
         None
     );
 }
@@ -169,11 +199,9 @@
     }
     let saturated = |priority| {
         choose_server(
-            Some(mix(77)),
+            &PlacementRequest::new(Some(mix(77)), TARGET, priority),
             &servers,
             &RegionFractions::new(),
-            TARGET,
-            priority,
         )
         .expect("a server")
         .saturated
--- a/crates/policy/tests/entry/regions.rs
+++ b/crates/policy/tests/entry/regions.rs
@@ -5,7 +5,7 @@
 
 use tarragonpulley_policy::entry::names::{RegionName, ServiceName};
 use tarragonpulley_policy::entry::placement::{
-    RegionFractions, ServerView, choose_server, mix, region_of_object,
+    PlacementRequest, RegionFractions, ServerView, choose_server, mix, region_of_object,
 };
 use tarragonpulley_policy::entry::region_share::{
     DEAD_BAND, MAX_MOVED_PER_S, RegionLoad, RegionMeter, RegionShare, origin_fractions,
@@ -257,7 +257,11 @@
     let fractions: RegionFractions = [(1, 0.5), (2, 0.5)].into();
     let first = (0..2000)
         .filter(|object| {
-            let placement = choose_server(Some(mix(*object)), &servers, &fractions, TARGET, 0);
+            let placement = choose_server(
+                &PlacementRequest::new(Some(mix(*object)), TARGET, 0),
+                &servers,
+                &fractions,
+            );
             placement.is_some_and(|placement| placement.index < 4)
         })
         .count();
