--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -97,6 +97,7 @@
         self.metrics
             .latency
             .observe(received.elapsed().as_secs_f64());
+        self.record_passed_on(response.body.len(), self.now());
         response
     }
 
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -12,6 +12,7 @@
 use tarragonpulley_policy::entry::config::{RolloutRecord, TrafficConfig};
 use tarragonpulley_policy::entry::crash::CrashTracker;
 use tarragonpulley_policy::entry::digest::{InstanceRecord, InstanceState, InstanceTable};
+use tarragonpulley_policy::entry::link_load::LinkRate;
 use tarragonpulley_policy::entry::names::{
     CentreName, InstanceName, RegionName, ServerId, ServiceName,
 };
@@ -26,6 +27,7 @@
 use crate::crashes::CrashSuspect;
 use crate::events::EventLog;
 use crate::http::budget::BufferBudget;
+use crate::links::LinkState;
 use crate::metrics::InstanceMetrics;
 use crate::mirror::{REWRITE_GRACE, TableMirror};
 use crate::regions::RegionBalancer;
@@ -57,6 +59,8 @@
     pub response_memory_bytes: usize,
     /// The memory for the bodies of requests, in bytes.
     pub request_memory_bytes: usize,
+    /// The rate of the machine's link, if known.
+    pub link_rate: Option<LinkRate>,
 }
 
 /// The state of a running instance, shared by its tasks.
@@ -78,6 +82,7 @@
     pub(crate) peers: RefCell<InstanceTable>,
     pub(crate) limits: TeamLimits,
     pub(crate) regions: RegionBalancer,
+    pub(crate) links: LinkState,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crashes: RefCell<CrashTracker>,
     pub(crate) splitters: RefCell<BTreeMap<String, RouteSplitter>>,
@@ -131,7 +136,8 @@
         log: EventLog,
         crash_suspects: Sender<CrashSuspect>,
     ) -> Self {
-        let mut peers = InstanceTable::new(options.record.clone(), clock.instant());
+        let now = clock.instant();
+        let mut peers = InstanceTable::new(options.record.clone(), now);
         peers.set_configured_centres(options.regions.len());
         let response_memory = options.response_memory_bytes;
         let request_memory = options.request_memory_bytes;
@@ -139,6 +145,7 @@
             peers: RefCell::new(peers),
             limits: TeamLimits::new(options.quota),
             regions: RegionBalancer::default(),
+            links: LinkState::new(now),
             retry_budget: RefCell::new(RetryBudget::new(options.retries)),
             clock,
             proof_clock,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod http;
 mod instance;
+mod links;
 mod listeners;
 mod metrics;
 mod mirror;
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -115,15 +115,16 @@
             return CallerResponse::empty(400);
         };
         let peers = self.peers.borrow();
-        let mut instances = Vec::new();
+        let mut near = Vec::new();
         // Where nobody reaches a server, the instances are as good as each other.
         for state in [InstanceState::Ready, InstanceState::Partitioned] {
-            if instances.is_empty() {
+            if near.is_empty() {
                 let own = (self.state() == state).then(|| peers.own());
                 let offered = peers.in_state(state, now).chain(own);
-                instances = instances_for(&region, &centre, offered);
+                near = instances_for(&region, &centre, offered);
             }
         }
+        let mut instances = self.lookup_addresses(&near, now);
         if instances.is_empty() && !self.leaving.get() {
             instances.push(peers.own().front);
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -192,7 +192,6 @@
 }
 
 /// Decodes a section of a digest. `None` if the digest has no such section.
-#[cfg_attr(not(test), expect(dead_code, reason = "no feature has a section yet"))]
 pub(crate) fn decode_section<T: DeserializeOwned>(
     digest: &InstanceDigest,
     tag: SectionTag,
@@ -429,7 +428,7 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
-            sections: BTreeMap::new(),
+            sections: self.link_section(now).into_iter().collect(),
         }
     }
 
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod directory;
 pub mod health;
+pub mod link_load;
 pub mod names;
 pub mod placement;
 pub mod quota;
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Whether a route has responses so large that the links of instances matter.
+    #[must_use]
+    pub fn has_large_responses(&self) -> bool {
+        self.routes.iter().any(|route| route.has_large_responses)
+    }
+
     /// The team that a key belongs to.
     #[must_use]
     pub fn team(&self, key: &str) -> KeyMatch<'_> {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -152,6 +152,8 @@
     pub const POPULAR_OBJECTS: Self = Self(4);
     /// Demand and rejections of services that are short of slots.
     pub const SERVICE_PRESSURE: Self = Self(5);
+    /// The link of the instance and its use.
+    pub const LINK: Self = Self(6);
 }
 
 /// Why an instance does not use a backend server.
--- a/crates/policy/src/entry/directory.rs
+++ b/crates/policy/src/entry/directory.rs
@@ -4,7 +4,6 @@
 //! two ready instances. Otherwise the instances of the region are added, so that
 //! a caller has an alternative when its only instance fails.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::digest::InstanceRecord;
@@ -20,12 +19,12 @@
 /// The maximum number of instances in a response.
 pub const MAX_INSTANCES: usize = 16;
 
-/// The addresses of the instances for a caller, those of its data centre first.
+/// The instances for a caller, those of its data centre first.
 pub fn instances_for<'a>(
     region: &RegionName,
     centre: &CentreName,
     ready: impl Iterator<Item = &'a InstanceRecord>,
-) -> Vec<SocketAddr> {
+) -> Vec<&'a InstanceRecord> {
     let ready: Vec<&InstanceRecord> = ready.collect();
     let distance = |record: &InstanceRecord| {
         if &record.centre == centre {
@@ -36,17 +35,16 @@
             2
         }
     };
-    let mut response: Vec<SocketAddr> = Vec::new();
+    let mut near: Vec<&InstanceRecord> = Vec::new();
     for current_distance in 0..=2 {
         // Other regions are used only if the caller's has no ready instance.
-        if response.len() >= MIN_INSTANCES || (current_distance == 2 && !response.is_empty()) {
+        if near.len() >= MIN_INSTANCES || (current_distance == 2 && !near.is_empty()) {
             break;
         }
         let fitting = ready
             .iter()
             .filter(|record| distance(record) == current_distance);
-        response.extend(fitting.map(|record| record.front));
+        near.extend(fitting);
     }
-    response.truncate(MAX_INSTANCES);
-    response
+    near
 }
