--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -3,14 +3,17 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use serde_json::json;
 use tarragonpulley_policy::entry::digest::{InstanceRecord, SectionTag};
+use tarragonpulley_policy::entry::directory::MAX_INSTANCES;
 use tarragonpulley_policy::entry::link_load::{LinkMeter, LinkRate, LinkReport, lookup_addresses};
 use tarragonpulley_policy::entry::names::InstanceName;
 
 use crate::instance::Instance;
+use crate::metrics::LookupLabel;
 use crate::peers::{decode_section, encode};
 
 /// The use of this instance's link.
@@ -69,7 +72,7 @@
         &self,
         near: &[&InstanceRecord],
         now: Instant,
-    ) -> Vec<std::net::SocketAddr> {
+    ) -> Vec<SocketAddr> {
         let mut reports: BTreeMap<&InstanceName, LinkReport> = BTreeMap::new();
         let peers = self.peers.borrow();
         if let Some(own) = self.own_link_report(now) {
@@ -81,6 +84,15 @@
             }
         }
         let link = |record: &InstanceRecord| reports.get(&record.name).copied();
-        lookup_addresses(near, link, rand::random())
+        let named = lookup_addresses(near, link, rand::random());
+        let label = LookupLabel {
+            named: if named.len() < near.len().min(MAX_INSTANCES) {
+                "fast_links"
+            } else {
+                "all"
+            },
+        };
+        self.metrics.lookups.get_or_create(&label).inc();
+        named
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,11 @@
     pub(crate) place: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LookupLabel {
+    pub(crate) named: &'static str,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub(crate) struct InstanceMetrics {
@@ -35,6 +40,7 @@
     pub(crate) outcomes: Family<OutcomeLabel, Counter>,
     pub(crate) placements: Family<PlaceLabel, Counter>,
     pub(crate) holds: Family<HoldLabel, Counter>,
+    pub(crate) lookups: Family<LookupLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) retries: Counter,
@@ -60,6 +66,7 @@
             outcomes: Family::default(),
             placements: Family::default(),
             holds: Family::default(),
+            lookups: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
             retries: Counter::default(),
@@ -87,6 +94,11 @@
             "Placements in which a server got no request because of what it asked for",
             metrics.holds.clone(),
         );
+        registry.register(
+            "lookups",
+            "Lookups by whether they named all near instances or those with fast links",
+            metrics.lookups.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until the answer",
