--- /dev/null
+++ b/crates/policy/src/entry/usage.rs
@@ -0,0 +1,711 @@
+//! Usage reports: how many requests of each team began to run at servers, by window of
+//! the time of day.
+//!
+//! Each instance counts what it sends and hands the counts of a closed window in to the
+//! holder of the duty. The holder records their sum in the duty's row before it reports
+//! it, so that the next holder repeats the same report: a window never has two different
+//! ones, and one whose record was lost has none.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::digest::InstanceState;
+use super::duty::{
+    ClaimStep, DutyLease, DutyRow, DutyWriter, Fence, LeaseGrant, LeaseTerms, RowPosition,
+    WriteOutcome,
+};
+use super::names::{InstanceName, TeamName};
+
+/// Time after the end of a window at which the first candidate records it, whoever has
+/// handed in. Most instances hand in within [`HAND_IN_DELAY`] and [`HAND_IN_SPREAD`].
+pub const RECORD_DEADLINE: Duration = Duration::from_millis(3500);
+
+/// Time between the turns of two candidates: a digest needs up to 1.6 s to reach the
+/// instances of other data centres.
+pub const TURN_INTERVAL: Duration = Duration::from_millis(1750);
+
+/// The candidates that take a turn in one window.
+pub const MAX_TURNS: usize = 3;
+
+/// Time after the end of a window until an instance hands in its counts. A server that
+/// rejects a request does so within less.
+pub const HAND_IN_DELAY: Duration = Duration::from_millis(250);
+
+/// The hand-ins of the instances are spread over this time.
+pub const HAND_IN_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time before the turn of a candidate at which the instances hand in to it.
+pub const HAND_IN_LEAD: Duration = Duration::from_millis(1250);
+
+/// Time before a report is late at which a candidate records a window although few
+/// instances have handed in.
+const LAST_CHANCE: Duration = Duration::from_millis(1500);
+
+/// Delay before a report is sent again, and before the lease is claimed again for
+/// reports that were not delivered.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Time for which a holder that cannot deliver reports leaves the duty to others.
+pub const YIELD_PERIOD: Duration = Duration::from_secs(30);
+
+/// The reports without an acknowledgement that a record keeps.
+const MAX_PENDING_REPORTS: usize = 4;
+
+/// The closed windows whose counts are kept.
+const KEPT_WINDOWS: u64 = 4;
+
+/// The difference to the time of the fleet at which an instance corrects its own.
+const MAX_CLOCK_DIFFERENCE_MS: i64 = 500;
+
+/// The senders without which the fleet's time is not known.
+const MIN_CLOCK_SENDERS: usize = 3;
+
+/// The number of a window: window k begins k times its length after the Unix epoch.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct WindowNumber(pub u64);
+
+/// Milliseconds since the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UnixMillis(pub i64);
+
+/// What the settings say about usage reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTerms {
+    /// The length of a window.
+    pub window: Duration,
+    /// Time after the end of a window at which its report is late.
+    pub late: Duration,
+    /// The lease of the duty.
+    pub lease: LeaseTerms,
+    /// The longest time that one call to the receiver of reports takes.
+    pub call_timeout: Duration,
+}
+
+impl UsageTerms {
+    fn window_ms(&self) -> i64 {
+        i64::try_from(self.window.as_millis())
+            .unwrap_or(i64::MAX)
+            .max(1)
+    }
+
+    /// The window that contains a time.
+    #[must_use]
+    pub fn window_at(&self, time: UnixMillis) -> WindowNumber {
+        WindowNumber(u64::try_from(time.0 / self.window_ms()).unwrap_or(0))
+    }
+
+    /// The time since the end of a window; `None` if it has not ended.
+    #[must_use]
+    pub fn since_end(&self, window: WindowNumber, time: UnixMillis) -> Option<Duration> {
+        let number = i64::try_from(window.0).ok()?;
+        let end = number.checked_add(1)?.checked_mul(self.window_ms())?;
+        u64::try_from(time.0.checked_sub(end)?)
+            .ok()
+            .map(Duration::from_millis)
+    }
+
+    /// The time after the end of a window at which a candidate records it.
+    #[must_use]
+    pub fn turn(&self, rank: usize) -> Duration {
+        RECORD_DEADLINE + TURN_INTERVAL * u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+}
+
+/// The requests of each team.
+pub type TeamCounts = BTreeMap<TeamName, u64>;
+
+/// The usage of one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// The window.
+    pub window: WindowNumber,
+    /// The requests of each team that began to run in it.
+    pub counts: TeamCounts,
+}
+
+/// What the duty's row keeps.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageRecord {
+    /// The last window that was recorded. No earlier one is recorded any more.
+    pub last: Option<WindowNumber>,
+    /// The number of instances that handed in counts of the last window.
+    pub reporters: usize,
+    /// The reports without a known acknowledgement.
+    pub pending: Vec<UsageReport>,
+}
+
+/// The row of usage reports.
+pub type UsageRow = DutyRow<UsageRecord>;
+
+/// The time of day, as the time since the start of the process. Steps of the time of day
+/// have no effect.
+#[derive(Debug, Clone, Copy)]
+pub struct SteadyTime {
+    start: Instant,
+    start_ms: i64,
+}
+
+impl SteadyTime {
+    /// Creates a clock from the time of day at `now`.
+    #[must_use]
+    pub fn new(now: Instant, time: UnixMillis) -> Self {
+        Self {
+            start: now,
+            start_ms: time.0,
+        }
+    }
+
+    /// The time of day at `now`.
+    #[must_use]
+    pub fn at(&self, now: Instant) -> UnixMillis {
+        let since = now.saturating_duration_since(self.start).as_millis();
+        UnixMillis(
+            self.start_ms
+                .saturating_add(i64::try_from(since).unwrap_or(i64::MAX)),
+        )
+    }
+
+    /// Takes over the fleet's time if the difference is large. Returns the correction.
+    pub fn correct(&mut self, fleet: UnixMillis, now: Instant) -> Option<i64> {
+        let difference = fleet.0.saturating_sub(self.at(now).0);
+        if difference.abs() <= MAX_CLOCK_DIFFERENCE_MS {
+            return None;
+        }
+        self.start_ms = self.start_ms.saturating_add(difference);
+        Some(difference)
+    }
+}
+
+/// What this instance sent to servers, by window and team.
+#[derive(Debug, Default)]
+pub struct UsageCounter {
+    windows: BTreeMap<WindowNumber, TeamCounts>,
+}
+
+impl UsageCounter {
+    /// Counts a request that is sent to a server.
+    pub fn record_sent(&mut self, window: WindowNumber, team: &TeamName) {
+        let counts = self.windows.entry(window).or_default();
+        match counts.get_mut(team) {
+            Some(count) => *count += 1,
+            None => drop(counts.insert(team.clone(), 1)),
+        }
+    }
+
+    /// Takes back a request that did not run.
+    pub fn record_not_run(&mut self, window: WindowNumber, team: &TeamName) {
+        if let Some(count) = self
+            .windows
+            .get_mut(&window)
+            .and_then(|counts| counts.get_mut(team))
+        {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// The counts of a window, without teams that sent nothing.
+    #[must_use]
+    pub fn counts(&self, window: WindowNumber) -> TeamCounts {
+        let counts = self.windows.get(&window).into_iter().flatten();
+        counts
+            .filter(|(_, count)| **count > 0)
+            .map(|(team, count)| (team.clone(), *count))
+            .collect()
+    }
+
+    /// Drops windows that are no longer reported.
+    pub fn expire(&mut self, current: WindowNumber) {
+        let first = WindowNumber(current.0.saturating_sub(KEPT_WINDOWS));
+        self.windows = self.windows.split_off(&first);
+    }
+}
+
+/// One part of the counts that an instance hands in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandIn {
+    /// The process whose counts these are.
+    pub writer: DutyWriter,
+    /// The window.
+    pub window: WindowNumber,
+    /// The number of this part, from zero.
+    pub part: u16,
+    /// The number of parts.
+    pub parts: u16,
+    /// The sender's time when it sent the part.
+    pub sent_at: UnixMillis,
+    /// The counts of this part.
+    pub counts: TeamCounts,
+}
+
+#[derive(Debug, Default)]
+struct WindowTotal {
+    counts: TeamCounts,
+    /// The parts that arrived, by process.
+    parts: BTreeMap<(InstanceName, i64), BTreeSet<u16>>,
+    complete: BTreeSet<InstanceName>,
+}
+
+/// The counts that instances handed in.
+#[derive(Debug, Default)]
+pub struct UsageCollector {
+    windows: BTreeMap<WindowNumber, WindowTotal>,
+    /// The difference of each sender's time to this instance's, in milliseconds.
+    clock_differences: BTreeMap<InstanceName, i64>,
+}
+
+impl UsageCollector {
+    /// Adds a part; one that is known has no effect.
+    pub fn add(&mut self, part: &HandIn) {
+        let total = self.windows.entry(part.window).or_default();
+        let writer = (part.writer.name.clone(), part.writer.start);
+        let arrived = total.parts.entry(writer).or_default();
+        if !arrived.insert(part.part) {
+            return;
+        }
+        if arrived.len() >= usize::from(part.parts) {
+            total.complete.insert(part.writer.name.clone());
+        }
+        for (team, count) in &part.counts {
+            let sum = total.counts.entry(team.clone()).or_insert(0);
+            *sum = sum.saturating_add(*count);
+        }
+    }
+
+    /// Records the time of a sender when its message arrived.
+    pub fn record_clock(&mut self, name: &InstanceName, sent_at: UnixMillis, now: UnixMillis) {
+        let difference = sent_at.0.saturating_sub(now.0);
+        self.clock_differences.insert(name.clone(), difference);
+    }
+
+    /// The fleet's time: the median of the senders' times and this instance's.
+    #[must_use]
+    pub fn fleet_time(&self, now: UnixMillis) -> Option<UnixMillis> {
+        if self.clock_differences.len() < MIN_CLOCK_SENDERS {
+            return None;
+        }
+        let mut differences: Vec<i64> = self.clock_differences.values().copied().collect();
+        differences.push(0);
+        differences.sort_unstable();
+        let median = differences[differences.len() / 2];
+        Some(UnixMillis(now.0.saturating_add(median)))
+    }
+
+    /// Forgets the senders' times, after this instance's own was corrected.
+    pub fn forget_clocks(&mut self) {
+        self.clock_differences.clear();
+    }
+
+    /// The number of instances whose counts of a window are complete.
+    #[must_use]
+    pub fn reporters(&self, window: WindowNumber) -> usize {
+        let total = self.windows.get(&window);
+        total.map_or(0, |total| total.complete.len())
+    }
+
+    /// Whether all of these instances have handed in a window.
+    pub fn has_all<'a>(
+        &self,
+        window: WindowNumber,
+        mut names: impl Iterator<Item = &'a InstanceName>,
+    ) -> bool {
+        self.windows
+            .get(&window)
+            .is_some_and(|total| names.all(|name| total.complete.contains(name)))
+    }
+
+    fn report(&self, window: WindowNumber) -> Option<UsageReport> {
+        let counts = self.windows.get(&window)?.counts.clone();
+        Some(UsageReport { window, counts })
+    }
+
+    /// Drops windows that are no longer reported, and those too far ahead.
+    pub fn expire(&mut self, current: WindowNumber) {
+        let first = WindowNumber(current.0.saturating_sub(KEPT_WINDOWS));
+        let last = WindowNumber(current.0.saturating_add(KEPT_WINDOWS));
+        self.windows = self.windows.split_off(&first);
+        self.windows.retain(|window, _| *window <= last);
+    }
+}
+
+/// What the holder tells the other instances in its digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderSection {
+    /// The row that the holder wrote.
+    pub position: RowPosition,
+    /// The fence of that write.
+    pub fence: Fence,
+    /// The last window recorded.
+    pub last: Option<WindowNumber>,
+    /// Whether the holder cannot deliver reports and leaves the duty to others.
+    pub yields: bool,
+}
+
+/// The instances that may take the duty, first the one whose turn comes first: the holder
+/// unless it yields, the others by name, and last a holder that yields.
+#[must_use]
+pub fn candidates<'a>(
+    instances: impl Iterator<Item = (&'a InstanceName, InstanceState)>,
+    holder: Option<(&InstanceName, bool)>,
+) -> Vec<InstanceName> {
+    let mut ranked: Vec<(u8, &InstanceName)> = instances
+        .filter(|(_, state)| *state != InstanceState::Leaving)
+        .map(|(name, state)| {
+            let rank = match holder {
+                Some((holder, yields)) if holder == name => {
+                    if yields {
+                        4
+                    } else {
+                        0
+                    }
+                }
+                _ if state == InstanceState::Ready => 1,
+                _ => 2,
+            };
+            (rank, name)
+        })
+        .collect();
+    ranked.sort_unstable();
+    let first = ranked.into_iter().take(MAX_TURNS);
+    first.map(|(_, name)| name.clone()).collect()
+}
+
+/// The result of sending a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeliveryOutcome {
+    /// The receiver has the report.
+    Accepted,
+    /// The receiver will never accept it.
+    Refused,
+    /// It has to be sent again; it may have arrived.
+    Unknown,
+}
+
+/// What the instance does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UsageStep {
+    /// Nothing for now.
+    Idle,
+    /// Read the row.
+    Read,
+    /// Write the row under the condition that it has the expected version.
+    Write {
+        /// The expected version; zero if the row must not exist.
+        expected: u64,
+        /// The row.
+        row: UsageRow,
+    },
+    /// Send a report. The call must end before the lease does.
+    Send {
+        /// The lease.
+        grant: LeaseGrant,
+        /// The report.
+        report: UsageReport,
+    },
+}
+
+/// What an instance knows of the fleet when it decides on its next step.
+#[derive(Debug, Clone, Copy)]
+pub struct UsageView<'a> {
+    /// The time of day.
+    pub time: UnixMillis,
+    /// The place of this instance among the candidates.
+    pub rank: Option<usize>,
+    /// The live instances, this one included.
+    pub live: &'a [InstanceName],
+}
+
+/// The duty of reporting usage, as one instance performs it or waits for it.
+#[derive(Debug)]
+pub struct UsageDuty {
+    own: DutyWriter,
+    terms: UsageTerms,
+    lease: DutyLease,
+    /// The record at the position that the lease knows, if it was read or written.
+    record: UsageRecord,
+    /// The record of the write that is in progress or unconfirmed.
+    written: Option<UsageRecord>,
+    /// The reports of the record that the receiver accepted or refused for good.
+    delivered: BTreeSet<WindowNumber>,
+    /// The last window that this instance recorded, read or heard of.
+    last_known: Option<WindowNumber>,
+    retry_at: Option<Instant>,
+    has_failed_since_delivery: bool,
+    yields_until: Option<Instant>,
+}
+
+impl UsageDuty {
+    /// Creates the duty of an instance that knows nothing of the row.
+    #[must_use]
+    pub fn new(own: DutyWriter, terms: UsageTerms) -> Self {
+        Self {
+            lease: DutyLease::new(own.clone(), terms.lease),
+            own,
+            terms,
+            record: UsageRecord::default(),
+            written: None,
+            delivered: BTreeSet::new(),
+            last_known: None,
+            retry_at: None,
+            has_failed_since_delivery: false,
+            yields_until: None,
+        }
+    }
+
+    /// The last window that is known to be recorded. Earlier ones are not recorded any
+    /// more.
+    #[must_use]
+    pub fn last_known(&self) -> Option<WindowNumber> {
+        self.last_known
+    }
+
+    /// Whether the counts of a window are still wanted.
+    #[must_use]
+    pub fn is_open(&self, window: WindowNumber) -> bool {
+        self.last_known.is_none_or(|last| window > last)
+    }
+
+    /// The reports that wait for their delivery.
+    #[must_use]
+    pub fn pending_reports(&self) -> usize {
+        self.pending().count()
+    }
+
+    fn pending(&self) -> impl Iterator<Item = &UsageReport> {
+        let reports = self.record.pending.iter();
+        reports.filter(|report| !self.delivered.contains(&report.window))
+    }
+
+    /// What the digest says while this instance wrote the row last.
+    #[must_use]
+    pub fn section(&self, now: Instant) -> Option<HolderSection> {
+        let (position, fence) = self.lease.own_row()?;
+        Some(HolderSection {
+            position,
+            fence,
+            last: self.last_known,
+            yields: self.yields(now),
+        })
+    }
+
+    /// Whether this instance leaves the duty to others because it cannot deliver.
+    #[must_use]
+    pub fn yields(&self, now: Instant) -> bool {
+        self.yields_until.is_some_and(|until| now < until)
+    }
+
+    /// The lease, if this instance holds it now.
+    #[must_use]
+    pub fn grant(&self, now: Instant) -> Option<LeaseGrant> {
+        self.lease.grant(now)
+    }
+
+    /// Records what the holder says in its digest.
+    pub fn record_heard(&mut self, section: &HolderSection, now: Instant) {
+        self.lease
+            .record_heard(section.position, section.fence, now);
+        self.last_known = self.last_known.max(section.last);
+    }
+
+    /// Records a read of the row.
+    pub fn record_read(&mut self, position: RowPosition, row: Option<UsageRow>, now: Instant) {
+        let writer = row.as_ref().map(|row| (&row.writer, row.fence));
+        self.lease.record_read(position, writer, now);
+        let record = row.map(|row| row.record).unwrap_or_default();
+        self.set_record(record);
+    }
+
+    fn set_record(&mut self, record: UsageRecord) {
+        self.last_known = self.last_known.max(record.last);
+        let windows: BTreeSet<WindowNumber> =
+            record.pending.iter().map(|report| report.window).collect();
+        self.delivered.retain(|window| windows.contains(window));
+        self.record = record;
+    }
+
+    /// Records the result of a write.
+    pub fn record_write(&mut self, fence: Fence, outcome: WriteOutcome, now: Instant) {
+        self.lease.record_write(fence, outcome, now);
+        let written = self.written.take();
+        if let (WriteOutcome::Written(_), Some(record)) = (outcome, written) {
+            self.set_record(record);
+        }
+        self.retry_at = match outcome {
+            WriteOutcome::Written(_) | WriteOutcome::Conflict => None,
+            WriteOutcome::NotWritten | WriteOutcome::Unknown => Some(now + REPORT_RETRY_DELAY),
+        };
+    }
+
+    /// Delays the next step after a read that failed.
+    pub fn record_read_failed(&mut self, now: Instant) {
+        self.retry_at = Some(now + REPORT_RETRY_DELAY);
+    }
+
+    /// Records the result of sending a report.
+    pub fn record_delivery(
+        &mut self,
+        window: WindowNumber,
+        outcome: DeliveryOutcome,
+        now: Instant,
+    ) {
+        match outcome {
+            DeliveryOutcome::Accepted | DeliveryOutcome::Refused => {
+                self.delivered.insert(window);
+                self.has_failed_since_delivery = false;
+                self.yields_until = None;
+            }
+            DeliveryOutcome::Unknown => {
+                self.has_failed_since_delivery = true;
+                self.retry_at = Some(now + REPORT_RETRY_DELAY);
+            }
+        }
+    }
+
+    /// Decides on the next step. A write counts as started at `now`, by a clock that
+    /// counts suspension.
+    pub fn next_step(
+        &mut self,
+        view: &UsageView<'_>,
+        collector: &UsageCollector,
+        now: Instant,
+    ) -> UsageStep {
+        if self.retry_at.is_some_and(|at| now < at) {
+            return UsageStep::Idle;
+        }
+        if let Some(grant) = self.lease.grant(now)
+            && let Some(report) = self.pending().next()
+            && now + self.terms.call_timeout <= grant.until
+        {
+            let report = report.clone();
+            return UsageStep::Send { grant, report };
+        }
+        if !self.wants_lease(view, collector, now) {
+            return UsageStep::Idle;
+        }
+        // A table that was restored from an older copy may have lost later fences. Writes
+        // are further apart than the unit of the floor.
+        let floor = Fence(u64::try_from(view.time.0 / 1000).unwrap_or(0));
+        match self.lease.begin_claim(floor, now) {
+            ClaimStep::Wait(_) => UsageStep::Idle,
+            ClaimStep::Read => UsageStep::Read,
+            ClaimStep::Write { fence, expected } => {
+                let record = self.next_record(view, collector);
+                self.written = Some(record.clone());
+                UsageStep::Write {
+                    expected,
+                    row: UsageRow {
+                        writer: self.own.clone(),
+                        fence,
+                        record,
+                    },
+                }
+            }
+        }
+    }
+
+    fn wants_lease(
+        &mut self,
+        view: &UsageView<'_>,
+        collector: &UsageCollector,
+        now: Instant,
+    ) -> bool {
+        let Some(rank) = view.rank else {
+            return false;
+        };
+        if self.lease.grant(now).is_some() {
+            return self.has_due_window(rank, view, collector);
+        }
+        if self.lease.own_row().is_some() && self.pending().next().is_some() {
+            // The lease ended before all reports were delivered.
+            if self.has_failed_since_delivery && !self.yields(now) {
+                self.yields_until = Some(now + YIELD_PERIOD);
+            }
+            if !self.yields(now) || rank == 0 {
+                return self.has_timely_report(view);
+            }
+        }
+        self.has_due_window(rank, view, collector)
+    }
+
+    /// Whether a report that was not delivered is not yet useless.
+    fn has_timely_report(&self, view: &UsageView<'_>) -> bool {
+        self.pending()
+            .any(|report| !self.is_useless(report.window, view.time))
+    }
+
+    fn is_useless(&self, window: WindowNumber, time: UnixMillis) -> bool {
+        self.terms
+            .since_end(window, time)
+            .is_some_and(|since| since > self.terms.late * 2)
+    }
+
+    /// The closed windows that are not recorded and whose report is not yet late.
+    fn due_windows(&self, time: UnixMillis) -> impl Iterator<Item = WindowNumber> {
+        let current = self.terms.window_at(time).0;
+        (current.saturating_sub(KEPT_WINDOWS)..current)
+            .map(WindowNumber)
+            .filter(move |window| self.is_open(*window))
+            .filter(move |window| {
+                let since = self.terms.since_end(*window, time);
+                since.is_some_and(|since| since < self.terms.late)
+            })
+    }
+
+    fn has_due_window(
+        &self,
+        rank: usize,
+        view: &UsageView<'_>,
+        collector: &UsageCollector,
+    ) -> bool {
+        self.due_windows(view.time).any(|window| {
+            let Some(since) = self.terms.since_end(window, view.time) else {
+                return false;
+            };
+            let reporters = collector.reporters(window);
+            if reporters == 0 {
+                return false;
+            }
+            // Few hand-ins: this instance may be cut off from the others.
+            if reporters * 2 < self.record.reporters {
+                return since + LAST_CHANCE >= self.terms.late;
+            }
+            since >= self.terms.turn(rank)
+                || (rank == 0 && collector.has_all(window, view.live.iter()))
+        })
+    }
+
+    fn next_record(&self, view: &UsageView<'_>, collector: &UsageCollector) -> UsageRecord {
+        let mut pending: Vec<UsageReport> = self
+            .pending()
+            .filter(|report| !self.is_useless(report.window, view.time))
+            .cloned()
+            .collect();
+        let mut last = self.last_known;
+        let mut reporters = self.record.reporters;
+        for window in self.due_windows(view.time) {
+            let Some(report) = collector.report(window) else {
+                continue;
+            };
+            // A later window may still receive the counts of most instances.
+            let is_closed = self
+                .terms
+                .since_end(window, view.time)
+                .is_some_and(|since| since >= RECORD_DEADLINE)
+                || collector.has_all(window, view.live.iter());
+            if is_closed {
+                pending.push(report);
+                last = last.max(Some(window));
+                reporters = collector.reporters(window);
+            }
+        }
+        let excess = pending.len().saturating_sub(MAX_PENDING_REPORTS);
+        UsageRecord {
+            last,
+            reporters,
+            pending: pending.split_off(excess),
+        }
+    }
+}
