Usage reports by the holder of a duty whose lease is a row of the table

Each instance counts what it sends to servers by team and window, hands the counts of a closed window in to the holder, and the holder records them in its row before it sends the report. On only where the settings name the duty. Not yet measured.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -103,7 +103,7 @@
                     TableKind::Orders => Duration::ZERO,
                     TableKind::Servers => SERVERS_READ_INTERVAL,
                     TableKind::Records => RECORDS_READ_INTERVAL,
-                    TableKind::Instances => INSTANCES_READ_INTERVAL,
+                    TableKind::Instances | TableKind::Duties => INSTANCES_READ_INTERVAL,
                 },
                 ReadSource::Relay => RELAY_READ_INTERVAL,
                 ReadSource::Peer | ReadSource::Unavailable => READ_RETRY_DELAY,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::placement::{ServerView, expected_latency};
 use tarragonpulley_policy::entry::send_gate::SendDecision;
+use tarragonpulley_policy::entry::usage::WindowNumber;
 
 use super::asked::MISDIRECTED;
 use super::place::PlacedServer;
@@ -68,6 +69,8 @@
     expected: Duration,
     started: Instant,
     completed: Cell<bool>,
+    /// The window in which the request was counted as sent.
+    usage_window: Cell<Option<WindowNumber>>,
 }
 
 impl<'a> ServerAttempt<'a> {
@@ -92,6 +95,7 @@
             expected: expected + TRANSPORT_OVERHEAD,
             started: instance.now(),
             completed: Cell::new(true),
+            usage_window: Cell::new(None),
         }
     }
 
@@ -198,17 +202,32 @@
         let method = self.forward.request.head.method.as_str();
         exchange_started.set(true);
         self.completed.set(false);
+        self.usage_window.set(
+            self.instance
+                .record_usage_sent(self.forward.team.as_deref()),
+        );
         let budget = &self.instance.response_budget;
         let result = connection
             .exchange(method, request, id, progress, budget)
             .await;
         self.completed.set(true);
+        if !progress.sent.get() {
+            self.take_back_usage();
+        }
         if result.is_ok() {
             self.server().return_connection(connection);
         }
         result
     }
 
+    /// Takes back the count of a request that did not run.
+    fn take_back_usage(&self) {
+        if let Some(window) = self.usage_window.take() {
+            let team = self.forward.team.as_deref();
+            self.instance.record_usage_not_run(team, window);
+        }
+    }
+
     async fn connect_unless_pooled(
         &self,
         pooled: Option<ServerConnection>,
@@ -320,6 +339,9 @@
             server.health.borrow_mut().record_reported_load(load, now);
         }
         let asks_for_pause = self.record_asked(&response, now);
+        if status == MISDIRECTED || response.head.text(names.not_run).is_some() {
+            self.take_back_usage();
+        }
         if status == MISDIRECTED {
             server.health.borrow_mut().mark_replaced();
             server.close_idle_connections();
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -19,6 +19,7 @@
 use tarragonpulley_policy::entry::reach::ReachTracker;
 use tarragonpulley_policy::entry::split::RouteSplitter;
 use tarragonpulley_policy::entry::stopping::StopSchedule;
+use tarragonpulley_policy::entry::usage::UsageTerms;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
 
@@ -34,6 +35,7 @@
 use crate::servers::ServerSet;
 use crate::table::{TableBatch, TableEra, TableKind, TableService};
 use crate::team_limits::TeamLimits;
+use crate::usage::UsageReporting;
 
 /// Settings of an instance.
 #[derive(Debug, Clone)]
@@ -50,6 +52,8 @@
     pub retries: RetryBound,
     /// The limit on requests to cold servers.
     pub cold: ColdBound,
+    /// The reports of usage, if the settings ask for them.
+    pub usage: Option<UsageTerms>,
     /// Time from the termination signal until the process is killed.
     pub shutdown_timeout: Duration,
     /// The memory for responses of backend servers, in bytes. Not changed by a
@@ -110,6 +114,8 @@
     /// The socket for datagrams to other instances, once bound.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     unreadable_rows: RefCell<BTreeMap<(TableKind, String), u64>>,
+    /// The usage reports, if the settings ask for them.
+    pub(crate) usage: OnceCell<UsageReporting>,
 }
 
 /// What this instance believes of the fleet because of others' digests.
@@ -172,6 +178,7 @@
             logged_view: RefCell::default(),
             socket: OnceCell::new(),
             unreadable_rows: RefCell::default(),
+            usage: OnceCell::new(),
         }
     }
 
@@ -281,6 +288,8 @@
                 TableKind::Servers => self.apply_server(key, now),
                 TableKind::Records => self.apply_record(key),
                 TableKind::Instances => self.apply_instance(key),
+                // Duties are read when they are due, not followed.
+                TableKind::Duties => {}
             }
         }
         if table == TableKind::Servers {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod team_limits;
 #[cfg(test)]
 mod tests;
+mod usage;
 
 pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
@@ -37,5 +38,7 @@
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
 pub use service_client::{CallError, ServiceClient, ServiceResponse};
 pub use table::{
-    TableBatch, TableEra, TableEraError, TableError, TableKind, TableResult, TableRow, TableService,
+    TableBatch, TableEra, TableEraError, TableError, TableKind, TableResult, TableRow,
+    TableService, WrittenRow,
 };
+pub use usage::{DeliveryError, UsageReceiver};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,11 @@
     pub(crate) place: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReportLabel {
+    pub(crate) outcome: &'static str,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub(crate) struct InstanceMetrics {
@@ -45,6 +50,9 @@
     pub(crate) datagram_bytes: Counter,
     pub(crate) task_panics: Counter,
     pub(crate) response_bytes: Gauge,
+    pub(crate) usage_reports: Family<ReportLabel, Counter>,
+    pub(crate) usage_holder: Gauge,
+    pub(crate) usage_unrecorded_ms: Gauge,
 }
 
 impl InstanceMetrics {
@@ -70,6 +78,9 @@
             datagram_bytes: Counter::default(),
             task_panics: Counter::default(),
             response_bytes: Gauge::default(),
+            usage_reports: Family::default(),
+            usage_holder: Gauge::default(),
+            usage_unrecorded_ms: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -137,9 +148,29 @@
             "Memory for responses of servers that are received or passed on",
             metrics.response_bytes.clone(),
         );
+        metrics.register_usage();
         metrics
     }
 
+    fn register_usage(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "usage_reports",
+            "Usage reports sent, by outcome",
+            self.usage_reports.clone(),
+        );
+        registry.register(
+            "usage_holder",
+            "1 if this instance recorded the last window of usage",
+            self.usage_holder.clone(),
+        );
+        registry.register(
+            "usage_unrecorded_ms",
+            "Time since the end of the oldest window of usage that is not recorded",
+            self.usage_unrecorded_ms.clone(),
+        );
+    }
+
     /// All metrics in the text exposition format.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::mirror::TableMirror;
 use crate::table::{TableBatch, TableEra, TableKind};
 use crate::team_limits::{TokenRequest, TokenResponse};
+use crate::usage::UsageMessage;
 
 /// Time between two digests to the other instances of the data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -83,6 +84,8 @@
     /// Requests the digests that the receiver has of data centres which the sender
     /// does not hear.
     Missing(BTreeSet<CentreName>),
+    /// Counts of requests for the usage reports, or their acknowledgement.
+    Usage(UsageMessage),
 }
 
 /// The fields of a digest that were added after its first encoding. They follow the
@@ -192,7 +195,6 @@
 }
 
 /// Decodes a section of a digest. `None` if the digest has no such section.
-#[cfg_attr(not(test), expect(dead_code, reason = "no feature has a section yet"))]
 pub(crate) fn decode_section<T: DeserializeOwned>(
     digest: &InstanceDigest,
     tag: SectionTag,
@@ -429,10 +431,19 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
-            sections: BTreeMap::new(),
+            sections: self.digest_sections(),
         }
     }
 
+    /// The sections of the features that are in use.
+    fn digest_sections(&self) -> BTreeMap<SectionTag, Vec<u8>> {
+        let mut sections = BTreeMap::new();
+        if let Some(bytes) = self.encode_usage_section() {
+            sections.insert(SectionTag::DUTIES, bytes);
+        }
+        sections
+    }
+
     /// Sends digests periodically and on request until the process ends.
     pub(crate) async fn send_digests(self: Rc<Self>) {
         loop {
@@ -557,6 +568,9 @@
                     self.send_all(&[sender], &self.datagrams(true, &digests))
                         .await;
                 }
+                Ok(PeerMessage::Usage(message)) => {
+                    self.receive_usage_message(message, sender).await;
+                }
                 Err(error) => self.log_ignored_datagram(sender, &error),
             }
         }
--- a/crates/edge/src/row_rules.rs
+++ b/crates/edge/src/row_rules.rs
@@ -58,7 +58,7 @@
                 Some(order(new)?.cmp(&order(known)?))
             }
             TableKind::Records => self.compare_records(key, new, known),
-            TableKind::Instances => None,
+            TableKind::Instances | TableKind::Duties => None,
         }
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -19,7 +19,8 @@
 use crate::instance::{Instance, InstanceOptions};
 use crate::listeners::{CallerHandler, ManagementHandler};
 use crate::supervise::supervise;
-use crate::table::{TableEra, TableKind, TableService};
+use crate::table::{TableEra, TableKind, TableService, WrittenRow};
+use crate::usage::{UsageReceiver, UsageReporting};
 
 /// Time from the termination signal until idle connections are closed and no
 /// new ones are accepted. Callers learn within one and a half TTLs of a lookup
@@ -71,6 +72,8 @@
     pub options: InstanceOptions,
     /// Reads changed settings.
     pub reload: SettingsReload,
+    /// Receives the usage reports, if the settings ask for them.
+    pub usage_receiver: Option<Rc<dyn UsageReceiver>>,
 }
 
 impl std::fmt::Debug for InstanceParts {
@@ -96,6 +99,7 @@
         listen,
         options,
         reload,
+        usage_receiver,
     } = parts;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
@@ -109,6 +113,9 @@
         log,
         crash_suspects,
     ));
+    if let Some(receiver) = usage_receiver {
+        UsageReporting::start(&instance, receiver);
+    }
     let crash_receiver = Rc::new(Mutex::new(crash_receiver));
     supervise(&instance, "crash probes", move |instance| {
         instance.probe_crash_suspects(Rc::clone(&crash_receiver))
@@ -214,6 +221,7 @@
     while shutdown.receiver_count() > 1 && instance.now() < schedule.ends_at() {
         actix_rt::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
+    instance.hand_in_last_usage().await;
     instance.log.event(
         "stopped",
         json!({"connections_left": shutdown.receiver_count().saturating_sub(1)}),
@@ -265,7 +273,7 @@
                 )
                 .await;
             match written {
-                Ok(era) => {
+                Ok(WrittenRow { era, .. }) => {
                     self.log
                         .event("registered", json!({"start": record.start, "era": era}));
                     return era;
--- a/crates/edge/src/service_client.rs
+++ b/crates/edge/src/service_client.rs
@@ -83,7 +83,25 @@
         body: Option<&[u8]>,
         timeout: Duration,
     ) -> Result<ServiceResponse, CallError> {
-        match tokio::time::timeout(timeout, self.exchange(method, target, body)).await {
+        self.call_with_fields(method, target, &[], body, timeout)
+            .await
+    }
+
+    /// Makes one call with additional header fields, as [`Self::call`] does.
+    ///
+    /// # Errors
+    ///
+    /// If there is no complete response; the call may have been performed.
+    pub async fn call_with_fields(
+        &self,
+        method: &str,
+        target: &str,
+        fields: &[(&str, &str)],
+        body: Option<&[u8]>,
+        timeout: Duration,
+    ) -> Result<ServiceResponse, CallError> {
+        let exchange = self.exchange(method, target, fields, body);
+        match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result.map_err(|error| CallError::Connection(error.to_string())),
             Err(_elapsed) => {
                 // The other connections may have failed as well.
@@ -97,8 +115,12 @@
         &self,
         method: &str,
         target: &str,
+        fields: &[(&str, &str)],
         body: Option<&[u8]>,
     ) -> Result<ServiceResponse, ExchangeError> {
+        let more_fields = fields.iter().fold(String::new(), |text, (name, value)| {
+            text + name + ": " + value + "\r\n"
+        });
         let body_fields = body.map_or_else(String::new, |body| {
             format!(
                 "Content-Type: application/json\r\nContent-Length: {}\r\n",
@@ -106,7 +128,7 @@
             )
         });
         let head = format!(
-            "{method} {target} HTTP/1.1\r\nHost: {}\r\n{body_fields}\r\n",
+            "{method} {target} HTTP/1.1\r\nHost: {}\r\n{more_fields}{body_fields}\r\n",
             self.address
         );
         let mut bytes = head.into_bytes();
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -18,6 +18,8 @@
     Records,
     /// Written by the instances: their addresses and locations.
     Instances,
+    /// Written by the instances: the duties that one of them performs at a time.
+    Duties,
 }
 
 /// A row, or the tombstone of a removed row.
@@ -44,6 +46,13 @@
     pub text: String,
 }
 
+impl TableEra {
+    /// The number of restores.
+    pub(crate) fn number(self) -> u64 {
+        self.0
+    }
+}
+
 impl FromStr for TableEra {
     type Err = TableEraError;
 
@@ -114,6 +123,15 @@
     },
 }
 
+/// A row that was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WrittenRow {
+    /// The era in which it was written.
+    pub era: Option<TableEra>,
+    /// Its version; `None` if the service did not say.
+    pub version: Option<u64>,
+}
+
 /// The result of a table call.
 pub type TableResult<'a, T> = LocalBoxFuture<'a, Result<T, TableError>>;
 
@@ -126,12 +144,12 @@
     fn changes(&self, table: TableKind, after: u64, wait: Duration) -> TableResult<'_, TableBatch>;
 
     /// Writes a row. With `expected`, only if the row has that version; zero
-    /// means that it does not exist. Returns the era in which it was written.
+    /// means that it does not exist.
     fn write(
         &self,
         table: TableKind,
         key: &str,
         value: Vec<u8>,
         expected: Option<u64>,
-    ) -> TableResult<'_, Option<TableEra>>;
+    ) -> TableResult<'_, WrittenRow>;
 }
