--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -523,7 +523,11 @@
                 let writer = row.as_ref().map(|row| row.writer.name.to_string());
                 let fence = row.as_ref().map(|row| row.fence.0);
                 let last = row.as_ref().and_then(|row| row.record.last);
-                usage.duty.borrow_mut().record_read(position, row, now);
+                let time = usage.time(now);
+                usage
+                    .duty
+                    .borrow_mut()
+                    .record_read(position, row, time, now);
                 self.log.event(
                     "usage_row_read",
                     json!({"row_version": position.version, "holder": writer, "fence": fence,
--- a/crates/policy/src/entry/usage.rs
+++ b/crates/policy/src/entry/usage.rs
@@ -432,6 +432,8 @@
     delivered: BTreeSet<WindowNumber>,
     /// The last window that this instance recorded, read or heard of.
     last_known: Option<WindowNumber>,
+    /// The era in which the row was last read, written or heard of.
+    era: Option<u64>,
     retry_at: Option<Instant>,
     has_failed_since_delivery: bool,
     yields_until: Option<Instant>,
@@ -449,6 +451,7 @@
             written: None,
             delivered: BTreeSet::new(),
             last_known: None,
+            era: None,
             retry_at: None,
             has_failed_since_delivery: false,
             yields_until: None,
@@ -508,16 +511,34 @@
         self.lease
             .record_heard(section.position, section.fence, now);
         self.last_known = self.last_known.max(section.last);
+        self.era = self.era.max(section.position.era);
     }
 
-    /// Records a read of the row.
-    pub fn record_read(&mut self, position: RowPosition, row: Option<UsageRow>, now: Instant) {
+    /// Records a read of the row at a time of day.
+    pub fn record_read(
+        &mut self,
+        position: RowPosition,
+        row: Option<UsageRow>,
+        time: UnixMillis,
+        now: Instant,
+    ) {
+        self.record_era(position, time);
         let writer = row.as_ref().map(|row| (&row.writer, row.fence));
         self.lease.record_read(position, writer, now);
         let record = row.map(|row| row.record).unwrap_or_default();
         self.set_record(record);
     }
 
+    /// After a restore of the table, records of the windows until now may be lost whose
+    /// reports were sent. These windows are not recorded any more.
+    fn record_era(&mut self, position: RowPosition, time: UnixMillis) {
+        if position.era > self.era {
+            self.era = position.era;
+            let current = self.terms.window_at(time);
+            self.last_known = self.last_known.max(Some(current));
+        }
+    }
+
     fn set_record(&mut self, record: UsageRecord) {
         self.last_known = self.last_known.max(record.last);
         let windows: BTreeSet<WindowNumber> =
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod canary;
 mod crashes;
+mod duty;
 mod fleet_limits;
 mod fleet_simulation;
 mod instances;
@@ -16,6 +17,8 @@
 mod servers;
 mod simulation;
 mod stopping;
+mod usage;
+mod usage_simulation;
 
 use std::time::{Duration, Instant};
 
