--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::config::TeamRule;
-use tarragonpulley_policy::entry::digest::SectionTag;
+use tarragonpulley_policy::entry::digest::{STARTUP_PERIOD, SectionTag};
 use tarragonpulley_policy::entry::duty::{
     DutyWriter, Fence, LeaseGrant, RowPosition, WriteOutcome,
 };
@@ -475,6 +475,8 @@
         let Some(usage) = self.usage.get() else {
             return;
         };
+        // Until the others are heard, each instance takes itself for the first candidate.
+        actix_rt::time::sleep(STARTUP_PERIOD).await;
         loop {
             let step = self.next_usage_step(usage);
             let is_idle = step == UsageStep::Idle;
--- a/crates/policy/src/entry/usage.rs
+++ b/crates/policy/src/entry/usage.rs
@@ -464,6 +464,7 @@
     last_known: Option<WindowNumber>,
     /// The era in which the row was last read, written or heard of.
     era: Option<u64>,
+    has_read: bool,
     retry_at: Option<Instant>,
     has_failed_since_delivery: bool,
     yields_until: Option<Instant>,
@@ -483,6 +484,7 @@
             sent: BTreeMap::new(),
             last_known: None,
             era: None,
+            has_read: false,
             retry_at: None,
             has_failed_since_delivery: false,
             yields_until: None,
@@ -574,7 +576,8 @@
         time: UnixMillis,
         now: Instant,
     ) {
-        self.record_era(position, time);
+        let row_era = row.as_ref().map(|row| row.record.era);
+        self.record_era(position, row_era, time);
         let writer = row.as_ref().map(|row| (&row.writer, row.fence));
         self.lease.record_read(position, writer, now);
         let record = row.map(|row| row.record).unwrap_or_default();
@@ -583,9 +586,19 @@
 
     /// After a restore of the table, records of the windows until now may be lost whose
     /// reports were sent. These windows are not recorded any more.
-    fn record_era(&mut self, position: RowPosition, time: UnixMillis) {
-        if position.era > self.era {
-            self.era = position.era;
+    /// The writer of a row of this era has done the same.
+    fn record_era(
+        &mut self,
+        position: RowPosition,
+        row_era: Option<Option<u64>>,
+        time: UnixMillis,
+    ) {
+        self.has_read = true;
+        if position.era <= self.era {
+            return;
+        }
+        self.era = position.era;
+        if row_era != Some(position.era) {
             let current = self.terms.window_at(time);
             self.last_known = self.last_known.max(Some(current));
         }
@@ -662,6 +675,11 @@
             self.record_sent(report.window, report.hash());
             return UsageStep::Send { grant, report };
         }
+        // The first read tells the era, before there are windows to record.
+        let is_first_read = !self.has_read && self.era.is_none() && view.rank.is_some();
+        if is_first_read {
+            return UsageStep::Read;
+        }
         if !self.wants_lease(view, collector, now) {
             return UsageStep::Idle;
         }
