--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -53,10 +53,10 @@
     }
 
     /// The section of the digest with the report on this instance's link.
-    pub(crate) fn link_section(&self, now: Instant) -> Option<(SectionTag, Vec<u8>)> {
+    pub(crate) fn encode_link_section(&self, now: Instant) -> Option<Vec<u8>> {
         let report = self.own_link_report(now)?;
         match encode(&report) {
-            Ok(bytes) => Some((SectionTag::LINK, bytes)),
+            Ok(bytes) => Some(bytes),
             Err(error) => {
                 let reason = error.to_string();
                 self.log
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,7 @@
 use crate::mirror::TableMirror;
 use crate::table::{TableBatch, TableEra, TableKind};
 use crate::team_limits::{TokenRequest, TokenResponse};
+use crate::usage::UsageMessage;
 
 /// Time between two digests to the other instances of the data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -83,6 +84,8 @@
     /// Requests the digests that the receiver has of data centres which the sender
     /// does not hear.
     Missing(BTreeSet<CentreName>),
+    /// Counts of requests for the usage reports, or their acknowledgement.
+    Usage(UsageMessage),
 }
 
 /// The fields of a digest that were added after its first encoding. They follow the
@@ -428,10 +431,22 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
-            sections: self.link_section(now).into_iter().collect(),
+            sections: self.digest_sections(now),
         }
     }
 
+    /// The sections of the features that are in use.
+    fn digest_sections(&self, now: Instant) -> BTreeMap<SectionTag, Vec<u8>> {
+        let sections = [
+            (SectionTag::DUTIES, self.encode_usage_section()),
+            (SectionTag::LINK, self.encode_link_section(now)),
+        ];
+        sections
+            .into_iter()
+            .filter_map(|(tag, bytes)| Some((tag, bytes?)))
+            .collect()
+    }
+
     /// Sends digests periodically and on request until the process ends.
     pub(crate) async fn send_digests(self: Rc<Self>) {
         loop {
@@ -556,6 +571,9 @@
                     self.send_all(&[sender], &self.datagrams(true, &digests))
                         .await;
                 }
+                Ok(PeerMessage::Usage(message)) => {
+                    self.receive_usage_message(message, sender).await;
+                }
                 Err(error) => self.log_ignored_datagram(sender, &error),
             }
         }
