Shares of team limits cannot add up to more than one

Shares are now lent: the lender stops first, and uses a loan again only after the borrower's echo or the loan's expiry. An instance that is not the holder says so. Not measured yet.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -137,7 +137,12 @@
         let request_memory = options.request_memory_bytes;
         Self {
             peers: RefCell::new(peers),
-            limits: TeamLimits::new(options.quota),
+            limits: TeamLimits::new(
+                options.quota,
+                &options.record,
+                options.regions.len(),
+                proof_clock.instant(),
+            ),
             regions: RegionBalancer::default(),
             retry_budget: RefCell::new(RetryBudget::new(options.retries)),
             clock,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -45,6 +45,10 @@
     pub(crate) datagram_bytes: Counter,
     pub(crate) task_panics: Counter,
     pub(crate) response_bytes: Gauge,
+    pub(crate) tokens_refused: Counter,
+    pub(crate) quota_followers: Gauge,
+    pub(crate) loans_given: Gauge,
+    pub(crate) loans_received: Gauge,
 }
 
 impl InstanceMetrics {
@@ -70,6 +74,10 @@
             datagram_bytes: Counter::default(),
             task_panics: Counter::default(),
             response_bytes: Gauge::default(),
+            tokens_refused: Counter::default(),
+            quota_followers: Gauge::default(),
+            loans_given: Gauge::default(),
+            loans_received: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -137,6 +145,26 @@
             "Memory for responses of servers that are received or passed on",
             metrics.response_bytes.clone(),
         );
+        registry.register(
+            "tokens_refused",
+            "Token requests refused because this instance is not the quota holder",
+            metrics.tokens_refused.clone(),
+        );
+        registry.register(
+            "quota_followers",
+            "Instances of the data centre that follow this one as quota holder",
+            metrics.quota_followers.clone(),
+        );
+        registry.register(
+            "quota_loans_given",
+            "Parts of team limits lent to other data centres",
+            metrics.loans_given.clone(),
+        );
+        registry.register(
+            "quota_loans_received",
+            "Parts of team limits borrowed from other data centres",
+            metrics.loans_received.clone(),
+        );
         metrics
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -22,7 +22,7 @@
 use crate::instance::{FleetView, Instance};
 use crate::mirror::TableMirror;
 use crate::table::{TableBatch, TableEra, TableKind};
-use crate::team_limits::{TokenRequest, TokenResponse};
+use crate::team_limits::{TokenRequest, TokenResponse, abridge_shares};
 
 /// Time between two digests to the other instances of the data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -83,6 +83,9 @@
     /// Requests the digests that the receiver has of data centres which the sender
     /// does not hear.
     Missing(BTreeSet<CentreName>),
+    /// The response to the token request with this number if the receiver is not the
+    /// quota holder.
+    NotHolder(u64),
 }
 
 /// The fields of a digest that were added after its first encoding. They follow the
@@ -192,7 +195,6 @@
 }
 
 /// Decodes a section of a digest. `None` if the digest has no such section.
-#[cfg_attr(not(test), expect(dead_code, reason = "no feature has a section yet"))]
 pub(crate) fn decode_section<T: DeserializeOwned>(
     digest: &InstanceDigest,
     tag: SectionTag,
@@ -403,15 +405,16 @@
 
     fn build_digest(&self, sequence: u64) -> InstanceDigest {
         let now = self.now();
+        let demands = self.limits.centre_quota.borrow_mut().report(now);
+        let mut sections = BTreeMap::new();
+        if let Some(section) = self.share_section(sequence, &demands) {
+            sections.insert(SectionTag::QUOTA_SHARES, section);
+        }
         #[expect(
             clippy::cast_possible_truncation,
             reason = "rates of a few thousand at most"
         )]
-        let demands = self
-            .limits
-            .centre_quota
-            .borrow_mut()
-            .report(now)
+        let demands = demands
             .into_iter()
             .map(|(team, rate)| (team, rate as f32))
             .collect();
@@ -429,19 +432,25 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
-            sections: BTreeMap::new(),
+            sections,
         }
     }
 
+    /// The number of the next digest. Kept when the task that sends digests is started
+    /// again: receivers ignore digests with a number that they know.
+    fn next_digest_number(&self) -> u64 {
+        let number = self.digest_sequence.get() + 1;
+        self.digest_sequence.set(number);
+        number
+    }
+
     /// Sends digests periodically and on request until the process ends.
     pub(crate) async fn send_digests(self: Rc<Self>) {
+        let mut sequence: u64 = 0;
         loop {
-            // Kept when this task is started again: receivers ignore digests with
-            // a number that they know.
-            let sequence = self.digest_sequence.get() + 1;
-            self.digest_sequence.set(sequence);
+            sequence += 1;
             let now = self.now();
-            let own = self.datagrams(false, &[self.build_digest(sequence)]);
+            let own = self.datagrams(false, &[self.build_digest(self.next_digest_number())]);
             self.send_all(&self.centre_peer_addresses(), &own).await;
             let is_requested = tokio::select! {
                 () = self.digest_requested.notified() => true,
@@ -452,8 +461,9 @@
             // A leaving instance sends to the other data centres itself, as
             // its delegate may be shutting down too.
             if due && (self.peers.borrow().is_delegate(now) || self.leaving.get()) {
-                let mut digests = vec![self.build_digest(sequence)];
-                digests.extend(self.peers.borrow().centre_digests(now));
+                let mut digests = vec![self.build_digest(self.next_digest_number())];
+                let others = self.peers.borrow().centre_digests(now);
+                digests.extend(others.into_iter().map(abridge_shares));
                 let targets: Vec<SocketAddr> = self
                     .peers
                     .borrow()
@@ -540,17 +550,10 @@
                     self.receive_digest_bundle(relay, digests, sender).await;
                 }
                 Ok(PeerMessage::Ask(request)) => {
-                    let wait =
-                        self.acquire_centre_token(&request.team, request.rate, request.burst);
-                    self.send_message(
-                        sender,
-                        &PeerMessage::Grant(TokenResponse {
-                            id: request.id,
-                            wait,
-                        }),
-                    )
-                    .await;
+                    let response = self.token_response(&request);
+                    self.send_message(sender, &response).await;
                 }
+                Ok(PeerMessage::NotHolder(id)) => self.limits.refuse_request(id),
                 Ok(PeerMessage::Grant(response)) => self.limits.complete_request(response),
                 Ok(PeerMessage::Missing(centres)) => {
                     let digests = self.peers.borrow().digests_of(&centres, self.now());
@@ -582,6 +585,7 @@
             };
             let direct = digest.record.peer == sender;
             if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
+                self.receive_shares(&digest);
                 fresh.push(digest);
             }
         }
@@ -623,13 +627,10 @@
     }
 
     /// Applies the other instances' reports of load and suspects to the
-    /// servers' health, and their demands to the team quotas.
+    /// servers' health.
     fn apply_peer_reports(&self) {
         let now = self.now();
         let peers = self.peers.borrow();
-        let mut quota = self.limits.centre_quota.borrow_mut();
-        quota.set_has_overdue_reports(peers.has_overdue_reports(now));
-        let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         let suspects = peers.suspects(now);
         let limits = peers.server_limits(now);
@@ -659,10 +660,6 @@
             }
         }
         self.log_view(view);
-        let config = self.config.borrow();
-        for team in config.iter().flat_map(|config| config.teams.keys()) {
-            quota.set_other_demand(team, others.get(team).copied().unwrap_or(0.0));
-        }
     }
 
     /// Logs which instances and servers came into use or went out of use because of
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -24,3 +24,4 @@
 pub mod share;
 pub mod split;
 pub mod stopping;
+pub mod team_shares;
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -601,6 +601,11 @@
         centres.len().max(assumed)
     }
 
+    /// All known instances, live or not, without this one.
+    pub fn known_instances(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.known.values()
+    }
+
     /// The known instances of this data centre, live or not, which get the digest of
     /// this instance directly.
     pub fn centre_peers(&self) -> impl Iterator<Item = &InstanceRecord> {
--- a/crates/policy/src/entry/quota.rs
+++ b/crates/policy/src/entry/quota.rs
@@ -97,6 +97,60 @@
     last_share: Option<f64>,
     tokens: f64,
     updated: Instant,
+    /// The limit and the share at the last update.
+    last_limit: Option<BucketLimit>,
+}
+
+/// The limit of a bucket: a share of the team's rate, and its depth.
+#[derive(Debug, Clone, Copy)]
+struct BucketLimit {
+    rate: f64,
+    burst: f64,
+    share: f64,
+    depth: f64,
+}
+
+impl TeamBucket {
+    fn new(now: Instant) -> Self {
+        Self {
+            demand: DemandMeter::new(now),
+            reported: [0.0; REPORT_LAG],
+            other_demand: 0.0,
+            last_share: None,
+            tokens: f64::NAN,
+            updated: now,
+            last_limit: None,
+        }
+    }
+
+    /// Adds the tokens since the last update. A share that has grown counts from now on:
+    /// before, another holder may have used what was added.
+    fn refill(&mut self, limit: BucketLimit, now: Instant) {
+        let BucketLimit {
+            rate, share, depth, ..
+        } = limit;
+        if self.tokens.is_nan() {
+            self.tokens = (depth * INITIAL_FILL_FRACTION).max(1.0);
+            self.updated = now;
+        }
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let last = self.last_limit.unwrap_or(limit);
+        let added = elapsed * rate.min(last.rate) * share.min(last.share);
+        self.tokens = (self.tokens + added).min(depth.min(last.depth));
+        self.updated = now;
+        self.last_limit = Some(limit);
+    }
+
+    fn take(&mut self, refill_rate: f64) -> QuotaDecision {
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return QuotaDecision::Admit;
+        }
+        let wait = (1.0 - self.tokens) / refill_rate.max(0.01);
+        QuotaDecision::Reject {
+            retry_after: Duration::from_secs_f64(wait.min(60.0)),
+        }
+    }
 }
 
 /// Whether a request is within the limit of its team.
@@ -179,14 +233,7 @@
         let bucket = self
             .buckets
             .entry(team.clone())
-            .or_insert_with(|| TeamBucket {
-                demand: DemandMeter::new(now),
-                reported: [0.0; REPORT_LAG],
-                other_demand: 0.0,
-                last_share: None,
-                tokens: f64::NAN,
-                updated: now,
-            });
+            .or_insert_with(|| TeamBucket::new(now));
         bucket.demand.record(now);
         let base = rate * MIN_DEMAND_FRACTION / holders;
         let own = bucket.reported[REPORT_LAG - 1] + base;
@@ -209,13 +256,62 @@
         let elapsed = now.saturating_duration_since(bucket.updated).as_secs_f64();
         bucket.updated = now;
         bucket.tokens = (bucket.tokens + elapsed * rate * share).min(depth);
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return QuotaDecision::Admit;
+        bucket.take(rate * share)
+    }
+
+    /// Takes a token as [`TeamQuota::try_acquire`] does, with a share of the limit that is
+    /// given. Small teams get an equal part of the slack as additional depth.
+    pub fn try_acquire_share(
+        &mut self,
+        team: &TeamName,
+        (rate, burst): (f64, f64),
+        share: f64,
+        now: Instant,
+    ) -> QuotaDecision {
+        let equal_share = 1.0 / self.holders;
+        let limit = self.limit(rate, burst, share);
+        let bucket = self
+            .buckets
+            .entry(team.clone())
+            .or_insert_with(|| TeamBucket::new(now));
+        bucket.demand.record(now);
+        bucket.refill(limit, now);
+        // Loans follow demand, so that a low share is not a reason for a long wait.
+        bucket.take(rate * share.max(equal_share))
+    }
+
+    fn limit(&self, rate: f64, burst: f64, share: f64) -> BucketLimit {
+        let window = self.bound.window.as_secs_f64();
+        let slack = (rate * window + burst) * self.bound.excess + self.bound.slack;
+        BucketLimit {
+            rate,
+            burst,
+            share,
+            depth: (burst * share + slack * SLACK_FRACTION / self.holders).max(1.0),
         }
-        let wait = (1.0 - bucket.tokens) / (rate * share).max(0.01);
-        QuotaDecision::Reject {
-            retry_after: Duration::from_secs_f64(wait.min(60.0)),
+    }
+
+    /// Adds the tokens of all buckets up to now, with the shares that they have now. Called
+    /// before shares change, so that an idle bucket has no tokens from a share that others
+    /// used meanwhile.
+    pub fn refill_all(&mut self, share: impl Fn(&TeamName) -> f64, now: Instant) {
+        let names: Vec<TeamName> = self.buckets.keys().cloned().collect();
+        for name in names {
+            let last = self.buckets.get(&name).and_then(|bucket| bucket.last_limit);
+            let Some(last) = last else { continue };
+            let limit = self.limit(last.rate, last.burst, share(&name));
+            if let Some(bucket) = self.buckets.get_mut(&name) {
+                bucket.refill(limit, now);
+            }
+        }
+    }
+
+    /// Empties the buckets as far as new ones are: another holder may have spent their
+    /// tokens. Demand is kept.
+    pub fn reset_buckets(&mut self) {
+        for bucket in self.buckets.values_mut() {
+            bucket.tokens = f64::NAN;
+            bucket.last_limit = None;
         }
     }
 }
