--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod servers;
 mod simulation;
 mod stopping;
+mod team_shares;
 
 use std::time::{Duration, Instant};
 
--- a/crates/policy/tests/entry/team_shares.rs
+++ b/crates/policy/tests/entry/team_shares.rs
@@ -6,8 +6,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, InstanceRecord, InstanceState, InstanceTable, QuotaRole,
 };
@@ -81,7 +81,6 @@
     round: u64,
     is_due: bool,
     inbox: Vec<(u64, bool, InstanceDigest, Option<ShareSection>)>,
-    last_own: Option<(InstanceDigest, Option<ShareSection>)>,
     sections: BTreeMap<u64, (InstanceDigest, Option<ShareSection>)>,
 }
 
@@ -117,17 +116,20 @@
 
     fn is_linked(&self, from: u64, to: u64, milli: u64) -> bool {
         let centre = |index| index / self.members;
-        self.faults.iter().filter(|fault| fault.covers(milli)).all(|fault| {
-            let is_inside = |index| centre(index) == centre(fault.instance);
-            match fault.kind {
-                FaultKind::Cut => from != fault.instance && to != fault.instance,
-                FaultKind::CutCentre => is_inside(from) == is_inside(to),
-                FaultKind::SplitCentre => {
-                    !is_inside(from) || !is_inside(to) || from % 2 == to % 2
+        self.faults
+            .iter()
+            .filter(|fault| fault.covers(milli))
+            .all(|fault| {
+                let is_inside = |index| centre(index) == centre(fault.instance);
+                match fault.kind {
+                    FaultKind::Cut => from != fault.instance && to != fault.instance,
+                    FaultKind::CutCentre => is_inside(from) == is_inside(to),
+                    FaultKind::SplitCentre => {
+                        !is_inside(from) || !is_inside(to) || from % 2 == to % 2
+                    }
+                    FaultKind::Kill | FaultKind::Pause => true,
                 }
-                FaultKind::Kill | FaultKind::Pause => true,
-            }
-        })
+            })
     }
 }
 
@@ -156,7 +158,9 @@
 
     fn start(&mut self, index: u64, milli: u64) -> Node {
         let now = at(self.begin, milli);
-        let record = self.play.record(index, i64::try_from(milli).expect("small"));
+        let record = self
+            .play
+            .record(index, i64::try_from(milli).expect("small"));
         let mut table = InstanceTable::new(record.clone(), now);
         let centres = usize::try_from(self.play.centres).expect("small");
         table.set_configured_centres(centres);
@@ -175,7 +179,6 @@
             round: 0,
             is_due: false,
             inbox: Vec::new(),
-            last_own: None,
             sections: BTreeMap::new(),
         }
     }
@@ -194,8 +197,14 @@
             QuotaRole::Member(holder) => Some(holder),
             QuotaRole::Unsure => None,
         };
-        let section = node.ledger.publish(node.sequence, holder, &demands, &rates, now);
-        if node.ledger.take_events().contains(&ShareEvent::MainObtained) {
+        let section = node
+            .ledger
+            .publish(node.sequence, holder, &demands, &rates, now);
+        if node
+            .ledger
+            .take_events()
+            .contains(&ShareEvent::MainObtained)
+        {
             node.quota.reset_buckets();
         }
         let mut built = digest(0, node.sequence);
@@ -222,7 +231,8 @@
         let most = if is_near { 30 } else { self.play.max_delay_ms };
         let arrival = milli + self.random.random_range(1..=most);
         let node = &mut self.nodes[usize::try_from(to).expect("small")];
-        node.inbox.push((arrival, is_direct, message.0.clone(), message.1.clone()));
+        node.inbox
+            .push((arrival, is_direct, message.0.clone(), message.1.clone()));
     }
 
     fn send_digests(&mut self, own: u64, milli: u64) {
@@ -237,7 +247,8 @@
         }
         let node = &mut self.nodes[index];
         node.round += 1;
-        let is_due = std::mem::take(&mut node.is_due) || node.round.is_multiple_of(2) || node.round < 4;
+        let is_due =
+            std::mem::take(&mut node.is_due) || node.round.is_multiple_of(2) || node.round < 4;
         if !is_due || !node.table.is_delegate(now) {
             return;
         }
@@ -250,12 +261,21 @@
                 && u64::try_from(kept.record.start).expect("small") == start
             {
                 let has_claim = section.as_ref().is_some_and(ShareSection::has_claim);
-                let section = if has_claim { section.clone() } else { Some(ShareSection::default()) };
+                let section = if has_claim {
+                    section.clone()
+                } else {
+                    Some(ShareSection::default())
+                };
                 bundle.push((found, section));
             }
         }
         // The bundle goes to one instance of each data centre, which relays it.
-        let targets: BTreeSet<u64> = node.table.remote_delegates(now).iter().map(|it| port(it)).collect();
+        let targets: BTreeSet<u64> = node
+            .table
+            .remote_delegates(now)
+            .iter()
+            .map(|it| port(it))
+            .collect();
         for target in targets {
             if self.play.is_down(target, milli) {
                 continue;
@@ -282,7 +302,8 @@
         due.sort_by_key(|(arrival, ..)| *arrival);
         for (_, is_direct, digest, section) in due {
             if node.table.receive(digest.clone(), is_direct, now) {
-                node.sections.insert(port(&digest.record), (digest.clone(), section.clone()));
+                node.sections
+                    .insert(port(&digest.record), (digest.clone(), section.clone()));
                 if node.ledger.receive(&digest, section, now) {
                     node.next_digest = milli;
                     node.is_due = true;
@@ -333,7 +354,9 @@
     fn sum(&self, milli: u64) -> f64 {
         let now = at(self.begin, milli);
         let running = self.nodes.iter().enumerate().filter(|(index, _)| {
-            !self.play.is_down(u64::try_from(*index).expect("small"), milli)
+            !self
+                .play
+                .is_down(u64::try_from(*index).expect("small"), milli)
         });
         let shares = running.map(|(_, node)| {
             if node.ledger.follows_itself() {
@@ -347,8 +370,15 @@
 
     /// Plays demand, in requests per second by data centre.
     fn run(&mut self, demand: impl Fn(u64, u64) -> f64) {
-        let kills: Vec<Fault> = self.play.faults.iter().filter(|it| it.kind == FaultKind::Kill).copied().collect();
-        for milli in (0..self.play.seconds * 1000).step_by(usize::try_from(STEP_MS).expect("small")) {
+        let kills: Vec<Fault> = self
+            .play
+            .faults
+            .iter()
+            .filter(|it| it.kind == FaultKind::Kill)
+            .copied()
+            .collect();
+        for milli in (0..self.play.seconds * 1000).step_by(usize::try_from(STEP_MS).expect("small"))
+        {
             for fault in &kills {
                 if fault.at + fault.duration == milli {
                     let index = usize::try_from(fault.instance).expect("small");
@@ -382,22 +412,33 @@
     }
 
     fn count(&self, from_ms: u64, to_ms: u64) -> f64 {
-        let counted = self.admitted.iter().filter(|(at, _)| (from_ms..to_ms).contains(at));
+        let counted = self
+            .admitted
+            .iter()
+            .filter(|(at, _)| (from_ms..to_ms).contains(at));
         as_f64(u64::try_from(counted.count()).expect("small"))
     }
 
     fn max_in_window(&self) -> f64 {
         let times: Vec<u64> = self.admitted.iter().map(|(at, _)| *at).collect();
-        let count = |first: usize| times[first..].partition_point(|at| *at < times[first] + WINDOW_MS);
+        let count =
+            |first: usize| times[first..].partition_point(|at| *at < times[first] + WINDOW_MS);
         let most = (0..times.len()).map(count).max().unwrap_or(0);
         as_f64(u64::try_from(most).expect("small"))
     }
 
     fn assert_within_limit(&self) {
-        assert!(self.max_sum <= 1.0 + 1e-3, "the shares add up to {}", self.max_sum);
+        assert!(
+            self.max_sum <= 1.0 + 1e-3,
+            "the shares add up to {}",
+            self.max_sum
+        );
         let allowed = (self.play.rate * 5.0 + self.play.burst) * (1.0 + BOUND.excess) + BOUND.slack;
         let found = self.max_in_window();
-        assert!(found <= allowed, "{found} requests in 5 s, allowed {allowed}");
+        assert!(
+            found <= allowed,
+            "{found} requests in 5 s, allowed {allowed}"
+        );
     }
 }
 
@@ -476,21 +517,25 @@
     }
 }
 
-fn even(_milli: u64, _centre: u64) -> f64 {
+fn even_demand(_milli: u64, _centre: u64) -> f64 {
     100.0
 }
 
-fn uneven(_milli: u64, centre: u64) -> f64 {
+fn uneven_demand(_milli: u64, centre: u64) -> f64 {
     [300.0, 100.0, 60.0, 40.0, 30.0, 20.0][usize::try_from(centre).expect("small")]
 }
 
 /// Guards against limits of which callers cannot use nine tenths in calm.
 #[parameterized(
-    even = { even, 6, 3 },
-    uneven = { uneven, 6, 3 },
-    large_fleet = { uneven, 6, 15 },
+    even = { even_demand, 6, 3 },
+    uneven = { uneven_demand, 6, 3 },
+    large_fleet = { uneven_demand, 6, 15 },
 )]
-fn nine_tenths_of_a_limit_are_usable_in_calm(demand: fn(u64, u64) -> f64, centres: u64, members: u64) {
+fn nine_tenths_of_a_limit_are_usable_in_calm(
+    demand: fn(u64, u64) -> f64,
+    centres: u64,
+    members: u64,
+) {
     let mut fleet = Fleet::new(calm(centres, members, 22));
     fleet.run(demand);
     fleet.assert_within_limit();
@@ -517,7 +562,10 @@
             first.get_or_insert(second - 20);
         }
     }
-    assert!(first.is_some_and(|seconds| seconds <= 8), "after {first:?} s");
+    assert!(
+        first.is_some_and(|seconds| seconds <= 8),
+        "after {first:?} s"
+    );
 }
 
 /// Guards against callers who are refused for long after the holder of a data centre was
@@ -525,13 +573,21 @@
 #[test]
 fn a_killed_holder_is_replaced() {
     let mut fleet = Fleet::new(Play {
-        faults: vec![Fault { at: 10_000, duration: 20_000, instance: 3, kind: FaultKind::Kill }],
+        faults: vec![Fault {
+            at: 10_000,
+            duration: 20_000,
+            instance: 3,
+            kind: FaultKind::Kill,
+        }],
         ..calm(6, 3, 25)
     });
     fleet.run(|_, _| 40.0);
     fleet.assert_within_limit();
     for second in 9..25 {
-        println!("{second} s: {} admitted of 240", fleet.count(second * 1000, (second + 1) * 1000));
+        println!(
+            "{second} s: {} admitted of 240",
+            fleet.count(second * 1000, (second + 1) * 1000)
+        );
     }
     let before = fleet.count(5000, 10_000) / 5.0;
     let after = fleet.count(18_000, 25_000) / 7.0;
