--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -45,12 +45,43 @@
     pub(crate) datagram_bytes: Counter,
     pub(crate) task_panics: Counter,
     pub(crate) response_bytes: Gauge,
+    pub(crate) quota: QuotaMetrics,
+}
+
+/// Metrics of the shares of team limits.
+#[derive(Debug, Default)]
+pub(crate) struct QuotaMetrics {
     pub(crate) tokens_refused: Counter,
-    pub(crate) quota_followers: Gauge,
+    pub(crate) followers: Gauge,
     pub(crate) loans_given: Gauge,
     pub(crate) loans_received: Gauge,
 }
 
+impl QuotaMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "tokens_refused",
+            "Token requests refused because this instance is not the quota holder",
+            self.tokens_refused.clone(),
+        );
+        registry.register(
+            "quota_followers",
+            "Instances of the data centre that follow this one as quota holder",
+            self.followers.clone(),
+        );
+        registry.register(
+            "quota_loans_given",
+            "Parts of team limits lent to other data centres",
+            self.loans_given.clone(),
+        );
+        registry.register(
+            "quota_loans_received",
+            "Parts of team limits borrowed from other data centres",
+            self.loans_received.clone(),
+        );
+    }
+}
+
 impl InstanceMetrics {
     /// Counts a request that was not sent to a server because of what it asked for.
     pub(crate) fn record_hold(&self, reason: HoldReason) {
@@ -74,10 +105,7 @@
             datagram_bytes: Counter::default(),
             task_panics: Counter::default(),
             response_bytes: Gauge::default(),
-            tokens_refused: Counter::default(),
-            quota_followers: Gauge::default(),
-            loans_given: Gauge::default(),
-            loans_received: Gauge::default(),
+            quota: QuotaMetrics::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -145,26 +173,7 @@
             "Memory for responses of servers that are received or passed on",
             metrics.response_bytes.clone(),
         );
-        registry.register(
-            "tokens_refused",
-            "Token requests refused because this instance is not the quota holder",
-            metrics.tokens_refused.clone(),
-        );
-        registry.register(
-            "quota_followers",
-            "Instances of the data centre that follow this one as quota holder",
-            metrics.quota_followers.clone(),
-        );
-        registry.register(
-            "quota_loans_given",
-            "Parts of team limits lent to other data centres",
-            metrics.loans_given.clone(),
-        );
-        registry.register(
-            "quota_loans_received",
-            "Parts of team limits borrowed from other data centres",
-            metrics.loans_received.clone(),
-        );
+        metrics.quota.register(registry);
         metrics
     }
 
--- a/crates/edge/src/team_limits.rs
+++ b/crates/edge/src/team_limits.rs
@@ -188,7 +188,7 @@
     /// Responds to a token request of another instance of the data centre.
     pub(crate) fn token_response(&self, request: &TokenRequest) -> PeerMessage {
         if !self.limits.shares.borrow().follows_itself() {
-            self.metrics.tokens_refused.inc();
+            self.metrics.quota.tokens_refused.inc();
             return PeerMessage::NotHolder(request.id);
         }
         PeerMessage::Grant(TokenResponse {
@@ -299,9 +299,13 @@
                 .event(name, json!({"followers": summary.followers}));
         }
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.quota_followers.set(gauge(summary.followers));
-        self.metrics.loans_given.set(gauge(summary.loans_given));
+        self.metrics.quota.followers.set(gauge(summary.followers));
         self.metrics
+            .quota
+            .loans_given
+            .set(gauge(summary.loans_given));
+        self.metrics
+            .quota
             .loans_received
             .set(gauge(summary.loans_received));
         let logged = self.limits.logged_shares.replace(summary);
--- a/crates/policy/src/entry/team_shares.rs
+++ b/crates/policy/src/entry/team_shares.rs
@@ -604,9 +604,10 @@
     pub fn centre_count(&self, now: Instant) -> usize {
         let known = self.known_centres.len() + 1;
         let age = now.saturating_duration_since(self.started);
-        match age < UNUSED_CENTRES_AFTER {
-            true => known.max(self.configured_centres),
-            false => known,
+        if age < UNUSED_CENTRES_AFTER {
+            known.max(self.configured_centres)
+        } else {
+            known
         }
     }
 
@@ -709,8 +710,8 @@
             if lender.is_none_or(|lender| lender.process != peer.process) {
                 continue;
             }
-            let echoed = peer.echo_of(self.own);
-            let Some(sent_at) = echoed.and_then(|sequence| self.sent_at(sequence)) else {
+            let seen = peer.echo_of(self.own);
+            let Some(sent_at) = seen.and_then(|sequence| self.sent_at(sequence)) else {
                 continue;
             };
             let loans = peer.claim().into_iter().flat_map(|claim| &claim.loans);
--- a/crates/policy/tests/entry/team_shares.rs
+++ b/crates/policy/tests/entry/team_shares.rs
@@ -330,20 +330,17 @@
                 && self.play.is_linked(own, *holder, milli)
                 && node.ledger.follows_itself()
         });
-        let decision = match reached {
-            Some(holder) => {
-                let node = &mut self.nodes[usize::try_from(holder).expect("small")];
-                let share = node.ledger.holder_share(TeamTag::new(&team()), now);
-                node.quota.set_holders(node.ledger.centre_count(now));
-                node.quota.try_acquire_share(&team(), limit, share, now)
-            }
-            None => {
-                let node = &mut self.nodes[index];
-                let share = node.ledger.member_share(now);
-                let holders = node.ledger.centre_count(now) * node.ledger.member_count(now);
-                node.fallback.set_holders(holders);
-                node.fallback.try_acquire_share(&team(), limit, share, now)
-            }
+        let decision = if let Some(holder) = reached {
+            let node = &mut self.nodes[usize::try_from(holder).expect("small")];
+            let share = node.ledger.holder_share(TeamTag::new(&team()), now);
+            node.quota.set_holders(node.ledger.centre_count(now));
+            node.quota.try_acquire_share(&team(), limit, share, now)
+        } else {
+            let node = &mut self.nodes[index];
+            let share = node.ledger.member_share(now);
+            let holders = node.ledger.centre_count(now) * node.ledger.member_count(now);
+            node.fallback.set_holders(holders);
+            node.fallback.try_acquire_share(&team(), limit, share, now)
         };
         if decision == QuotaDecision::Admit {
             self.admitted.push((milli, own / self.play.members));
