--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -59,6 +59,41 @@
     pub(crate) usage_reports: Family<ReportLabel, Counter>,
     pub(crate) usage_holder: Gauge,
     pub(crate) usage_unrecorded_ms: Gauge,
+    pub(crate) quota: QuotaMetrics,
+}
+
+/// Metrics of the shares of team limits.
+#[derive(Debug, Default)]
+pub(crate) struct QuotaMetrics {
+    pub(crate) tokens_refused: Counter,
+    pub(crate) followers: Gauge,
+    pub(crate) loans_given: Gauge,
+    pub(crate) loans_received: Gauge,
+}
+
+impl QuotaMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "tokens_refused",
+            "Token requests refused because this instance is not the quota holder",
+            self.tokens_refused.clone(),
+        );
+        registry.register(
+            "quota_followers",
+            "Instances of the data centre that follow this one as quota holder",
+            self.followers.clone(),
+        );
+        registry.register(
+            "quota_loans_given",
+            "Parts of team limits lent to other data centres",
+            self.loans_given.clone(),
+        );
+        registry.register(
+            "quota_loans_received",
+            "Parts of team limits borrowed from other data centres",
+            self.loans_received.clone(),
+        );
+    }
 }
 
 impl InstanceMetrics {
@@ -88,6 +123,7 @@
             usage_reports: Family::default(),
             usage_holder: Gauge::default(),
             usage_unrecorded_ms: Gauge::default(),
+            quota: QuotaMetrics::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -160,6 +196,7 @@
             "Memory for responses of servers that are received or passed on",
             metrics.response_bytes.clone(),
         );
+        metrics.quota.register(registry);
         metrics.register_usage();
         metrics
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -22,7 +22,7 @@
 use crate::instance::{FleetView, Instance};
 use crate::mirror::TableMirror;
 use crate::table::{TableBatch, TableEra, TableKind};
-use crate::team_limits::{TokenRequest, TokenResponse};
+use crate::team_limits::{TokenRequest, TokenResponse, abridge_shares};
 use crate::usage::UsageMessage;
 
 /// Time between two digests to the other instances of the data centre.
@@ -86,6 +86,9 @@
     Missing(BTreeSet<CentreName>),
     /// Counts of requests for the usage reports, or their acknowledgement.
     Usage(UsageMessage),
+    /// The response to the token request with this number if the receiver is not the
+    /// quota holder.
+    NotHolder(u64),
 }
 
 /// The fields of a digest that were added after its first encoding. They follow the
@@ -405,15 +408,14 @@
 
     fn build_digest(&self, sequence: u64) -> InstanceDigest {
         let now = self.now();
+        let demands = self.limits.centre_quota.borrow_mut().report(now);
+        let shares = self.share_section(sequence, &demands);
+        let sections = self.digest_sections(shares, now);
         #[expect(
             clippy::cast_possible_truncation,
             reason = "rates of a few thousand at most"
         )]
-        let demands = self
-            .limits
-            .centre_quota
-            .borrow_mut()
-            .report(now)
+        let demands = demands
             .into_iter()
             .map(|(team, rate)| (team, rate as f32))
             .collect();
@@ -431,13 +433,18 @@
             leaving_servers: self.servers.borrow().leaving_reports(now),
             crash_reports: self.crashes.borrow().crash_reports(now),
             served_reports: self.crashes.borrow().served_reports(now),
-            sections: self.digest_sections(now),
+            sections,
         }
     }
 
     /// The sections of the features that are in use.
-    fn digest_sections(&self, now: Instant) -> BTreeMap<SectionTag, Vec<u8>> {
+    fn digest_sections(
+        &self,
+        shares: Option<Vec<u8>>,
+        now: Instant,
+    ) -> BTreeMap<SectionTag, Vec<u8>> {
         let sections = [
+            (SectionTag::QUOTA_SHARES, shares),
             (SectionTag::DUTIES, self.encode_usage_section()),
             (SectionTag::LINK, self.encode_link_section(now)),
         ];
@@ -447,15 +454,21 @@
             .collect()
     }
 
+    /// The number of the next digest. Kept when the task that sends digests is started
+    /// again: receivers ignore digests with a number that they know.
+    fn next_digest_number(&self) -> u64 {
+        let number = self.digest_sequence.get() + 1;
+        self.digest_sequence.set(number);
+        number
+    }
+
     /// Sends digests periodically and on request until the process ends.
     pub(crate) async fn send_digests(self: Rc<Self>) {
+        let mut sequence: u64 = 0;
         loop {
-            // Kept when this task is started again: receivers ignore digests with
-            // a number that they know.
-            let sequence = self.digest_sequence.get() + 1;
-            self.digest_sequence.set(sequence);
+            sequence += 1;
             let now = self.now();
-            let own = self.datagrams(false, &[self.build_digest(sequence)]);
+            let own = self.datagrams(false, &[self.build_digest(self.next_digest_number())]);
             self.send_all(&self.centre_peer_addresses(), &own).await;
             let is_requested = tokio::select! {
                 () = self.digest_requested.notified() => true,
@@ -466,8 +479,9 @@
             // A leaving instance sends to the other data centres itself, as
             // its delegate may be shutting down too.
             if due && (self.peers.borrow().is_delegate(now) || self.leaving.get()) {
-                let mut digests = vec![self.build_digest(sequence)];
-                digests.extend(self.peers.borrow().centre_digests(now));
+                let mut digests = vec![self.build_digest(self.next_digest_number())];
+                let others = self.peers.borrow().centre_digests(now);
+                digests.extend(others.into_iter().map(abridge_shares));
                 let targets: Vec<SocketAddr> = self
                     .peers
                     .borrow()
@@ -554,17 +568,10 @@
                     self.receive_digest_bundle(relay, digests, sender).await;
                 }
                 Ok(PeerMessage::Ask(request)) => {
-                    let wait =
-                        self.acquire_centre_token(&request.team, request.rate, request.burst);
-                    self.send_message(
-                        sender,
-                        &PeerMessage::Grant(TokenResponse {
-                            id: request.id,
-                            wait,
-                        }),
-                    )
-                    .await;
+                    let response = self.token_response(&request);
+                    self.send_message(sender, &response).await;
                 }
+                Ok(PeerMessage::NotHolder(id)) => self.limits.refuse_request(id),
                 Ok(PeerMessage::Grant(response)) => self.limits.complete_request(response),
                 Ok(PeerMessage::Missing(centres)) => {
                     let digests = self.peers.borrow().digests_of(&centres, self.now());
@@ -599,6 +606,7 @@
             };
             let direct = digest.record.peer == sender;
             if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
+                self.receive_shares(&digest);
                 fresh.push(digest);
             }
         }
@@ -640,13 +648,10 @@
     }
 
     /// Applies the other instances' reports of load and suspects to the
-    /// servers' health, and their demands to the team quotas.
+    /// servers' health.
     fn apply_peer_reports(&self) {
         let now = self.now();
         let peers = self.peers.borrow();
-        let mut quota = self.limits.centre_quota.borrow_mut();
-        quota.set_has_overdue_reports(peers.has_overdue_reports(now));
-        let others = peers.other_demands(now);
         let loads = peers.other_loads(now);
         let suspects = peers.suspects(now);
         let limits = peers.server_limits(now);
@@ -676,10 +681,6 @@
             }
         }
         self.log_view(view);
-        let config = self.config.borrow();
-        for team in config.iter().flat_map(|config| config.teams.keys()) {
-            quota.set_other_demand(team, others.get(team).copied().unwrap_or(0.0));
-        }
     }
 
     /// Logs which instances and servers came into use or went out of use because of
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -26,4 +26,5 @@
 pub mod share;
 pub mod split;
 pub mod stopping;
+pub mod team_shares;
 pub mod usage;
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -18,6 +18,7 @@
 mod servers;
 mod simulation;
 mod stopping;
+mod team_shares;
 mod usage;
 mod usage_simulation;
 
