--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::placement::{ServerView, expected_latency};
 use tarragonpulley_policy::entry::send_gate::SendDecision;
+use tarragonpulley_policy::entry::server_evidence::{MachinePace, ServerReport};
 
 use super::asked::MISDIRECTED;
 use super::place::PlacedServer;
@@ -66,6 +67,9 @@
     placed: &'a PlacedServer,
     choice: &'a VersionChoice,
     expected: Duration,
+    /// The pace of the server's machine in the last report before the attempt, and the
+    /// age of that report.
+    reported_pace: Option<(MachinePace, Duration)>,
     started: Instant,
     completed: Cell<bool>,
 }
@@ -84,13 +88,20 @@
             ..placed.view
         };
         let expected = expected_latency(&healthy_view, healthy_view.known, &placed.work);
+        let started = instance.now();
+        let reported_pace = {
+            let health = placed.server.health.borrow();
+            let evidence = health.evidence();
+            evidence.reported_pace().zip(evidence.report_age(started))
+        };
         Self {
             instance,
             forward,
             placed,
             choice,
             expected: expected + TRANSPORT_OVERHEAD,
-            started: instance.now(),
+            reported_pace,
+            started,
             completed: Cell::new(true),
         }
     }
@@ -315,10 +326,7 @@
         let names = self.instance.adapter.headers();
         let server = self.server();
         let status = response.head.status;
-        let load = response.head.text(names.load).and_then(reported_load);
-        if let Some(load) = load {
-            server.health.borrow_mut().record_reported_load(load, now);
-        }
+        let report = self.record_report(&response, now);
         let asks_for_pause = self.record_asked(&response, now);
         if status == MISDIRECTED {
             server.health.borrow_mut().mark_replaced();
@@ -327,18 +335,26 @@
             return AttemptOutcome::NotRun(RejectionLoad::Full);
         }
         if response.head.text(names.not_run).is_some() {
+            let slots = server.entry.borrow().slots;
+            let work = self.placed.work.queued;
+            let mut health = server.health.borrow_mut();
             if asks_for_pause {
-                server.health.borrow_mut().record_activity(now);
-            } else {
-                server.health.borrow_mut().record_rejection(now);
+                health.record_activity(now);
+            } else if !report.is_some_and(|report| health.record_full(&report, slots, work, now)) {
+                health.record_rejection(now);
             }
+            let is_held = health.is_full(now);
+            drop(health);
+            let load = RejectionLoad::new(report.map(|report| report.load()), slots);
+            self.instance
+                .metrics
+                .record_rejection(load, report.is_some());
             let reported = response.head.text(names.load);
             self.log(
                 "shed",
-                &json!({"status": status, "reported_load": reported}),
+                &json!({"status": status, "reported_load": reported, "is_held": is_held}),
             );
-            let slots = server.entry.borrow().slots;
-            return AttemptOutcome::NotRun(RejectionLoad::new(load, slots));
+            return AttemptOutcome::NotRun(load);
         }
         let sealed = response.head.text(names.seal).is_some();
         let matched = response
@@ -374,6 +390,25 @@
         }
     }
 
+    /// Records the server's report of its load; `None` if there is none that can be used.
+    fn record_report(&self, response: &ServerResponse, now: Instant) -> Option<ServerReport> {
+        let text = response.head.text(self.instance.adapter.headers().load)?;
+        match text.parse::<ServerReport>() {
+            Ok(report) => {
+                let mut health = self.server().health.borrow_mut();
+                health.record_report(&report, now);
+                Some(report)
+            }
+            Err(error) => {
+                self.log(
+                    "report_ignored",
+                    &json!({"value": text, "reason": error.to_string()}),
+                );
+                None
+            }
+        }
+    }
+
     fn handle_broken_connection(
         &self,
         error: &ExchangeError,
@@ -417,9 +452,14 @@
     /// The inputs of the placement, for the log.
     pub(super) fn inputs(&self) -> serde_json::Value {
         let view = &self.placed.view;
-        json!({"rank": self.placed.placement.rank, "allowed": self.placed.candidate_count, "known": view.known, "cold": view.cold,
+        let mut inputs = json!({"rank": self.placed.placement.rank, "allowed": self.placed.candidate_count, "known": view.known, "cold": view.cold,
             "load": view.load, "slots": view.slots, "slowness": view.slowness, "failing": view.failure_ratio,
-            "expected_ms": self.expected.as_millis()})
+            "expected_ms": self.expected.as_millis()});
+        if let Some((pace, age)) = self.reported_pace {
+            inputs["pace"] = json!(pace.to_string());
+            inputs["report_age_ms"] = json!(age.as_millis());
+        }
+        inputs
     }
 
     pub(super) fn log(&self, result: &str, details: &serde_json::Value) {
@@ -469,11 +509,3 @@
 fn is_joined(body: &[u8]) -> bool {
     body.len() <= MAX_JOINED_BODY_BYTES
 }
-
-/// The number of requests running and queued, from `running,waiting,slots`.
-fn reported_load(text: &str) -> Option<f64> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse::<f64>());
-    let running = numbers.next()?.ok()?;
-    let waiting = numbers.next()?.ok()?;
-    Some(running + waiting)
-}
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -235,6 +235,7 @@
                 .is_some_and(|region| region.name == self.peers.borrow().own().region),
             suspended: !decision.may_send()
                 || health.is_suspended(forward.route.target_latency, now),
+            full: health.is_full(now),
             known: forward
                 .object
                 .is_some_and(|object| server.knows_object(object, now)),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::send_gate::HoldReason;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -23,6 +24,12 @@
     pub(crate) reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RejectionLabel {
+    /// `full`, `free_slots`, or `unknown` without a report.
+    pub(crate) reported: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PlaceLabel {
     pub(crate) place: &'static str,
@@ -35,6 +42,7 @@
     pub(crate) outcomes: Family<OutcomeLabel, Counter>,
     pub(crate) placements: Family<PlaceLabel, Counter>,
     pub(crate) holds: Family<HoldLabel, Counter>,
+    pub(crate) server_rejections: Family<RejectionLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) retries: Counter,
@@ -54,12 +62,25 @@
         self.holds.get_or_create(&HoldLabel { reason }).inc();
     }
 
+    /// Counts a request that a server rejected by the load that it reported.
+    pub(crate) fn record_rejection(&self, load: RejectionLoad, has_report: bool) {
+        let reported = match load {
+            _ if !has_report => "unknown",
+            RejectionLoad::HasFreeSlots => "free_slots",
+            RejectionLoad::Full => "full",
+        };
+        self.server_rejections
+            .get_or_create(&RejectionLabel { reported })
+            .inc();
+    }
+
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("tarragonpulley"),
             outcomes: Family::default(),
             placements: Family::default(),
             holds: Family::default(),
+            server_rejections: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
             retries: Counter::default(),
@@ -87,6 +108,11 @@
             "Placements in which a server got no request because of what it asked for",
             metrics.holds.clone(),
         );
+        registry.register(
+            "server_rejections",
+            "Requests that servers rejected, by the load that they reported",
+            metrics.server_rejections.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until the answer",
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -20,6 +20,7 @@
 pub mod reach;
 pub mod region_share;
 pub mod send_gate;
+pub mod server_evidence;
 pub mod server_limit;
 pub mod share;
 pub mod split;
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -12,6 +12,7 @@
 
 use super::digest::SuspectReason;
 use super::reach::ReachTracker;
+use super::server_evidence::{ServerEvidence, ServerReport};
 
 /// Weight of the newest sample in the exponential moving averages.
 pub const SAMPLE_WEIGHT: f64 = 0.25;
@@ -59,6 +60,7 @@
     reported_peer_load: f64,
     reported_at: Option<Instant>,
     digest_peer_load: f64,
+    evidence: ServerEvidence,
 }
 
 /// Identifies an attempt in progress at a server.
@@ -84,6 +86,7 @@
             reported_peer_load: 0.0,
             reported_at: None,
             digest_peer_load: 0.0,
+            evidence: ServerEvidence::default(),
         }
     }
 
@@ -133,17 +136,21 @@
     ) {
         self.record_activity(now);
         self.record_failure_sample(if failed { 1.0 } else { 0.0 }, now);
+        self.evidence.record_accepted();
         if failed {
             return;
         }
+        // 1 for servers that do not report the pace of their machine.
+        let expected = expected.mul_f64(self.evidence.relative_pace_over(observed));
         let ratio = observed.as_secs_f64() / expected.as_secs_f64().max(0.001);
         let ratio = ratio.clamp(0.5, MAX_SLOWNESS);
         self.slowness += SAMPLE_WEIGHT * (ratio - self.slowness);
         self.slowness = self.slowness.max(0.7);
     }
 
-    /// Records that the server rejected a request without running it. Counts as
-    /// 0.6 of a failure.
+    /// Records that the server rejected a request without running it, for another
+    /// reason than a full queue or for one that it did not report. Counts as 0.6 of a
+    /// failure.
     pub fn record_rejection(&mut self, now: Instant) {
         self.record_activity(now);
         self.record_failure_sample(0.6, now);
@@ -234,11 +241,43 @@
         self.is_silent(target.mul_f64(UNRESPONSIVE_TARGETS), now)
     }
 
-    /// Records the number of running and queued requests that the server reported.
-    pub fn record_reported_load(&mut self, load: f64, now: Instant) {
-        let others = (load - self.own_load()).max(0.0);
-        self.reported_peer_load = others;
+    /// Records a report that came with the response to a request, which still counts as
+    /// in progress here.
+    pub fn record_report(&mut self, report: &ServerReport, now: Instant) {
+        self.reported_peer_load = (report.load() - self.own_load()).max(0.0);
         self.reported_at = Some(now);
+        let left = (self.own_load() - 1.0).max(0.0);
+        self.evidence.record_report(report, left, now);
+    }
+
+    /// Records that the server rejected a request with a report. `work` is the mean work
+    /// of its requests. Returns whether it reported a full queue and the pace of its
+    /// machine; other rejections are recorded with [`ServerHealth::record_rejection`].
+    pub fn record_full(
+        &mut self,
+        report: &ServerReport,
+        slots: u32,
+        work: Duration,
+        now: Instant,
+    ) -> bool {
+        let is_full = self.evidence.record_rejection(report, slots, work, now);
+        if is_full {
+            self.record_activity(now);
+        }
+        is_full
+    }
+
+    /// What the server reported of its load and of the pace of its machine.
+    #[must_use]
+    pub fn evidence(&self) -> &ServerEvidence {
+        &self.evidence
+    }
+
+    /// Whether the server gets no request because its queue is full.
+    #[must_use]
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.evidence
+            .is_full(self.load(now), self.in_flight.len(), now)
     }
 
     /// Sets the number of requests of the other instances in progress at the
@@ -259,9 +298,13 @@
 
     /// The estimated number of requests running or queued at the server: those of
     /// this instance, plus those of the other instances as reported by the server
-    /// or by them, whichever is more.
+    /// or by them, whichever is more. If the server reports the pace of its machine,
+    /// both are weighted by the age of its report.
     #[must_use]
     pub fn load(&self, now: Instant) -> f64 {
+        if self.evidence.is_active() {
+            return self.own_load() + self.evidence.others(self.digest_peer_load, now);
+        }
         let others = self.reported_at.map_or(0.0, |at| {
             let age = now.saturating_duration_since(at).as_secs_f64();
             let left = 1.0 - age / LOAD_REPORT_TTL.as_secs_f64();
@@ -276,8 +319,9 @@
     pub fn averages(&self, now: Instant) -> (f64, f64) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
         let decay = 0.5_f64.powf(elapsed / RECOVERY_HALF_LIFE.as_secs_f64());
+        let slowness = 1.0 + (self.slowness - 1.0) * decay;
         (
-            1.0 + (self.slowness - 1.0) * decay,
+            slowness * self.evidence.relative_pace(now),
             self.failure_ratio * decay,
         )
     }
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -77,6 +77,8 @@
     pub in_own_region: bool,
     /// Whether it is used only if all servers are suspended.
     pub suspended: bool,
+    /// Whether its queue is full, whatever its estimated load.
+    pub full: bool,
     /// Whether the object of the request is known there, because this instance got
     /// a response on it recently.
     pub known: bool,
@@ -128,7 +130,7 @@
     }
 
     fn is_reached(self, server: &ServerView) -> bool {
-        server.load >= f64::from(server.slots) * self.per_slot
+        server.full || server.load >= f64::from(server.slots) * self.per_slot
     }
 }
 
--- a/crates/policy/tests/entry/fleet_simulation.rs
+++ b/crates/policy/tests/entry/fleet_simulation.rs
@@ -19,6 +19,7 @@
     PlacementRequest, RegionFractions, ServerView, choose_server, mix,
 };
 use tarragonpulley_policy::entry::region_share::{RegionLoad, RegionShare};
+use tarragonpulley_policy::entry::server_evidence::ServerReport;
 
 use crate::placement::server;
 use crate::simulation::{KnownObjects, credit_per_request};
@@ -78,8 +79,13 @@
 }
 
 impl SimulatedServer {
-    fn load(&self) -> usize {
-        self.running.len() + self.queue.len()
+    fn report(&self) -> ServerReport {
+        let count = |length| u32::try_from(length).expect("small");
+        ServerReport {
+            running: count(self.running.len()),
+            waiting: count(self.queue.len()),
+            pace: None,
+        }
     }
 
     fn start_queued(&mut self, random: &mut StdRng) {
@@ -162,12 +168,12 @@
                 }
             }
             server.start_queued(&mut self.random);
-            let load = f64::from(u32::try_from(server.load()).expect("small"));
+            let report = server.report();
             for (job, done) in ended {
                 let health = &mut self.health[job.instance][index];
                 health.record_ended(job.ticket);
                 if done {
-                    health.record_reported_load(load, now);
+                    health.record_report(&report, now);
                     self.known.insert((job.instance, index, job.object), now);
                 }
                 if !counted {
@@ -303,10 +309,7 @@
             let health = &mut self.health[instance][index];
             if server.queue.len() >= MAX_QUEUE {
                 health.record_rejection(now);
-                health.record_reported_load(
-                    f64::from(u32::try_from(server.load()).expect("small")),
-                    now,
-                );
+                health.record_report(&server.report(), now);
                 self.result.shed += u32::from(counted);
                 attempted.push(index);
                 continue;
--- a/crates/policy/tests/entry/placement.rs
+++ b/crates/policy/tests/entry/placement.rs
@@ -21,6 +21,7 @@
         cold: false,
         in_own_region: true,
         suspended: false,
+        full: false,
         known: false,
         region: 0,
     }
--- a/crates/policy/tests/entry/servers.rs
+++ b/crates/policy/tests/entry/servers.rs
@@ -5,6 +5,7 @@
 use tarragonpulley_policy::entry::digest::SuspectReason;
 use tarragonpulley_policy::entry::health::ServerHealth;
 use tarragonpulley_policy::entry::reach::ReachTracker;
+use tarragonpulley_policy::entry::server_evidence::ServerReport;
 use yare::parameterized;
 
 use crate::at;
@@ -75,7 +76,14 @@
     let start = Instant::now();
     let mut health = ServerHealth::new(start);
     let _ticket = health.record_sent(start);
-    health.record_reported_load(4.0, start);
+    health.record_report(
+        &ServerReport {
+            running: 3,
+            waiting: 1,
+            pace: None,
+        },
+        start,
+    );
     assert!((health.load(start) - 4.0).abs() < 0.01);
     health.set_peer_load(9.0);
     assert!((health.load(start) - 10.0).abs() < 0.01);
