--- a/crates/policy/src/entry/server_evidence.rs
+++ b/crates/policy/src/entry/server_evidence.rs
@@ -20,7 +20,11 @@
 
 /// The time in which half of a reported load no longer says anything of the current
 /// one: most requests of a service with a target below a second are done by then.
-pub const LOAD_HALF_LIFE: Duration = Duration::from_millis(350);
+pub const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// The fraction of the other instances' counts that a report can take away. A server
+/// that reports less than it has must not draw all requests.
+pub const MAX_COUNT_REDUCTION: f64 = 0.5;
 
 /// The time in which half of a reported pace no longer says anything of the current
 /// one. Machines change their pace several times a second.
@@ -244,7 +248,8 @@
     pub fn others(&self, counted: f64, now: Instant) -> f64 {
         self.report.map_or(counted, |report| {
             let age = now.saturating_duration_since(report.at);
-            counted + (report.others - counted) * weight(age, LOAD_HALF_LIFE)
+            let reported = report.others.max(counted * (1.0 - MAX_COUNT_REDUCTION));
+            counted + (reported - counted) * weight(age, LOAD_HALF_LIFE)
         })
     }
 
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod reach;
 mod regions;
 mod send_gate;
+mod server_evidence;
 mod servers;
 mod simulation;
 mod stopping;
