--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tarragonpulley_policy::entry::admission::RejectionLoad;
 use tarragonpulley_policy::entry::send_gate::HoldReason;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -23,6 +24,12 @@
     pub(crate) reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RejectionLabel {
+    /// `full`, `free_slots`, or `unknown` without a report.
+    pub(crate) reported: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PlaceLabel {
     pub(crate) place: &'static str,
@@ -46,6 +53,7 @@
     pub(crate) placements: Family<PlaceLabel, Counter>,
     pub(crate) holds: Family<HoldLabel, Counter>,
     pub(crate) lookups: Family<LookupLabel, Counter>,
+    pub(crate) server_rejections: Family<RejectionLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) retries: Counter,
@@ -103,6 +111,18 @@
         self.holds.get_or_create(&HoldLabel { reason }).inc();
     }
 
+    /// Counts a request that a server rejected by the load that it reported.
+    pub(crate) fn record_rejection(&self, load: RejectionLoad, has_report: bool) {
+        let reported = match load {
+            _ if !has_report => "unknown",
+            RejectionLoad::HasFreeSlots => "free_slots",
+            RejectionLoad::Full => "full",
+        };
+        self.server_rejections
+            .get_or_create(&RejectionLabel { reported })
+            .inc();
+    }
+
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("tarragonpulley"),
@@ -110,6 +130,7 @@
             placements: Family::default(),
             holds: Family::default(),
             lookups: Family::default(),
+            server_rejections: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
             retries: Counter::default(),
@@ -146,6 +167,11 @@
             "Lookups by whether they named all near instances or those with fast links",
             metrics.lookups.clone(),
         );
+        registry.register(
+            "server_rejections",
+            "Requests that servers rejected, by the load that they reported",
+            metrics.server_rejections.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time until the answer",
