--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod asked;
 mod attempt;
+mod learned;
 mod place;
 mod rejection;
 mod shares;
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -227,8 +227,13 @@
             .deadline
             .saturating_duration_since(instance.now());
         instance.metrics.connections_opened.inc();
+        let opened = instance.now();
         match ServerConnection::open(address, CONNECT_TIMEOUT.min(remaining)).await {
             Ok(connection) => {
+                instance.warm.record_connection(
+                    &self.placed.view,
+                    instance.now().saturating_duration_since(opened),
+                );
                 instance.record_reached();
                 Some(connection)
             }
@@ -358,6 +363,8 @@
         }
         if !failed {
             self.instance.record_served(self.forward.fingerprint);
+            self.instance
+                .learn_from_response(self.forward, self.placed, observed);
             if let Some(object) = self.forward.object {
                 server.record_object(object, now);
             }
@@ -417,7 +424,11 @@
     /// The inputs of the placement, for the log.
     pub(super) fn inputs(&self) -> serde_json::Value {
         let view = &self.placed.view;
-        json!({"rank": self.placed.placement.rank, "allowed": self.placed.candidate_count, "known": view.known, "cold": view.cold,
+        let work = &self.placed.work;
+        json!({"rank": self.placed.placement.rank, "owners": self.placed.placement.owners,
+            "allowed": self.placed.candidate_count, "known": view.known, "cold": view.cold,
+            "known_work_ms": work.known.as_millis(), "unknown_work_ms": work.unknown.as_millis(),
+            "queued_work_ms": work.queued.as_millis(),
             "load": view.load, "slots": view.slots, "slowness": view.slowness, "failing": view.failure_ratio,
             "expected_ms": self.expected.as_millis()})
     }
--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -103,7 +103,9 @@
         } else {
             RegionFractions::new()
         };
-        let request = PlacementRequest::new(forward.object, target, forward.priority());
+        let mut request = PlacementRequest::new(forward.object, target, forward.priority());
+        (request.work, request.affinity) =
+            self.learned_placement(forward, &views, attempted.is_empty(), now);
         let Some(placement) = choose_server(&request, &views, &region_fractions) else {
             return Err((Rejection::NoServer, default_retry_after));
         };
@@ -138,11 +140,18 @@
         if view.cold {
             self.log_cold_send(forward, &server, shares.cold_allowance(&server), now);
         }
-        let place = match (view.known, placement.rank) {
+        let is_owner = placement.rank < placement.owners;
+        let place = match (view.known, placement.owners) {
+            (_, 2..) if is_owner => "popular",
             (true, _) => "known",
+            (false, 0) if forward.object.is_some() => "load",
             (false, 0) => "owner",
+            (false, _) if is_owner => "owner",
             (false, _) => "unknown",
         };
+        if placement.owners > 0 && !is_owner {
+            self.metrics.placement_spills.inc();
+        }
         self.metrics
             .placements
             .get_or_create(&PlaceLabel { place })
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -34,6 +34,7 @@
 use crate::servers::ServerSet;
 use crate::table::{TableBatch, TableEra, TableKind, TableService};
 use crate::team_limits::TeamLimits;
+use crate::warm::WarmServers;
 
 /// Settings of an instance.
 #[derive(Debug, Clone)]
@@ -78,6 +79,8 @@
     pub(crate) peers: RefCell<InstanceTable>,
     pub(crate) limits: TeamLimits,
     pub(crate) regions: RegionBalancer,
+    /// What was learned of objects and of the time that requests take.
+    pub(crate) warm: WarmServers,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crashes: RefCell<CrashTracker>,
     pub(crate) splitters: RefCell<BTreeMap<String, RouteSplitter>>,
@@ -139,6 +142,7 @@
             peers: RefCell::new(peers),
             limits: TeamLimits::new(options.quota),
             regions: RegionBalancer::default(),
+            warm: WarmServers::default(),
             retry_budget: RefCell::new(RetryBudget::new(options.retries)),
             clock,
             proof_clock,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod team_limits;
 #[cfg(test)]
 mod tests;
+mod warm;
 
 pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -34,6 +34,7 @@
     registry: Registry,
     pub(crate) outcomes: Family<OutcomeLabel, Counter>,
     pub(crate) placements: Family<PlaceLabel, Counter>,
+    pub(crate) placement_spills: Counter,
     pub(crate) holds: Family<HoldLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
@@ -59,6 +60,7 @@
             registry: Registry::with_prefix("tarragonpulley"),
             outcomes: Family::default(),
             placements: Family::default(),
+            placement_spills: Counter::default(),
             holds: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
@@ -79,9 +81,15 @@
         );
         registry.register(
             "placements",
-            "Requests by whether the server knows the object, is the owner, or neither",
+            "Requests by whether the server knows the object, is the owner, one of several \
+             owners, chosen by load, or neither",
             metrics.placements.clone(),
         );
+        registry.register(
+            "placement_spills",
+            "Requests on an object that went to none of its owners",
+            metrics.placement_spills.clone(),
+        );
         registry.register(
             "sends_held",
             "Placements in which a server got no request because of what it asked for",
--- a/crates/edge/src/regions.rs
+++ b/crates/edge/src/regions.rs
@@ -38,6 +38,13 @@
         self.meter.borrow_mut().report(now)
     }
 
+    /// The demand for one service at this instance, in requests per second.
+    pub(crate) fn rate(&self, service: &ServiceName, now: Instant) -> f64 {
+        let reports = self.report(now);
+        let report = reports.iter().find(|demand| demand.service == *service);
+        report.map_or(0.0, ServiceDemand::rate)
+    }
+
     /// The fraction of the requests without home regions that each region gets.
     pub(crate) fn fractions(&self, service: &ServiceName) -> RegionFractions {
         let shares = self.shares.borrow();
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -25,6 +25,10 @@
 /// The maximum number of objects recorded for a server.
 const MAX_KNOWN_OBJECTS: usize = 64;
 
+/// The number of requests in a row on known objects that took as long as on unknown ones,
+/// after which the server is taken to have lost what it knew.
+const MAX_FORGOTTEN_IN_ROW: u8 = 3;
+
 /// The maximum number of idle connections in the pool of a server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -70,6 +74,8 @@
     /// removed.
     pub(crate) removed_at: Cell<Option<Instant>>,
     known_objects: RefCell<BTreeMap<u64, Instant>>,
+    /// The last requests in a row on objects that the server had forgotten.
+    forgotten_in_row: Cell<u8>,
     pool: RefCell<Vec<ServerConnection>>,
 }
 
@@ -85,6 +91,7 @@
             incarnation: ServerIncarnation::new(entry.id.as_str(), entry.started),
             logged_limit: Cell::default(),
             known_objects: RefCell::default(),
+            forgotten_in_row: Cell::default(),
             pool: RefCell::default(),
             entry: RefCell::new(entry),
         }
@@ -113,6 +120,22 @@
             .is_some_and(|at| now.saturating_duration_since(*at) < KNOWN_OBJECT_TTL)
     }
 
+    /// Records whether the server turned out to know an object that counted as known.
+    /// Returns whether it has now lost what it knew.
+    pub(crate) fn record_recall(&self, was_known: bool) -> bool {
+        if was_known {
+            self.forgotten_in_row.set(0);
+            return false;
+        }
+        let count = self.forgotten_in_row.get() + 1;
+        let has_lost = count >= MAX_FORGOTTEN_IN_ROW;
+        self.forgotten_in_row.set(if has_lost { 0 } else { count });
+        if has_lost {
+            self.known_objects.borrow_mut().clear();
+        }
+        has_lost
+    }
+
     pub(crate) fn record_object(&self, object: u64, now: Instant) {
         let mut known = self.known_objects.borrow_mut();
         known.insert(object, now);
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -7,11 +7,14 @@
 //! and a server that joins or leaves moves only its own objects. Among the first
 //! few servers of that order, the request goes to the one with the lowest expected
 //! latency. This is the owner, unless waiting in its queue takes longer than the
-//! work on a server that does not know the object.
+//! work on a server that does not know the object. Popular objects have several
+//! owners, the first ones of the order, of which each instance prefers one.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::popular_objects::ObjectOwners;
+
 /// How many servers of the rendezvous order are considered for a request.
 pub const MAX_CANDIDATES: usize = 3;
 
@@ -132,11 +135,31 @@
     }
 }
 
+/// How the object of a request decides on its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ObjectAffinity {
+    /// The servers that own the object.
+    pub owners: ObjectOwners,
+    /// Hash of the instance. Instances prefer different owners, so that all of them get
+    /// requests although none knows the exact load.
+    pub instance: u64,
+}
+
+impl ObjectAffinity {
+    /// One owner.
+    pub const SINGLE_OWNER: Self = Self {
+        owners: ObjectOwners::Owners(1),
+        instance: 0,
+    };
+}
+
 /// A request to place.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementRequest {
     /// Hash of the object; `None` to place without regard to objects.
     pub object: Option<u64>,
+    /// How the object decides on the server.
+    pub affinity: ObjectAffinity,
     /// The expected times of its parts.
     pub work: WorkModel,
     /// When servers get no more requests of its kind.
@@ -150,6 +173,7 @@
     pub fn new(object: Option<u64>, target: Duration, priority: u32) -> Self {
         Self {
             object,
+            affinity: ObjectAffinity::SINGLE_OWNER,
             work: WorkModel::for_target(target),
             load_limit: LoadLimit::for_priority(priority),
         }
@@ -165,8 +189,11 @@
 pub struct Placement {
     /// Index of the server in the given list.
     pub index: usize,
-    /// Position in the rendezvous order; 0 is the owner.
+    /// Position in the rendezvous order; the first ones are the owners. 0 without an
+    /// owner.
     pub rank: usize,
+    /// The number of owners of the object; 0 if it was placed by load.
+    pub owners: usize,
     /// Expected time until the response.
     pub expected_latency: Duration,
     /// Whether the server has reached its maximum load, in which case no candidate
@@ -276,6 +303,7 @@
 ) -> Option<Placement> {
     let PlacementRequest {
         object,
+        affinity,
         work,
         load_limit,
     } = request;
@@ -290,17 +318,7 @@
         }
     };
     let Some(object) = *object else {
-        let place = |index: usize| Placement {
-            index,
-            rank: 0,
-            expected_latency: expected_latency(&servers[index], true, work),
-            saturated: load_limit.is_reached(&servers[index]),
-            queues_unknown_object: false,
-        };
-        return usable
-            .into_iter()
-            .map(place)
-            .min_by_key(|placement| (placement.saturated, placement.expected_latency));
+        return least_latency(usable, servers, request, true);
     };
     let region = region_of_object(
         object,
@@ -308,19 +326,29 @@
         fractions,
     );
     usable.retain(|index| Some(servers[*index].region) == region);
+    let ObjectOwners::Owners(count) = affinity.owners else {
+        return least_latency(usable, servers, request, false);
+    };
+    let owners = count.clamp(1, usable.len().max(1));
     let views: Vec<ServerView> = usable.iter().map(|index| servers[*index]).collect();
-    let order = rendezvous_order(object, &views, MAX_CANDIDATES);
+    let mut order: Vec<(usize, usize)> =
+        rendezvous_order(object, &views, MAX_CANDIDATES + owners - 1)
+            .into_iter()
+            .enumerate()
+            .collect();
+    let preferred = preferred_owner(object, affinity.instance, owners);
+    order[..owners.min(usable.len())].rotate_left(preferred);
     let mut best: Option<Placement> = None;
-    for (rank, position) in order.into_iter().enumerate() {
+    for (rank, position) in order {
         let server = &views[position];
+        let is_known = rank < owners || server.known;
         let placement = Placement {
             index: usable[position],
             rank,
-            expected_latency: expected_latency(server, rank == 0 || server.known, work),
+            owners,
+            expected_latency: expected_latency(server, is_known, work),
             saturated: load_limit.is_reached(server),
-            queues_unknown_object: rank > 0
-                && !server.known
-                && server.load >= f64::from(server.slots),
+            queues_unknown_object: !is_known && server.load >= f64::from(server.slots),
         };
         if best.is_none_or(|owner| placement.is_better(&owner)) {
             best = Some(placement);
@@ -329,9 +357,41 @@
     best
 }
 
+/// The rank of the owner that an instance prefers.
+fn preferred_owner(object: u64, instance: u64, owners: usize) -> usize {
+    let owners = u64::try_from(owners).unwrap_or(1).max(1);
+    usize::try_from(mix(object ^ mix(instance)) % owners).unwrap_or(0)
+}
+
+/// The server with the lowest expected latency. `takes_as_known` says whether all servers
+/// are taken to be as fast as on a known object.
+fn least_latency(
+    usable: Vec<usize>,
+    servers: &[ServerView],
+    request: &PlacementRequest,
+    takes_as_known: bool,
+) -> Option<Placement> {
+    let place = |index: usize| {
+        let server = &servers[index];
+        let is_known = takes_as_known || server.known;
+        Placement {
+            index,
+            rank: 0,
+            owners: 0,
+            expected_latency: expected_latency(server, is_known, &request.work),
+            saturated: request.load_limit.is_reached(server),
+            queues_unknown_object: false,
+        }
+    };
+    usable
+        .into_iter()
+        .map(place)
+        .min_by_key(|placement| (placement.saturated, placement.expected_latency))
+}
+
 impl Placement {
-    /// Whether this placement is preferred to one that is earlier in the rendezvous
-    /// order.
+    /// Whether this placement is preferred to one that is earlier in the order of
+    /// preference.
     fn is_better(&self, owner: &Self) -> bool {
         if self.saturated != owner.saturated {
             return owner.saturated && !self.queues_unknown_object;
--- a/crates/policy/src/entry/region_share.rs
+++ b/crates/policy/src/entry/region_share.rs
@@ -59,6 +59,15 @@
     pub homed: Vec<(RegionName, f32)>,
 }
 
+impl ServiceDemand {
+    /// All requests per second, wherever they may run.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        let homed = self.homed.iter().map(|(_, rate)| f64::from(*rate));
+        f64::from(self.free) + homed.sum::<f64>()
+    }
+}
+
 #[derive(Debug)]
 struct ServiceMeter {
     free: DemandMeter,
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod servers;
 mod simulation;
 mod stopping;
+mod warm_servers;
 
 use std::time::{Duration, Instant};
 
