Owners by demand decide with the prior's times; forgetting is not a lack of gain

Part of it was a gain judged absent where servers forget most objects: the median of known work was that of unknown work, and requests were placed by load. The fastest twentieth decides now, and placement keeps the prior's times.

--- a/crates/edge/src/forward/learned.rs
+++ b/crates/edge/src/forward/learned.rs
@@ -31,8 +31,9 @@
             estimates.record_request(service, &route.name, target, now);
         }
         let work = estimates.model(service, &route.name, target, now);
+        let prior = WorkModel::for_target(target);
         let Some(object) = forward.object else {
-            return (work, ObjectAffinity::SINGLE_OWNER);
+            return (prior, ObjectAffinity::SINGLE_OWNER);
         };
         let demand = ObjectDemand {
             service_rate: self.region_rate(service, now),
@@ -49,7 +50,7 @@
             ObjectOwners::ByLoad
         };
         let instance = text_hash(self.peers.borrow().own().name.as_str());
-        (work, ObjectAffinity { owners, instance })
+        (prior, ObjectAffinity { owners, instance })
     }
 
     /// Learns from a response how long the work took, and whether the server still knew
--- a/crates/policy/src/entry/popular_objects.rs
+++ b/crates/policy/src/entry/popular_objects.rs
@@ -39,9 +39,13 @@
 pub const RATE_WINDOW: Duration = Duration::from_secs(20);
 
 /// The number of requests at which an object's own rate and the mean rate of all objects
-/// weigh alike.
+/// weigh alike, and the upper bound of that mean: above it, rates are known well enough.
 const RATE_CONFIDENCE: f64 = 2.0;
 
+/// The number of requests for the service below which the share of one object in them
+/// says little.
+const SHARE_CONFIDENCE: f64 = 20.0;
+
 /// Objects are classed by rate; each class has twice the rate of the one before.
 const RATE_CLASSES: usize = 8;
 
@@ -169,19 +173,20 @@
     /// The rate of an object in the region. An object with few requests is taken to be
     /// nearer to the mean of all objects.
     fn rate(&self, object: u64, service_rate: f64, now: Instant) -> f64 {
-        let total = self.requests.at(now).max(1.0);
+        let total = self.requests.at(now);
         let count = self
             .objects
             .get(&object)
             .map_or(0.0, |used| used.requests.at(now));
         let objects = f64::from(u32::try_from(self.objects.len().max(1)).unwrap_or(u32::MAX));
         let confidence = count / (count + RATE_CONFIDENCE);
-        let expected = confidence * count + (1.0 - confidence) * (total / objects);
+        let mean = (total / objects).min(RATE_CONFIDENCE);
+        let expected = confidence * count + (1.0 - confidence) * mean;
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         let window = RATE_WINDOW.as_secs_f64();
         let covered = window * (1.0 - (-elapsed / window).exp());
         let own_rate = total / covered.max(1.0);
-        expected / total * service_rate.max(own_rate)
+        expected / (total + SHARE_CONFIDENCE) * service_rate.max(own_rate)
     }
 
     fn owners(&mut self, object: u64, demand: &ObjectDemand, now: Instant) -> ObjectOwners {
--- a/crates/policy/src/entry/work_estimate.rs
+++ b/crates/policy/src/entry/work_estimate.rs
@@ -112,6 +112,10 @@
     /// The median; `None` with too few samples, or if more than half of them come from
     /// one server.
     fn median(&self) -> Option<Duration> {
+        self.quantile(0.5)
+    }
+
+    fn quantile(&self, fraction: f64) -> Option<Duration> {
         if self.samples.len() < MIN_SAMPLES {
             return None;
         }
@@ -126,8 +130,12 @@
             return None;
         }
         let mut times: Vec<Duration> = self.samples.iter().map(|(_, time)| *time).collect();
-        let middle = times.len() / 2;
-        Some(*times.select_nth_unstable(middle).1)
+        times.sort_unstable();
+        let count = |index: usize| f64::from(u32::try_from(index).unwrap_or(u32::MAX));
+        let end = count(times.len()) * fraction;
+        let index = (0..times.len()).find(|index| count(*index) >= end);
+        let index = index.unwrap_or(times.len() - 1);
+        Some(times[index])
     }
 }
 
@@ -217,8 +225,9 @@
         let value = f64::from(u8::from(is_fast));
         let fraction = self.known_fraction.get_or_insert(value);
         *fraction += FRACTION_WEIGHT * (value - *fraction);
-        if let (Some(known), Some(unknown)) = self.medians {
-            let ratio = unknown.as_secs_f64() / known.as_secs_f64().max(0.001);
+        // Most known objects may be forgotten already, so the fastest twentieth decides.
+        if let (Some(unknown), Some(fast)) = (self.medians.1, self.known.quantile(0.05)) {
+            let ratio = unknown.as_secs_f64() / fast.as_secs_f64().max(0.001);
             let limit = if self.has_gain {
                 GAIN_RATIOS.0
             } else {
@@ -230,7 +239,7 @@
 
     /// The mean work of a request of the route.
     fn mean(&self) -> Duration {
-        let Some(fraction) = self.known_fraction else {
+        let (Some(fraction), true) = (self.known_fraction, self.medians != (None, None)) else {
             return self.target.mul_f64(MEAN_WORK);
         };
         let work = self.work();
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod fleet_limits;
 mod fleet_simulation;
 mod instances;
+mod learned_work;
 mod load_simulation;
 mod named_limits;
 mod placement;
--- a/crates/policy/tests/entry/warm_servers.rs
+++ b/crates/policy/tests/entry/warm_servers.rs
@@ -517,11 +517,11 @@
     ) {
         let RequestKind { name, target, .. } = load.kinds[kind];
         self.estimates.record_request(service, name, target, now);
-        request.work = self.estimates.model(service, name, target, now);
+        let work = self.estimates.model(service, name, target, now);
         let object = request.object.expect("an object");
         let demand = ObjectDemand {
             service_rate: service_rate(load),
-            known_work: request.work.known,
+            known_work: work.known,
             slots: u32::try_from(SLOTS).expect("small"),
         };
         self.objects.record_request(service, object, now);
