--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -27,7 +27,7 @@
 
 /// The number of requests in a row on known objects that took as long as on unknown ones,
 /// after which the server is taken to have lost what it knew.
-const MAX_FORGOTTEN_IN_ROW: u8 = 3;
+const MAX_FORGOTTEN_IN_ROW: u8 = 8;
 
 /// The maximum number of idle connections in the pool of a server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
