--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -38,6 +38,7 @@
 use crate::table::{TableBatch, TableEra, TableKind, TableService};
 use crate::team_limits::TeamLimits;
 use crate::usage::UsageReporting;
+use crate::warm::WarmServers;
 
 /// Settings of an instance.
 #[derive(Debug, Clone)]
@@ -87,6 +88,8 @@
     pub(crate) limits: TeamLimits,
     pub(crate) regions: RegionBalancer,
     pub(crate) links: LinkState,
+    /// What was learned of objects and of the time that requests take.
+    pub(crate) warm: WarmServers,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crashes: RefCell<CrashTracker>,
     pub(crate) splitters: RefCell<BTreeMap<String, RouteSplitter>>,
@@ -157,6 +160,7 @@
             ),
             regions: RegionBalancer::default(),
             links: LinkState::new(now),
+            warm: WarmServers::default(),
             retry_budget: RefCell::new(RetryBudget::new(options.retries)),
             clock,
             proof_clock,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,6 +31,7 @@
 #[cfg(test)]
 mod tests;
 mod usage;
+mod warm;
 
 pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -51,6 +51,7 @@
     registry: Registry,
     pub(crate) outcomes: Family<OutcomeLabel, Counter>,
     pub(crate) placements: Family<PlaceLabel, Counter>,
+    pub(crate) placement_spills: Counter,
     pub(crate) holds: Family<HoldLabel, Counter>,
     pub(crate) lookups: Family<LookupLabel, Counter>,
     pub(crate) server_rejections: Family<RejectionLabel, Counter>,
@@ -128,6 +129,7 @@
             registry: Registry::with_prefix("tarragonpulley"),
             outcomes: Family::default(),
             placements: Family::default(),
+            placement_spills: Counter::default(),
             holds: Family::default(),
             lookups: Family::default(),
             server_rejections: Family::default(),
@@ -154,9 +156,15 @@
         );
         registry.register(
             "placements",
-            "Requests by whether the server knows the object, is the owner, or neither",
+            "Requests by whether the server knows the object, is the owner, one of several \
+             owners, chosen by load, or neither",
             metrics.placements.clone(),
         );
+        registry.register(
+            "placement_spills",
+            "Requests on an object that went to none of its owners",
+            metrics.placement_spills.clone(),
+        );
         registry.register(
             "sends_held",
             "Placements in which a server got no request because of what it asked for",
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod fleet_limits;
 mod fleet_simulation;
 mod instances;
+mod learned_work;
 mod link_load;
 mod load_simulation;
 mod named_limits;
@@ -22,6 +23,7 @@
 mod team_shares;
 mod usage;
 mod usage_simulation;
+mod warm_servers;
 
 use std::time::{Duration, Instant};
 
