--- a/crates/policy/src/entry/usage.rs
+++ b/crates/policy/src/entry/usage.rs
@@ -576,8 +576,7 @@
         time: UnixMillis,
         now: Instant,
     ) {
-        let row_era = row.as_ref().map(|row| row.record.era);
-        self.record_era(position, row_era, time);
+        self.record_era(position, row.as_ref(), time);
         let writer = row.as_ref().map(|row| (&row.writer, row.fence));
         self.lease.record_read(position, writer, now);
         let record = row.map(|row| row.record).unwrap_or_default();
@@ -587,18 +586,13 @@
     /// After a restore of the table, records of the windows until now may be lost whose
     /// reports were sent. These windows are not recorded any more.
     /// The writer of a row of this era has done the same.
-    fn record_era(
-        &mut self,
-        position: RowPosition,
-        row_era: Option<Option<u64>>,
-        time: UnixMillis,
-    ) {
+    fn record_era(&mut self, position: RowPosition, row: Option<&UsageRow>, time: UnixMillis) {
         self.has_read = true;
         if position.era <= self.era {
             return;
         }
         self.era = position.era;
-        if row_era != Some(position.era) {
+        if row.is_none_or(|row| row.record.era != position.era) {
             let current = self.terms.window_at(time);
             self.last_known = self.last_known.max(Some(current));
         }
--- a/crates/policy/tests/entry/usage.rs
+++ b/crates/policy/tests/entry/usage.rs
@@ -36,14 +36,14 @@
     ahead = { 2000, Some(2000) },
     behind = { -2000, Some(-2000) },
 )]
-fn time_is_corrected_by_the_fleet(difference: i64, expected: Option<i64>) {
+fn time_is_corrected_by_the_fleet(difference: i64, correction: Option<i64>) {
     let start = Instant::now();
     let mut time = SteadyTime::new(start, UnixMillis(1_000_000));
     assert_eq!(time.at(at(start, 500)), UnixMillis(1_000_500));
     let fleet = UnixMillis(1_000_500 + difference);
-    assert_eq!(time.correct(fleet, at(start, 500)), expected);
-    let after = expected.unwrap_or(0);
-    assert_eq!(time.at(at(start, 600)), UnixMillis(1_000_600 + after));
+    assert_eq!(time.correct(fleet, at(start, 500)), correction);
+    let after = 1_000_600 + correction.into_iter().sum::<i64>();
+    assert_eq!(time.at(at(start, 600)), UnixMillis(after));
 }
 
 /// Guards against a change of the holder without need, and a holder that keeps the duty
--- a/crates/policy/tests/entry/usage_simulation.rs
+++ b/crates/policy/tests/entry/usage_simulation.rs
@@ -134,7 +134,7 @@
         from: usize,
         fence: Fence,
         window: WindowNumber,
-        counts: TeamCounts,
+        counts: &TeamCounts,
     ) {
         if let Some((highest, by)) = self.highest {
             assert!(
@@ -155,7 +155,7 @@
         self.calls.push((now, from));
         let known = self.reports.entry(window).or_insert_with(|| counts.clone());
         assert_eq!(
-            *known, counts,
+            known, counts,
             "{now}: a second report of {window:?} by {from}"
         );
     }
@@ -345,7 +345,8 @@
                 window,
                 counts,
             } => {
-                self.receiver.receive(self.now, from, fence, window, counts);
+                self.receiver
+                    .receive(self.now, from, fence, window, &counts);
                 let outcome = if is_lost {
                     DeliveryOutcome::Unknown
                 } else {
