--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -103,12 +103,27 @@
     /// Rejects a request whose body does not fit the memory that is left. Another instance
     /// may have more, and this one again once a request in progress ends.
     pub(crate) fn reject_body(&self, head: &RequestHead) -> CallerResponse {
+        let inputs = json!({"length": head.text("content-length"),
+            "memory_in_use": self.request_budget.used()});
+        self.reject_unhandled(head, Rejection::NoMemory, &inputs)
+    }
+
+    /// Rejects a request beyond the number that may be in progress.
+    pub(crate) fn reject_request(&self, head: &RequestHead) -> CallerResponse {
+        self.reject_unhandled(head, Rejection::TooManyRequests, &json!({}))
+    }
+
+    /// Rejects a request that is not handled.
+    fn reject_unhandled(
+        &self,
+        head: &RequestHead,
+        rejection: Rejection,
+        inputs: &serde_json::Value,
+    ) -> CallerResponse {
         let field = self.adapter.headers().request_id;
         let id = head.text(field).unwrap_or_default();
         let after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
-        let inputs = json!({"length": head.text("content-length"),
-            "memory_in_use": self.request_budget.used()});
-        let response = self.reject(id, Rejection::NoMemory, Some(after), &inputs);
+        let response = self.reject(id, rejection, Some(after), inputs);
         if id.is_empty() {
             return response;
         }
--- a/crates/edge/src/forward/rejection.rs
+++ b/crates/edge/src/forward/rejection.rs
@@ -25,6 +25,8 @@
     ServersPaused,
     /// This instance has no memory left for the body of the request.
     NoMemory,
+    /// As many requests are in progress as this instance has connections for.
+    TooManyRequests,
     /// This instance is partitioned from all servers.
     NoServerReachable,
     /// The request would not be complete when this process ends.
@@ -51,6 +53,7 @@
             | Self::ServerLimitsReached
             | Self::ServersPaused
             | Self::NoMemory
+            | Self::TooManyRequests
             | Self::NoServerReachable
             | Self::Stopping => 503,
         }
@@ -75,6 +78,7 @@
             Self::ServerLimitsReached => "server_limits_reached",
             Self::ServersPaused => "servers_paused",
             Self::NoMemory => "no_memory",
+            Self::TooManyRequests => "too_many_requests",
             Self::NoServerReachable => "no_server_reachable",
             Self::Stopping => "stopping",
         }
--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -6,6 +6,7 @@
 //! library parses the heads; framing and the handling of connections are
 //! implemented here.
 
+pub(crate) mod account;
 pub(crate) mod budget;
 pub(crate) mod client;
 pub(crate) mod framing;
--- a/crates/edge/src/http/framing.rs
+++ b/crates/edge/src/http/framing.rs
@@ -307,6 +307,11 @@
         self.body.len()
     }
 
+    /// The memory of the body so far, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.body.capacity()
+    }
+
     /// The body, if an orderly close of the connection ends it.
     pub(crate) fn take_at_close(&mut self) -> Option<Bytes> {
         (self.length == BodyLength::UntilClose).then(|| self.body.split().freeze())
--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -68,6 +68,11 @@
 }
 
 impl RequestHead {
+    /// The memory that the head takes, with what the allocator adds, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.method.len() + self.target.len() + fields_memory(&self.fields)
+    }
+
     /// The path without the query.
     pub(crate) fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
@@ -122,7 +127,22 @@
     pub(crate) share: Option<Rc<BufferShare>>,
 }
 
+/// What the allocator adds to an allocation, its rounding included, in bytes.
+const ALLOCATION_BYTES: usize = 24;
+
+fn fields_memory(fields: &[HeaderField]) -> usize {
+    let field = |field: &HeaderField| {
+        size_of::<HeaderField>() + field.name.len() + field.value.len() + 2 * ALLOCATION_BYTES
+    };
+    fields.iter().map(field).sum()
+}
+
 impl CallerResponse {
+    /// The memory that the response takes, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        size_of::<Self>() + self.body.len() + fields_memory(&self.fields)
+    }
+
     /// A response without a body.
     pub(crate) fn empty(status: u16) -> Self {
         Self {
--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -20,6 +20,9 @@
 
 use crate::supervise::panic_reason;
 
+use super::account::{
+    ClientAccount, ClientActivity, ClientGroup, ClientMember, ClientRefusal, RequestCharge,
+};
 use super::budget::{BufferBudget, BufferShare};
 use super::framing::{
     BodyLength, BodyReader, FramingError, HeadScanner, request_length, take_request_head,
@@ -41,9 +44,20 @@
 /// The maximum size of requests read ahead while earlier ones are handled.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 
+/// The memory of a request in progress without its head and body, in bytes: its task and
+/// the bytes that are exchanged with a server.
+const IN_PROGRESS_BYTES: usize = 16 * 1024;
+
+/// The size up to which the buffer of a connection is kept between requests, in bytes.
+const MAX_KEPT_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Delay after a failed accept, in which descriptors may become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The number of connections that are accepted before other tasks run. The connections
+/// that are closed for them hold their descriptors until then.
+const MAX_ACCEPTED_IN_TURN: usize = 16;
+
 /// How long an idle connection is read once more before it is closed at a shutdown.
 const CLOSING_READ_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -71,9 +85,21 @@
     /// The memory that the bodies of all requests may hold.
     fn body_budget(&self) -> Rc<BufferBudget>;
 
-    /// The response to a request whose body does not fit the memory that is left.
+    /// What all clients hold.
+    fn account(&self) -> Rc<ClientAccount>;
+
+    /// The listener's part in the account.
+    fn group(&self) -> ClientGroup;
+
+    /// The response to a request for which no memory is left.
     fn reject_body(&self, head: &RequestHead) -> CallerResponse;
 
+    /// The response to a request beyond the number that may be in progress.
+    fn reject_request(&self, head: &RequestHead) -> CallerResponse;
+
+    /// Records that something of a client was closed or rejected.
+    fn record_refusal(&self, refusal: ClientRefusal);
+
     /// Records that the handling of a request panicked.
     fn record_panic(&self, reason: &str);
 }
@@ -85,12 +111,17 @@
     shutdown: watch::Receiver<ShutdownPhase>,
 ) {
     let mut phase = shutdown.clone();
+    let mut accepted_in_turn = 0;
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let connection = serve_connection(stream, Rc::clone(&handler), shutdown.clone());
-                    actix_rt::spawn(connection);
+                    accept_connection(stream, &handler, &shutdown);
+                    accepted_in_turn += 1;
+                    if accepted_in_turn == MAX_ACCEPTED_IN_TURN {
+                        accepted_in_turn = 0;
+                        tokio::task::yield_now().await;
+                    }
                 }
                 // No descriptors are left, or the caller has already closed.
                 Err(_failed) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -113,13 +144,28 @@
             .and_then(|()| TcpStream::from_std(stream));
         // Fails if no descriptors are left; the caller sees a closed connection.
         if let Ok(stream) = accepted {
-            let connection = serve_connection(stream, Rc::clone(&handler), shutdown.clone());
+            accept_connection(stream, &handler, &shutdown);
+        }
+    }
+}
+
+/// Serves a new connection, or closes it if clients hold too much.
+fn accept_connection(
+    stream: TcpStream,
+    handler: &Rc<dyn RequestHandler>,
+    shutdown: &watch::Receiver<ShutdownPhase>,
+) {
+    match handler.account().open(handler.group(), Instant::now()) {
+        Some(member) => {
+            let handler = Rc::clone(handler);
+            let connection = serve_connection(stream, Rc::new(member), handler, shutdown.clone());
             actix_rt::spawn(connection);
         }
+        None => handler.record_refusal(ClientRefusal::TooManyConnections),
     }
 }
 
-struct ResponseTask(JoinHandle<CallerResponse>);
+struct ResponseTask(JoinHandle<(CallerResponse, Option<RequestCharge>)>);
 
 impl Drop for ResponseTask {
     fn drop(&mut self) {
@@ -133,9 +179,13 @@
 }
 
 impl PendingResponse {
-    async fn wait(&mut self, handler: &dyn RequestHandler) -> CallerResponse {
+    /// Waits for the response, and what it holds until it is written.
+    async fn wait(
+        &mut self,
+        handler: &dyn RequestHandler,
+    ) -> (CallerResponse, Option<RequestCharge>) {
         let task = match self {
-            Self::Ready(response) => return response.clone(),
+            Self::Ready(response) => return (response.clone(), None),
             Self::Task(task) => task,
         };
         match (&mut task.0).await {
@@ -144,7 +194,7 @@
                 if let Ok(payload) = error.try_into_panic() {
                     handler.record_panic(panic_reason(&*payload));
                 }
-                CallerResponse::empty(500).closing()
+                (CallerResponse::empty(500).closing(), None)
             }
         }
     }
@@ -160,6 +210,8 @@
     Invalid(FramingError),
     /// No memory is left for the body of a request with this head.
     NoMemory(RequestHead),
+    /// No memory is left for the part of a request that has arrived.
+    NoRoom,
     Disconnected,
     TimedOut {
         partial: bool,
@@ -176,12 +228,47 @@
     budget: Rc<BufferBudget>,
     /// The memory of the body that is being received.
     share: BufferShare,
+    member: Rc<ClientMember>,
+    /// The size of the allocation behind `buffer`, in bytes. Its capacity does not
+    /// include what was consumed.
+    allocated: usize,
     last_byte: Instant,
     partial_since: Option<Instant>,
     expects_continue: bool,
 }
 
 impl RequestReader {
+    /// Counts what the reader holds. Returns whether it fits.
+    fn count_buffers(&mut self) -> bool {
+        self.allocated = self.allocated.max(self.buffer.capacity());
+        let message = self
+            .head
+            .as_ref()
+            .map_or(0, |(head, body)| head.memory() + body.memory());
+        self.member
+            .resize_buffers(self.allocated + message, self.last_byte)
+    }
+
+    /// Releases what was received of a request that is rejected.
+    fn discard(&mut self) {
+        self.head = None;
+        self.buffer = BytesMut::new();
+        self.allocated = 0;
+        self.share = BufferShare::new(&self.budget);
+        self.count_buffers();
+    }
+
+    /// Releases the allocation of a long message, which the rest of the buffer would
+    /// keep alive.
+    fn release_buffer(&mut self) {
+        if self.allocated > MAX_KEPT_BUFFER_BYTES
+            && (self.buffer.is_empty() || self.allocated > 2 * MAX_READ_AHEAD_BYTES)
+        {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+            self.allocated = self.buffer.capacity();
+        }
+    }
+
     fn parse(&mut self, limits: &CallerLimits) -> Result<Option<CallerRequest>, FramingError> {
         if self.head.is_none() {
             let head =
@@ -202,8 +289,13 @@
             if !has_memory {
                 return Err(FramingError::NoMemory);
             }
-            self.buffer
-                .reserve(announced.saturating_sub(self.buffer.len()));
+            // Room is made before it is allocated.
+            let missing = announced.saturating_sub(self.buffer.len());
+            let bytes = self.allocated + missing;
+            if !self.member.resize_buffers(bytes, self.last_byte) {
+                return Err(FramingError::NoMemory);
+            }
+            self.buffer.reserve(missing);
         }
         let Some((_, reader)) = &mut self.head else {
             return Ok(None);
@@ -221,6 +313,8 @@
         };
         self.expects_continue = false;
         self.partial_since = None;
+        self.release_buffer();
+        self.count_buffers();
         Ok(Some(CallerRequest {
             head,
             body,
@@ -255,6 +349,9 @@
                     }
                 }
             }
+            if !self.count_buffers() && accepts_requests && self.is_partial() {
+                return ReadEvent::NoRoom;
+            }
             let partial = accepts_requests && self.is_partial();
             if partial && self.partial_since.is_none() {
                 self.partial_since = Some(self.last_byte);
@@ -271,6 +368,14 @@
             } else {
                 None
             };
+            if use_idle_timeout {
+                let activity = if partial {
+                    ClientActivity::Receiving
+                } else {
+                    ClientActivity::Idle
+                };
+                self.member.set_activity(activity, self.last_byte);
+            }
             if self.buffer.len() > MAX_READ_AHEAD_BYTES && !accepts_requests {
                 std::future::pending::<()>().await;
             }
@@ -284,7 +389,10 @@
             };
             match count {
                 Ok(0) | Err(_) => return ReadEvent::Disconnected,
-                Ok(_) => self.last_byte = Instant::now(),
+                Ok(count) => {
+                    self.last_byte = Instant::now();
+                    self.member.record_moved(count);
+                }
             }
         }
     }
@@ -311,7 +419,7 @@
 }
 
 impl CallerConnection {
-    fn new(stream: TcpStream, budget: Rc<BufferBudget>) -> Self {
+    fn new(stream: TcpStream, budget: Rc<BufferBudget>, member: Rc<ClientMember>) -> Self {
         let (read_half, writer) = stream.into_split();
         Self {
             reader: RequestReader {
@@ -321,6 +429,8 @@
                 head: None,
                 share: BufferShare::new(&budget),
                 budget,
+                member,
+                allocated: 0,
                 last_byte: Instant::now(),
                 partial_since: None,
                 expects_continue: false,
@@ -331,6 +441,19 @@
         }
     }
 
+    /// Records what the connection does after a response.
+    fn begin_next(&self) {
+        let now = Instant::now();
+        let activity = if !self.pending.is_empty() {
+            ClientActivity::Working
+        } else if self.reader.is_partial() {
+            ClientActivity::Receiving
+        } else {
+            ClientActivity::Idle
+        };
+        self.reader.member.restart_activity(activity, now);
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty() && !self.reader.is_partial()
     }
@@ -364,8 +487,11 @@
         self.closes_after_pending |= response.close;
         let close = self.pending.is_empty() && (self.closes_after_pending || closes_when_idle);
         let (head, body) = encode_response(response, request.is_head, close);
+        let member = &self.reader.member;
+        member.restart_activity(ClientActivity::Sending, Instant::now());
         for bytes in [head, body] {
-            if !write_while_read(&mut self.writer, &bytes).await {
+            let sent = |count| member.record_moved(count);
+            if !write_while_read(&mut self.writer, &bytes, sent).await {
                 return ConnectionState::Dropped;
             }
         }
@@ -381,8 +507,26 @@
         match event {
             ReadEvent::Request(request) => {
                 let is_head = request.head.method == "HEAD";
+                let bytes = IN_PROGRESS_BYTES + request.head.memory() + request.body.len();
+                let member = &self.reader.member;
+                let Some(charge) = member.begin_request(bytes, request.received) else {
+                    handler.record_refusal(ClientRefusal::NoMemory);
+                    self.reject(handler.reject_body(&request.head));
+                    return ConnectionState::Open;
+                };
+                if !charge.begin_progress() {
+                    handler.record_refusal(ClientRefusal::TooManyRequests);
+                    self.reject(handler.reject_request(&request.head));
+                    return ConnectionState::Open;
+                }
+                member.restart_activity(ClientActivity::Working, request.received);
                 self.closes_after_pending |= !request.head.keeps_alive();
-                let task = actix_rt::spawn(handler.handle(request));
+                let handling = handler.handle(request);
+                let task = actix_rt::spawn(async move {
+                    let response = handling.await;
+                    charge.complete(response.memory(), Instant::now());
+                    (response, Some(charge))
+                });
                 self.pending.push_back(PendingRequest {
                     response: PendingResponse::Task(ResponseTask(task)),
                     is_head,
@@ -391,7 +535,14 @@
             ReadEvent::Invalid(error) => {
                 self.reject(CallerResponse::empty(rejection_status(error)));
             }
-            ReadEvent::NoMemory(head) => self.reject(handler.reject_body(&head)),
+            ReadEvent::NoMemory(head) => {
+                handler.record_refusal(ClientRefusal::NoMemory);
+                self.reject(handler.reject_body(&head));
+            }
+            ReadEvent::NoRoom => {
+                handler.record_refusal(ClientRefusal::NoMemory);
+                self.reject(CallerResponse::empty(503));
+            }
             ReadEvent::TimedOut { partial: true } => self.reject(CallerResponse::empty(408)),
             ReadEvent::TimedOut { partial: false } | ReadEvent::Disconnected => {
                 return ConnectionState::Dropped;
@@ -402,6 +553,7 @@
 
     /// Rejects bytes that are not a valid request or cannot be held, and reads no more.
     fn reject(&mut self, response: CallerResponse) {
+        self.reader.discard();
         self.pending.push_back(PendingRequest {
             response: PendingResponse::Ready(response.closing()),
             is_head: false,
@@ -412,14 +564,28 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    member: Rc<ClientMember>,
     handler: Rc<dyn RequestHandler>,
-    mut shutdown: watch::Receiver<ShutdownPhase>,
+    shutdown: watch::Receiver<ShutdownPhase>,
 ) {
     if stream.set_nodelay(true).is_err() {
         // The caller has reset the connection.
         return;
     }
-    let mut connection = CallerConnection::new(stream, handler.body_budget());
+    let connection = CallerConnection::new(stream, handler.body_budget(), Rc::clone(&member));
+    tokio::select! {
+        biased;
+        refusal = member.closed() => handler.record_refusal(refusal),
+        () = serve_requests(connection, &handler, shutdown) => {}
+    }
+}
+
+/// Serves a connection until it ends.
+async fn serve_requests(
+    mut connection: CallerConnection,
+    handler: &Rc<dyn RequestHandler>,
+    mut shutdown: watch::Receiver<ShutdownPhase>,
+) {
     loop {
         let limits = handler.limits();
         let phase = *shutdown.borrow_and_update();
@@ -434,7 +600,7 @@
             let next = connection.reader.next(&limits, true, false);
             match tokio::time::timeout(CLOSING_READ_TIMEOUT, next).await {
                 Ok(event) => {
-                    if connection.handle_event(event, &*handler) == ConnectionState::Dropped {
+                    if connection.handle_event(event, &**handler) == ConnectionState::Dropped {
                         return;
                     }
                     continue;
@@ -455,11 +621,16 @@
         let state = tokio::select! {
             biased;
             response = async { match pending.front_mut() {
-                Some(first) => first.response.wait(&*handler).await,
+                Some(first) => first.response.wait(&**handler).await,
                 None => std::future::pending().await,
-            }} => connection.send_response(&response, phase).await,
+            }} => {
+                let (response, _charge) = response;
+                let state = connection.send_response(&response, phase).await;
+                connection.begin_next();
+                state
+            }
             event = reader.next(&limits, accepts_requests, use_idle_timeout) => {
-                connection.handle_event(event, &*handler)
+                connection.handle_event(event, &**handler)
             }
             changed = shutdown.changed() => match changed {
                 Ok(()) => ConnectionState::Open,
@@ -469,6 +640,8 @@
         match state {
             ConnectionState::Open => {}
             ConnectionState::Finished => {
+                let member = &connection.reader.member;
+                member.set_activity(ClientActivity::Idle, Instant::now());
                 close_gracefully(connection.writer, connection.reader.stream).await;
                 return;
             }
@@ -486,14 +659,19 @@
     }
 }
 
-/// Writes for as long as the caller reads. Returns whether all bytes were written.
+/// Writes for as long as the caller reads, and reports how many bytes each write took.
+/// Returns whether all bytes were written.
 pub(crate) async fn write_while_read(
     writer: &mut (impl AsyncWrite + Unpin),
     mut bytes: &[u8],
+    sent: impl Fn(usize),
 ) -> bool {
     while !bytes.is_empty() {
         match tokio::time::timeout(WRITE_TIMEOUT, writer.write(bytes)).await {
-            Ok(Ok(count)) if count > 0 => bytes = &bytes[count..],
+            Ok(Ok(count)) if count > 0 => {
+                bytes = &bytes[count..];
+                sent(count);
+            }
             _ => return false,
         }
     }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -25,6 +25,7 @@
 use crate::adapter::{OperatorOrder, PlatformAdapter};
 use crate::crashes::CrashSuspect;
 use crate::events::EventLog;
+use crate::http::account::{ClientAccount, ClientLimits, ClientRefusal};
 use crate::http::budget::BufferBudget;
 use crate::metrics::InstanceMetrics;
 use crate::mirror::{REWRITE_GRACE, TableMirror};
@@ -57,6 +58,8 @@
     pub response_memory_bytes: usize,
     /// The memory for the bodies of requests, in bytes.
     pub request_memory_bytes: usize,
+    /// What clients may hold. Not changed by a reload.
+    pub clients: ClientLimits,
 }
 
 /// The state of a running instance, shared by its tasks.
@@ -103,6 +106,10 @@
     pub(crate) response_budget: Rc<BufferBudget>,
     /// The memory for bodies of requests that are received or in progress.
     pub(crate) request_budget: Rc<BufferBudget>,
+    /// What clients hold.
+    pub(crate) clients: Rc<ClientAccount>,
+    /// For each reason when refusals were logged last, and how many came since.
+    pub(crate) logged_refusals: RefCell<BTreeMap<ClientRefusal, (Option<Instant>, u64)>>,
     /// The sequence number of the last digest.
     pub(crate) digest_sequence: Cell<u64>,
     /// What the last log lines on the fleet said.
@@ -135,6 +142,7 @@
         peers.set_configured_centres(options.regions.len());
         let response_memory = options.response_memory_bytes;
         let request_memory = options.request_memory_bytes;
+        let clients = ClientAccount::new(options.clients);
         Self {
             peers: RefCell::new(peers),
             limits: TeamLimits::new(options.quota),
@@ -168,6 +176,8 @@
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
             request_budget: BufferBudget::new(request_memory),
+            clients,
+            logged_refusals: RefCell::default(),
             digest_sequence: Cell::new(0),
             logged_view: RefCell::default(),
             socket: OnceCell::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
 pub use events::EventLog;
+pub use http::account::ClientLimits;
 pub use instance::InstanceOptions;
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
 pub use service_client::{CallError, ServiceClient, ServiceResponse};
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -1,6 +1,7 @@
 //! The request handlers of the instance's addresses.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use serde_json::json;
@@ -9,10 +10,12 @@
 use tarragonpulley_policy::entry::directory::{LOOKUP_TTL, instances_for};
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 
+use crate::http::account::{ClientAccount, ClientGroup, ClientRefusal};
 use crate::http::budget::BufferBudget;
 use crate::http::message::{CallerRequest, CallerResponse, RequestHead};
 use crate::http::server::RequestHandler;
 use crate::instance::Instance;
+use crate::metrics::RefusalLabel;
 
 /// Handles requests of callers.
 pub(crate) struct CallerHandler(pub(crate) Rc<Instance>);
@@ -34,21 +37,40 @@
         Rc::clone(&self.0.request_budget)
     }
 
+    fn account(&self) -> Rc<ClientAccount> {
+        Rc::clone(&self.0.clients)
+    }
+
+    fn group(&self) -> ClientGroup {
+        ClientGroup::Callers
+    }
+
     fn reject_body(&self, head: &RequestHead) -> CallerResponse {
         self.0.reject_body(head)
     }
 
+    fn reject_request(&self, head: &RequestHead) -> CallerResponse {
+        self.0.reject_request(head)
+    }
+
+    fn record_refusal(&self, refusal: ClientRefusal) {
+        self.0.record_client_refusal(refusal);
+    }
+
     fn record_panic(&self, reason: &str) {
         self.0.record_panic("request", reason);
     }
 }
 
 /// Handles readiness checks, lookups and metrics.
-pub(crate) struct ManagementHandler(pub(crate) Rc<Instance>);
+pub(crate) struct ManagementHandler {
+    pub(crate) instance: Rc<Instance>,
+    pub(crate) group: ClientGroup,
+}
 
 impl ManagementHandler {
     fn respond(&self, request: &CallerRequest) -> CallerResponse {
-        let instance = &self.0;
+        let instance = &self.instance;
         let lookup = instance.adapter.lookup();
         let path = request.head.path();
         if path == instance.adapter.ready_path() {
@@ -67,6 +89,7 @@
             instance.metrics.proof_age_ms.set(age);
             let held = i64::try_from(instance.response_budget.used()).unwrap_or(i64::MAX);
             instance.metrics.response_bytes.set(held);
+            instance.record_client_use();
             return CallerResponse::empty(200)
                 .with_body("text/plain; version=1.0.0", instance.metrics.text());
         }
@@ -74,6 +97,9 @@
     }
 }
 
+/// The shortest time between two log lines on refusals for the same reason.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 pub(crate) const METRICS_PATH: &str = "/metrics";
 
 impl RequestHandler for ManagementHandler {
@@ -86,19 +112,65 @@
     }
 
     fn body_budget(&self) -> Rc<BufferBudget> {
-        Rc::clone(&self.0.request_budget)
+        Rc::clone(&self.instance.request_budget)
+    }
+
+    fn account(&self) -> Rc<ClientAccount> {
+        Rc::clone(&self.instance.clients)
+    }
+
+    fn group(&self) -> ClientGroup {
+        self.group
     }
 
     fn reject_body(&self, _head: &RequestHead) -> CallerResponse {
         CallerResponse::empty(503)
     }
 
+    fn reject_request(&self, _head: &RequestHead) -> CallerResponse {
+        CallerResponse::empty(503)
+    }
+
+    fn record_refusal(&self, refusal: ClientRefusal) {
+        self.instance.record_client_refusal(refusal);
+    }
+
     fn record_panic(&self, reason: &str) {
-        self.0.record_panic("management request", reason);
+        self.instance.record_panic("management request", reason);
     }
 }
 
 impl Instance {
+    /// Counts a refusal, and logs one of each reason in a second.
+    fn record_client_refusal(&self, refusal: ClientRefusal) {
+        let reason = refusal.name();
+        let label = RefusalLabel { reason };
+        self.metrics.client_refusals.get_or_create(&label).inc();
+        let now = self.now();
+        let mut logged = self.logged_refusals.borrow_mut();
+        let (last, count) = logged.entry(refusal).or_insert((None, 0));
+        *count += 1;
+        if last.is_some_and(|last| now.saturating_duration_since(last) < REFUSAL_LOG_INTERVAL) {
+            return;
+        }
+        *last = Some(now);
+        let count = std::mem::take(count);
+        self.log.event(
+            "clients_refused",
+            json!({"reason": reason, "count": count, "connections": self.clients.connections(),
+                "memory_in_use": self.clients.used()}),
+        );
+    }
+
+    /// Sets the metrics of what clients hold.
+    fn record_client_use(&self) {
+        let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let clients = &self.clients;
+        self.metrics.client_bytes.set(gauge(clients.used()));
+        let connections = gauge(clients.connections());
+        self.metrics.client_connections.set(connections);
+    }
+
     /// Whether lookups may name this instance.
     fn is_offered(&self) -> bool {
         match self.state() {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,11 @@
     pub(crate) place: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabel {
+    pub(crate) reason: &'static str,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub(crate) struct InstanceMetrics {
@@ -45,6 +50,9 @@
     pub(crate) datagram_bytes: Counter,
     pub(crate) task_panics: Counter,
     pub(crate) response_bytes: Gauge,
+    pub(crate) client_refusals: Family<RefusalLabel, Counter>,
+    pub(crate) client_bytes: Gauge,
+    pub(crate) client_connections: Gauge,
 }
 
 impl InstanceMetrics {
@@ -70,6 +78,9 @@
             datagram_bytes: Counter::default(),
             task_panics: Counter::default(),
             response_bytes: Gauge::default(),
+            client_refusals: Family::default(),
+            client_bytes: Gauge::default(),
+            client_connections: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -137,9 +148,29 @@
             "Memory for responses of servers that are received or passed on",
             metrics.response_bytes.clone(),
         );
+        metrics.register_clients();
         metrics
     }
 
+    fn register_clients(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "client_refusals",
+            "Connections of clients that were closed, and requests rejected, to bound what they hold",
+            self.client_refusals.clone(),
+        );
+        registry.register(
+            "client_bytes",
+            "Memory that connections of clients hold",
+            self.client_bytes.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            self.client_connections.clone(),
+        );
+    }
+
     /// All metrics in the text exposition format.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -15,7 +15,8 @@
 use crate::adapter::PlatformAdapter;
 use crate::crashes::MAX_PENDING_SUSPECTS;
 use crate::events::EventLog;
-use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve};
+use crate::http::account::ClientGroup;
+use crate::http::server::{ShutdownPhase, bind, serve};
 use crate::instance::{Instance, InstanceOptions};
 use crate::listeners::{CallerHandler, ManagementHandler};
 use crate::supervise::supervise;
@@ -144,12 +145,17 @@
         Rc::new(CallerHandler(Rc::clone(instance))),
         phase.clone(),
     ));
-    let service: Rc<dyn RequestHandler> = Rc::new(ManagementHandler(Rc::clone(instance)));
     // Readiness checks and lookups are served until the process ends.
     let (running, running_phase) = watch::channel(ShutdownPhase::Running);
-    for address in [listen.ready, listen.directory, listen.metrics] {
+    for (address, group) in [
+        (listen.ready, ClientGroup::Readiness),
+        (listen.directory, ClientGroup::Lookups),
+        (listen.metrics, ClientGroup::Metrics),
+    ] {
         let listener = bind(address).await?;
-        actix_rt::spawn(serve(listener, Rc::clone(&service), running_phase.clone()));
+        let instance = Rc::clone(instance);
+        let service = Rc::new(ManagementHandler { instance, group });
+        actix_rt::spawn(serve(listener, service, running_phase.clone()));
     }
     Ok(running)
 }
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -1,6 +1,7 @@
 //! Property tests of the parts of an instance that read what others send, and tests
 //! of its connections and of what keeps its tasks running.
 
+mod account;
 mod budget;
 mod connections;
 mod exchanges;
--- a/crates/edge/src/tests/connections.rs
+++ b/crates/edge/src/tests/connections.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use yare::parameterized;
 
+use crate::http::account::{ClientAccount, ClientGroup, ClientLimits, ClientRefusal};
 use crate::http::budget::BufferBudget;
 use crate::http::message::{CallerRequest, CallerResponse, RequestHead};
 use crate::http::server::{RequestHandler, ShutdownPhase, bind, serve, write_while_read};
@@ -42,6 +43,7 @@
 struct TargetHandler {
     targets: Rc<RefCell<HandledTargets>>,
     budget: Rc<BufferBudget>,
+    account: Rc<ClientAccount>,
 }
 
 /// Records a request as dropped unless it completed.
@@ -103,10 +105,24 @@
         Rc::clone(&self.budget)
     }
 
+    fn account(&self) -> Rc<ClientAccount> {
+        Rc::clone(&self.account)
+    }
+
+    fn group(&self) -> ClientGroup {
+        ClientGroup::Callers
+    }
+
     fn reject_body(&self, _head: &RequestHead) -> CallerResponse {
         CallerResponse::empty(503).with_field("Retry-After", "1")
     }
 
+    fn reject_request(&self, _head: &RequestHead) -> CallerResponse {
+        CallerResponse::empty(503)
+    }
+
+    fn record_refusal(&self, _refusal: ClientRefusal) {}
+
     fn record_panic(&self, _reason: &str) {}
 }
 
@@ -130,6 +146,12 @@
         let handler = TargetHandler {
             targets: Rc::default(),
             budget: BufferBudget::new(BODY_MEMORY_BYTES),
+            account: ClientAccount::new(ClientLimits {
+                connections: 100,
+                management_connections: 100,
+                requests: 100,
+                memory_bytes: 16 * BODY_MEMORY_BYTES,
+            }),
         };
         let (targets, budget) = (Rc::clone(&handler.targets), Rc::clone(&handler.budget));
         actix_rt::spawn(serve(listener, Rc::new(handler), receiver));
@@ -356,7 +378,7 @@
             tokio::time::pause();
             let (mut writer, mut reader) = tokio::io::duplex(PIECE_BYTES);
             let bytes = [b'x'; PIECES * PIECE_BYTES];
-            let write = write_while_read(&mut writer, &bytes);
+            let write = write_while_read(&mut writer, &bytes, |_count| ());
             let read = read_some(&mut reader, pieces_read);
             let both = async { tokio::join!(write, read).0 };
             let written = tokio::time::timeout(Duration::from_mins(2), both).await;
