--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 pub use adapter::{EntryOrder, HeaderNames, LookupNames, OperatorOrder, PlatformAdapter, RowError};
 pub use clock::BootClock;
 pub use events::EventLog;
+pub use http::account::ClientLimits;
 pub use instance::InstanceOptions;
 pub use run::{InstanceParts, ListenAddresses, SettingsReload, run};
 pub use service_client::{CallError, ServiceClient, ServiceResponse};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -45,6 +45,11 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabel {
+    pub(crate) reason: &'static str,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub(crate) struct InstanceMetrics {
@@ -65,6 +70,9 @@
     pub(crate) datagram_bytes: Counter,
     pub(crate) task_panics: Counter,
     pub(crate) response_bytes: Gauge,
+    pub(crate) client_refusals: Family<RefusalLabel, Counter>,
+    pub(crate) client_bytes: Gauge,
+    pub(crate) client_connections: Gauge,
     pub(crate) usage_reports: Family<ReportLabel, Counter>,
     pub(crate) usage_holder: Gauge,
     pub(crate) usage_unrecorded_ms: Gauge,
@@ -143,6 +151,9 @@
             datagram_bytes: Counter::default(),
             task_panics: Counter::default(),
             response_bytes: Gauge::default(),
+            client_refusals: Family::default(),
+            client_bytes: Gauge::default(),
+            client_connections: Gauge::default(),
             usage_reports: Family::default(),
             usage_holder: Gauge::default(),
             usage_unrecorded_ms: Gauge::default(),
@@ -231,10 +242,30 @@
             metrics.response_bytes.clone(),
         );
         metrics.quota.register(registry);
+        metrics.register_clients();
         metrics.register_usage();
         metrics
     }
 
+    fn register_clients(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "client_refusals",
+            "Connections of clients that were closed, and requests rejected, to bound what they hold",
+            self.client_refusals.clone(),
+        );
+        registry.register(
+            "client_bytes",
+            "Memory that connections of clients hold",
+            self.client_bytes.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            self.client_connections.clone(),
+        );
+    }
+
     fn register_usage(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/crates/policy/tests/entry/warm_servers.rs
+++ b/crates/policy/tests/entry/warm_servers.rs
@@ -18,6 +18,7 @@
     rendezvous_order,
 };
 use tarragonpulley_policy::entry::popular_objects::{ObjectDemand, ObjectOwners, PopularObjects};
+use tarragonpulley_policy::entry::server_evidence::ServerReport;
 use tarragonpulley_policy::entry::work_estimate::{
     ObjectRelation, RouteWork, WorkEstimates, WorkSample,
 };
@@ -334,20 +335,29 @@
             }
             server.start_queued(&self.load, &mut self.random);
             let lies = server.slow_factor > 0.0;
-            let load = if lies { 0.0 } else { to_float(server.load()) };
+            let load = if lies {
+                0
+            } else {
+                u32::try_from(server.load()).expect("a short queue")
+            };
             for (job, done) in ended {
                 self.end(&job, index, done, load, now);
             }
         }
     }
 
-    fn end(&mut self, job: &Job, index: usize, done: bool, load: f64, now: Instant) {
+    fn end(&mut self, job: &Job, index: usize, done: bool, load: u32, now: Instant) {
         let kind = &self.load.kinds[job.kind];
         let observed = now.duration_since(job.arrived);
         let instance = &mut self.instances[job.instance];
         instance.health[index].record_ended(job.ticket);
         if done {
-            instance.health[index].record_reported_load(load, now);
+            let report = ServerReport {
+                running: load,
+                waiting: 0,
+                pace: None,
+            };
+            instance.health[index].record_report(&report, now);
             instance.known.insert((index, job.object), now);
             let sample = WorkSample::new(&job.view, job.relation, observed, Duration::ZERO);
             if let Some(sample) = sample {
