--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -26,8 +26,9 @@
     pub team: &'static str,
     /// Names the only backend server that may run a request.
     pub expected_server: &'static str,
-    /// The numbers of requests running, requests waiting, and slots of a
-    /// backend server.
+    /// A backend server's [`ServerReport`](tarragonpulley_policy::entry::server_evidence):
+    /// the numbers of requests running, requests waiting and slots, and the pace of its
+    /// machine.
     pub load: &'static str,
     /// The requests per second that an overloaded backend server accepts from all
     /// instances together.
