Serve other callers between requests that were sent ahead

Cause: a connection handled many requests in one turn of the scheduler, so with 150 such connections an ordinary caller waited for seconds; the case ahead_without_store failed in one of two runs, beside a release build and a load average of 32.

Change: a connection with more requests lets other tasks run after each.

--- a/crates/edge/src/http/server.rs
+++ b/crates/edge/src/http/server.rs
@@ -454,6 +454,11 @@
         self.reader.member.restart_activity(activity, now);
     }
 
+    /// Whether bytes behind the first request in progress have arrived.
+    fn has_more_requests(&self) -> bool {
+        self.pending.len() > 1 || !self.reader.buffer.is_empty()
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty() && !self.reader.is_partial()
     }
@@ -638,6 +643,10 @@
             }
         };
         match state {
+            // Requests that were sent ahead would otherwise keep other callers waiting.
+            ConnectionState::Open if connection.has_more_requests() => {
+                tokio::task::yield_now().await;
+            }
             ConnectionState::Open => {}
             ConnectionState::Finished => {
                 let member = &connection.reader.member;
