--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -206,45 +206,50 @@
             "Requests sent to a second server",
             metrics.retries.clone(),
         );
+        metrics.quota.register(registry);
+        metrics.register_process();
+        metrics.register_clients();
+        metrics.register_usage();
+        metrics
+    }
+
+    fn register_process(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "table_calls",
             "Calls to the shared table",
-            metrics.table_calls.clone(),
+            self.table_calls.clone(),
         );
         registry.register(
             "table_failures",
             "Calls that failed",
-            metrics.table_failures.clone(),
+            self.table_failures.clone(),
         );
         registry.register(
             "unreadable_rows",
             "Rows that are not used",
-            metrics.unreadable_rows.clone(),
+            self.unreadable_rows.clone(),
         );
         registry.register(
             "proof_age_ms",
             "Age of the configuration's last proof",
-            metrics.proof_age_ms.clone(),
+            self.proof_age_ms.clone(),
         );
         registry.register(
             "datagram_bytes",
             "Bytes sent to other instances",
-            metrics.datagram_bytes.clone(),
+            self.datagram_bytes.clone(),
         );
         registry.register(
             "task_panics",
             "Panics of tasks and requests",
-            metrics.task_panics.clone(),
+            self.task_panics.clone(),
         );
         registry.register(
             "response_bytes",
             "Memory for responses of servers that are received or passed on",
-            metrics.response_bytes.clone(),
+            self.response_bytes.clone(),
         );
-        metrics.quota.register(registry);
-        metrics.register_clients();
-        metrics.register_usage();
-        metrics
     }
 
     fn register_clients(&mut self) {
