Loans divide the whole limit by demand

A data centre lent only what others needed beyond their base share, at 1.25 times their demand; the rest of the limit stayed with holders without demand. Now the target of each share is its part of the demand and of a small equal part, so all of the limit is usable where the demand is. The property test and the tests of calm and of a hot team pass.

--- a/crates/policy/src/entry/team_shares.rs
+++ b/crates/policy/src/entry/team_shares.rs
@@ -33,16 +33,13 @@
 /// not lent to others.
 pub const MEMBER_FRACTION: f64 = 0.2;
 
-/// Demand that a share should cover, as a multiple of what is measured.
-const DEMAND_HEADROOM: f64 = 1.25;
-
-/// The fraction of its base share that a data centre keeps without demand, so that the
-/// first requests of a team are admitted.
-const RESERVE_FRACTION: f64 = 0.1;
+/// The part of a limit that is divided equally, beside the demand: the first requests of a
+/// team are admitted everywhere.
+const SPREAD_FRACTION: f64 = 0.15;
 
 /// A loan is changed if it differs from the intended one by more than this fraction of a
 /// base share. A lowered loan is unused until the borrower has echoed it.
-const LOAN_STEP_FRACTION: f64 = 0.05;
+const LOAN_STEP_FRACTION: f64 = 0.1;
 
 /// The maximum number of loans in a digest, so that it fits in a datagram.
 const MAX_LOANS: usize = 64;
@@ -747,11 +744,19 @@
         let mut intended = Vec::new();
         for (team, rate) in rates.iter().filter(|(_, rate)| **rate > 0.0) {
             let tag = TeamTag::new(team);
-            let need = |demand: f64| DEMAND_HEADROOM * demand / rate;
-            let surplus =
-                |need: f64| (base - need.max(base * RESERVE_FRACTION)).clamp(0.0, lendable);
             let mut own_demands = demands.iter().filter(|(name, _)| name == team);
-            let own_surplus = surplus(need(own_demands.next().map_or(0.0, |(_, rate)| *rate)));
+            let own_demand = own_demands.next().map_or(0.0, |(_, demand)| *demand);
+            let other_demand: f64 = holders
+                .iter()
+                .filter_map(|peer| peer.demands.get(&tag))
+                .sum();
+            let spread = rate * SPREAD_FRACTION;
+            let total = own_demand + other_demand + spread;
+            // The whole limit is divided, so that a team within its rate has as much room
+            // everywhere.
+            let need = |demand: f64| (demand + spread * base) / total;
+            let surplus = |need: f64| (base - need).clamp(0.0, lendable);
+            let own_surplus = surplus(need(own_demand));
             let needs: Vec<(ProcessTag, f64)> = holders
                 .iter()
                 .map(|peer| {
