--- a/crates/edge/src/forward/learned.rs
+++ b/crates/edge/src/forward/learned.rs
@@ -14,6 +14,10 @@
 /// The slowness from which on a server's responses do not show what it remembers.
 const MAX_RECALL_SLOWNESS: f64 = 1.5;
 
+/// The maximum number of owners that requests are sent to. Further owners cost 0.02 of
+/// the worth in single plays of two deployments, for a reason that is not traced yet.
+const USED_OWNERS: usize = 1;
+
 impl Instance {
     /// The expected times of a request, and how its object is placed. `is_first` says that
     /// the request was not attempted before.
@@ -45,7 +49,10 @@
             objects.record_request(service, object, now);
         }
         let owners = if estimates.has_gain(service, &route.name) {
-            objects.owners(service, object, &demand, now)
+            match objects.owners(service, object, &demand, now) {
+                ObjectOwners::Owners(count) => ObjectOwners::Owners(count.min(USED_OWNERS)),
+                ObjectOwners::ByLoad => ObjectOwners::ByLoad,
+            }
         } else {
             ObjectOwners::ByLoad
         };
--- a/crates/policy/src/entry/work_estimate.rs
+++ b/crates/policy/src/entry/work_estimate.rs
@@ -29,7 +29,7 @@
 
 /// The ratio of unknown to known work below which affinity gains nothing, and the one
 /// from which on it does again.
-pub const GAIN_RATIOS: (f64, f64) = (1.3, 1.6);
+pub const GAIN_RATIOS: (f64, f64) = (1.6, 2.0);
 
 /// The maximum number of routes of a service and of services with estimates.
 const MAX_ENTRIES: usize = 64;
@@ -115,6 +115,10 @@
         self.quantile(0.5)
     }
 
+    fn is_full(&self) -> bool {
+        self.samples.len() >= WINDOW_SAMPLES
+    }
+
     fn quantile(&self, fraction: f64) -> Option<Duration> {
         if self.samples.len() < MIN_SAMPLES {
             return None;
@@ -225,15 +229,17 @@
         let value = f64::from(u8::from(is_fast));
         let fraction = self.known_fraction.get_or_insert(value);
         *fraction += FRACTION_WEIGHT * (value - *fraction);
-        // Most known objects may be forgotten already, so the fastest twentieth decides.
-        if let (Some(unknown), Some(fast)) = (self.medians.1, self.known.quantile(0.05)) {
+        // Most objects that count as known may be forgotten, and most of those that count
+        // as unknown may be known from requests of other instances.
+        if let (Some(unknown), Some(fast)) = (self.unknown.quantile(0.8), self.known.quantile(0.05))
+        {
             let ratio = unknown.as_secs_f64() / fast.as_secs_f64().max(0.001);
             let limit = if self.has_gain {
                 GAIN_RATIOS.0
             } else {
                 GAIN_RATIOS.1
             };
-            self.has_gain = ratio >= limit;
+            self.has_gain = ratio >= limit || !self.known.is_full();
         }
     }
 
--- a/crates/policy/tests/entry/warm_servers.rs
+++ b/crates/policy/tests/entry/warm_servers.rs
@@ -643,7 +643,7 @@
 /// How much of a kind's requests chance may move between two strategies.
 const NOISE: f64 = 0.01;
 
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
 fn mean(results: &[BTreeMap<Strategy, SimulationResult>], strategy: Strategy) -> f64 {
     let sum: f64 = results
