--- a/crates/edge/src/http/account.rs
+++ b/crates/edge/src/http/account.rs
@@ -3,7 +3,8 @@
 //! One account for all listeners of a process. When something new does not fit,
 //! the connections that make the least progress are closed: idle ones first, then
 //! those that send or read slowly for what they hold. Connections with requests in
-//! progress whose caller reads are not closed.
+//! progress whose caller reads are not closed, but for those of the management listeners:
+//! their requests take no time, so one that is busy for long sends them ahead.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -97,6 +98,7 @@
 #[derive(Debug)]
 struct MemberState {
     group: ClientGroup,
+    opened: Instant,
     activity: Cell<ClientActivity>,
     /// When the activity began.
     since: Cell<Instant>,
@@ -115,8 +117,10 @@
         let age = now.saturating_duration_since(self.since.get());
         match self.activity.get() {
             ClientActivity::Idle => Some((ClientActivity::Idle, -age.as_secs_f64())),
-            ClientActivity::Working => None,
-            ClientActivity::Receiving | ClientActivity::Sending if age < MIN_SLOW_TIME => None,
+            ClientActivity::Working => self.rank_busy(now),
+            ClientActivity::Receiving | ClientActivity::Sending if age < MIN_SLOW_TIME => {
+                self.rank_busy(now)
+            }
             // The two share one order.
             ClientActivity::Receiving | ClientActivity::Sending => {
                 let (held, moved) = (self.held.get(), self.moved.get() + 1);
@@ -128,6 +132,15 @@
     }
 }
 
+impl MemberState {
+    /// The same for a connection that makes progress: the one that has been open longest.
+    fn rank_busy(&self, now: Instant) -> Option<(ClientActivity, f64)> {
+        let age = now.saturating_duration_since(self.opened);
+        let may_close = self.group != ClientGroup::Callers && age >= MIN_SLOW_TIME;
+        may_close.then(|| (ClientActivity::Working, -age.as_secs_f64()))
+    }
+}
+
 impl ClientAccount {
     pub(crate) fn new(limits: ClientLimits) -> Rc<Self> {
         Rc::new(Self {
@@ -168,6 +181,7 @@
         self.next_id.set(id + 1);
         let state = Rc::new(MemberState {
             group,
+            opened: now,
             activity: Cell::new(ClientActivity::Idle),
             since: Cell::new(now),
             moved: Cell::new(0),
--- a/crates/edge/src/tests/account.rs
+++ b/crates/edge/src/tests/account.rs
@@ -133,3 +133,32 @@
     drop((first, second, charge, two, three, readiness, check));
     assert_eq!((account.used(), account.connections()), (0, 0));
 }
+
+/// Guards against clients that send requests ahead without end to a management listener,
+/// and so keep its connections from readiness checks.
+#[parameterized(
+    busy_for_long = { ClientGroup::Readiness, 2000, Some(ClientRefusal::SlowRequest) },
+    just_opened = { ClientGroup::Readiness, 500, None },
+    a_caller = { ClientGroup::Callers, 60_000, None },
+)]
+fn busy_connections_are_closed_at_management_listeners_only(
+    group: ClientGroup,
+    open_ms: u64,
+    expected: Option<ClientRefusal>,
+) {
+    let account = account();
+    let start = Instant::now();
+    let limit = if group == ClientGroup::Callers {
+        CONNECTIONS
+    } else {
+        1
+    };
+    let open = |now| account.open(group, now);
+    let busy: Vec<ClientMember> = (0..limit).filter_map(|_| open(start)).collect();
+    let now = start + Duration::from_millis(open_ms);
+    for member in &busy {
+        member.restart_activity(ClientActivity::Working, now);
+    }
+    assert_eq!(open(now).is_some(), expected.is_some());
+    assert_eq!(refusal(&busy[0]), expected);
+}
