--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -167,6 +167,9 @@
     /// Whether the request may be sent on the connection that is open now.
     fn may_still_send(&self) -> bool {
         let now = self.instance.now();
+        if self.server().is_replaced.get() {
+            self.log("sent_after_restart", &json!({}));
+        }
         let decision = self.server().gate.borrow().decide_acquired(now);
         self.is_permitted(decision)
     }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tarragonpulley_policy::clock::TimeSource;
 use tarragonpulley_policy::entry::budget::{RetryBound, RetryBudget};
 use tarragonpulley_policy::entry::cold::ColdBound;
@@ -35,7 +35,7 @@
 use crate::regions::RegionBalancer;
 use crate::rollout::{RolloutTracker, rollout_id};
 use crate::row_rules::TableRules;
-use crate::servers::ServerSet;
+use crate::servers::{EntryChange, ServerSet};
 use crate::table::{TableBatch, TableEra, TableKind, TableService};
 use crate::team_limits::TeamLimits;
 use crate::usage::UsageReporting;
@@ -384,6 +384,19 @@
         }
     }
 
+    fn log_entry_change(&self, change: &EntryChange, mut fields: Value) {
+        match change {
+            EntryChange::Unlogged => {}
+            EntryChange::Changed => self.log.event("server_changed", fields),
+            EntryChange::Restarted(before) => {
+                fields["started_before"] = json!(before.started);
+                fields["recent_sends"] = json!(before.recent_sends);
+                fields["in_progress"] = json!(before.in_progress);
+                self.log.event("server_restarted", fields);
+            }
+        }
+    }
+
     fn apply_order(&self, key: &str, now: Instant) {
         let Some(value) = self.row_value(TableKind::Orders, key) else {
             self.remove_order(key, now);
@@ -492,11 +505,11 @@
             Ok(entry) => {
                 let fields = json!({"server": entry.id.as_str(), "service": entry.service.as_str(),
                     "version": entry.version.as_str(), "centre": entry.centre.as_str(),
-                    "leaving": entry.draining, "cold_left_ms": entry.cold_remaining.as_millis()});
+                    "leaving": entry.draining, "cold_left_ms": entry.cold_remaining.as_millis(),
+                    "started": entry.started});
                 let region = self.options.borrow().regions.get(&entry.centre).cloned();
-                if self.servers.borrow_mut().update(entry, region, now) {
-                    self.log.event("server_changed", fields);
-                }
+                let change = self.servers.borrow_mut().update(entry, region, now);
+                self.log_entry_change(&change, fields);
             }
             Err(error) => {
                 if let Some(id) = self.adapter.server_id(key) {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -70,6 +70,9 @@
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Whether a later start of the server has replaced this value in the set. Attempts in
+    /// progress still hold it.
+    pub(crate) is_replaced: Cell<bool>,
     /// The time from which on the server gets no requests, as its entry was
     /// removed.
     pub(crate) removed_at: Cell<Option<Instant>>,
@@ -86,6 +89,7 @@
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
             removed_at: Cell::new(None),
+            is_replaced: Cell::new(false),
             health: RefCell::new(ServerHealth::new(now)),
             gate: RefCell::default(),
             incarnation: ServerIncarnation::new(entry.id.as_str(), entry.started),
@@ -218,6 +222,28 @@
     }
 }
 
+/// What an entry changed in a [`ServerSet`].
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum EntryChange {
+    /// Nothing that is logged.
+    Unlogged,
+    /// The server is new, or its version or draining state changed.
+    Changed,
+    /// The server started again under the same id.
+    Restarted(ReplacedStart),
+}
+
+/// What this instance did with a server whose restart it did not know of yet.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct ReplacedStart {
+    /// When the earlier process started, in milliseconds since the Unix epoch.
+    pub(crate) started: Option<i64>,
+    /// The requests that were recently sent to it. Some may have reached the later
+    /// process.
+    pub(crate) recent_sends: usize,
+    pub(crate) in_progress: usize,
+}
+
 /// All backend servers by id and by service.
 #[derive(Debug, Default)]
 pub(crate) struct ServerSet {
@@ -230,14 +256,14 @@
 
 impl ServerSet {
     /// Adds or updates a server from its entry. A restart under the same id
-    /// begins without history. Returns whether the server is new, or its
-    /// version or draining state changed.
+    /// begins without history.
     pub(crate) fn update(
         &mut self,
         entry: ServerEntry,
         region: Option<RegionName>,
         now: Instant,
-    ) -> bool {
+    ) -> EntryChange {
+        let mut change = EntryChange::Changed;
         if let Some(server) = self.servers.get(&entry.id) {
             let known = server.entry.borrow().clone();
             let same_start = known.started == entry.started
@@ -251,9 +277,19 @@
                 let changed = known.draining != entry.draining || known.version != entry.version;
                 *server.entry.borrow_mut() = entry;
                 *server.region.borrow_mut() = region.map(ServerRegion::from);
-                return changed;
+                return if changed {
+                    EntryChange::Changed
+                } else {
+                    EntryChange::Unlogged
+                };
             }
             server.close_idle_connections();
+            server.is_replaced.set(true);
+            change = EntryChange::Restarted(ReplacedStart {
+                started: known.started,
+                recent_sends: server.gate.borrow().recent_sends(now),
+                in_progress: server.health.borrow().in_progress(),
+            });
         }
         let server = Server::new(entry, region, now);
         if self.leaving.contains_key(&server.incarnation) {
@@ -261,7 +297,7 @@
         }
         self.servers.insert(server.id(), Rc::new(server));
         self.rebuild_service_index();
-        true
+        change
     }
 
     /// Assigns the regions of all servers again, after a change of the
--- a/crates/policy/src/entry/send_gate.rs
+++ b/crates/policy/src/entry/send_gate.rs
@@ -10,9 +10,10 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use super::cold::ColdLimiter;
+use super::cold::{ColdLimiter, SEND_WINDOW};
 use super::placement::mix;
 use super::server_limit::ServerLimit;
+use super::share::SendHistory;
 
 /// The longest pause. A server that states a longer one is back earlier only after a
 /// restart, which ends the pause anyway.
@@ -189,6 +190,7 @@
     gradual_return: Option<GradualReturn>,
     limit: ServerLimit,
     cold: ColdLimiter,
+    recent_sends: SendHistory,
 }
 
 impl SendGate {
@@ -250,6 +252,12 @@
         has_returned
     }
 
+    /// The number of requests that were acquired in the last [`SEND_WINDOW`].
+    #[must_use]
+    pub fn recent_sends(&self, now: Instant) -> usize {
+        self.recent_sends.count(SEND_WINDOW, now)
+    }
+
     /// The limit that the server named.
     #[must_use]
     pub fn limit(&self) -> &ServerLimit {
@@ -315,6 +323,7 @@
                 back.last_send = Some(now);
             }
             self.limit.record_send(now);
+            self.recent_sends.record(SEND_WINDOW, now);
             match shares.cold_allowance() {
                 Some(_) => self.cold.record_send(now),
                 None => self.cold = ColdLimiter::default(),
