Treat servers as cold while they may have started again

Cause: that a process is another one, and cold, is known only when its entry is read, 0.6 to 1.4 s after the start; until then instances sent to it as to the warm process that had ended, although they had seen its connections refused.

A server whose connections are refused, time out or break without a response now counts as cold (RestartTracker), until a read of the entries from after a connection was opened shows that the process is the known one, or it has run for longer than servers are cold. Servers in doubt are probed with connections, so that an instance without a share of the cold rate learns that they run.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends a request to a backend server and classifies the result.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -132,6 +133,7 @@
         let is_stale = was_pooled && result.is_err() && !progress.received.get();
         if is_stale && self.may_retry_stale(&progress) {
             server.close_idle_connections();
+            self.instance.suspect_broken(server);
             let connection = self.connect_unless_pooled(None).await;
             let Some(connection) = connection.filter(|_| self.may_send_again(&progress)) else {
                 return self.handle_broken_connection(&ExchangeError::Closed, &progress);
@@ -229,6 +231,7 @@
             self.take_back_usage();
         }
         if result.is_ok() {
+            self.instance.record_running(self.server(), &connection);
             self.server().return_connection(connection);
         }
         result
@@ -268,6 +271,7 @@
                     instance.now().saturating_duration_since(opened),
                 );
                 instance.record_reached();
+                instance.record_running(server, &connection);
                 Some(connection)
             }
             Err(error) => {
@@ -277,6 +281,10 @@
                 server.health.borrow_mut().suspend(now);
                 server.close_idle_connections();
                 self.log("not_connected", &json!({"reason": error.to_string()}));
+                // A request with little time left says nothing about the server.
+                if remaining >= CONNECT_TIMEOUT || error.kind() != ErrorKind::TimedOut {
+                    instance.suspect_restart(server, &error);
+                }
                 None
             }
         }
@@ -461,6 +469,7 @@
             return AttemptOutcome::NotSent;
         }
         if !progress.received.get() {
+            self.instance.suspect_broken(server);
             self.instance.report_crash_suspect(CrashSuspect {
                 request: self.forward.id.clone(),
                 fingerprint: self.forward.fingerprint,
--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -114,6 +114,7 @@
 pub(crate) struct ServerConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    opened_at: Instant,
     idle_since: Instant,
     keep_alive: Duration,
     reusable: bool,
@@ -135,6 +136,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            opened_at: Instant::now(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
             reusable: true,
@@ -143,6 +145,11 @@
         })
     }
 
+    /// When the connection was opened.
+    pub(crate) fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Whether the connection has carried an attempt of the request with this id.
     /// A late second response to that attempt could not be told from the response
     /// to another one.
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -111,6 +111,8 @@
     pub(crate) reach: RefCell<ReachTracker>,
     /// Requests a probe of servers at once.
     pub(crate) reach_doubted: tokio::sync::Notify,
+    /// Requests a probe of the servers that may have started again.
+    pub(crate) restart_doubted: tokio::sync::Notify,
     /// Requests a digest before the next interval.
     pub(crate) digest_requested: tokio::sync::Notify,
     pub(crate) crash_suspects: Sender<CrashSuspect>,
@@ -194,6 +196,7 @@
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
+            restart_doubted: tokio::sync::Notify::new(),
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
@@ -393,6 +396,7 @@
                 fields["recent_sends"] = json!(before.recent_sends);
                 fields["in_progress"] = json!(before.in_progress);
                 self.log.event("server_restarted", fields);
+                self.count_doubt("restarted");
             }
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod reach;
 mod regions;
+mod restarts;
 mod rollout;
 mod row_rules;
 mod run;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,12 @@
     pub(crate) reported: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DoubtLabel {
+    /// `suspected`, or how it ended: `restarted` or `ruled_out`.
+    pub(crate) change: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PlaceLabel {
     pub(crate) place: &'static str,
@@ -62,6 +68,7 @@
     pub(crate) server_rejections: Family<RejectionLabel, Counter>,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
+    pub(crate) restart_doubts: Family<DoubtLabel, Counter>,
     pub(crate) retries: Counter,
     pub(crate) table_calls: Counter,
     pub(crate) table_failures: Counter,
@@ -143,6 +150,7 @@
             server_rejections: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
+            restart_doubts: Family::default(),
             retries: Counter::default(),
             table_calls: Counter::default(),
             table_failures: Counter::default(),
@@ -201,6 +209,11 @@
             "Connections opened to servers",
             metrics.connections_opened.clone(),
         );
+        registry.register(
+            "restart_doubts",
+            "Servers that may have started again, by whether that was suspected, known or ruled out",
+            metrics.restart_doubts.clone(),
+        );
         registry.register(
             "repeats",
             "Requests sent to a second server",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -447,6 +447,7 @@
             (SectionTag::QUOTA_SHARES, shares),
             (SectionTag::DUTIES, self.encode_usage_section()),
             (SectionTag::LINK, self.encode_link_section(now)),
+            (SectionTag::ENDED_SERVERS, self.encode_ended_section(now)),
         ];
         sections
             .into_iter()
@@ -607,6 +608,7 @@
             let direct = digest.record.peer == sender;
             if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
                 self.receive_shares(&digest);
+                self.receive_ended(&digest, now);
                 fresh.push(digest);
             }
         }
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -73,6 +73,7 @@
         let Ok(((server, connection), _slower)) = select_ok(probes).await else {
             return false;
         };
+        self.record_running(server, &connection);
         server.return_connection(connection);
         self.record_reached();
         true
--- /dev/null
+++ b/crates/edge/src/restarts.rs
@@ -0,0 +1,243 @@
+//! Servers that may have started again since their entry was read: the signs of it, and
+//! what ends the doubt.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tarragonpulley_policy::entry::digest::{InstanceDigest, SectionTag, ServerIncarnation};
+
+use crate::forward::CONNECT_TIMEOUT;
+use crate::http::client::ServerConnection;
+use crate::instance::Instance;
+use crate::metrics::DoubtLabel;
+use crate::mirror::TableMirror;
+use crate::peers::{decode_section, encode};
+use crate::servers::Server;
+use crate::table::TableKind;
+
+/// Interval of the check whether doubts have ended.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// One of this many checks probes servers of which no running process was seen.
+const CHECKS_PER_PROBE: u32 = 2;
+
+/// The maximum number of servers that are probed at a time.
+const MAX_PROBES: usize = 16;
+
+/// The age of a report in digests, in milliseconds.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireAge(u16);
+
+impl From<Duration> for WireAge {
+    fn from(age: Duration) -> Self {
+        Self(u16::try_from(age.as_millis()).unwrap_or(u16::MAX))
+    }
+}
+
+impl From<WireAge> for Duration {
+    fn from(age: WireAge) -> Self {
+        Self::from_millis(age.0.into())
+    }
+}
+
+/// The section of a digest with the servers whose process has ended.
+#[derive(Debug, Serialize, Deserialize)]
+struct EndedSection {
+    servers: Vec<(ServerIncarnation, WireAge)>,
+}
+
+impl Instance {
+    /// Records that no connection to a server could be opened, so that its process may
+    /// have ended. That it refuses connections is reported to the other instances; without
+    /// a response, the network may have failed on the way from here.
+    pub(crate) fn suspect_restart(&self, server: &Server, error: &io::Error) {
+        let now = self.now();
+        let is_new = self.suspect(server, now);
+        let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+        let is_reported = is_refused
+            && server.restart.borrow().is_in_doubt()
+            && !self.reach.borrow().is_partitioned()
+            && self
+                .servers
+                .borrow_mut()
+                .record_ended(server.incarnation, now);
+        if is_reported {
+            self.digest_requested.notify_one();
+        }
+        if is_new || is_reported {
+            self.log.event(
+                "restart_suspected",
+                json!({"server": server.id().as_str(), "reason": error.to_string(),
+                    "is_reported": is_reported}),
+            );
+        }
+    }
+
+    /// Records that a connection to a server ended without a response. The network loses
+    /// connections too, so the server is probed at once.
+    pub(crate) fn suspect_broken(&self, server: &Server) {
+        if self.suspect(server, self.now()) {
+            self.log.event(
+                "restart_suspected",
+                json!({"server": server.id().as_str(), "reason": "no response"}),
+            );
+            self.restart_doubted.notify_one();
+        }
+    }
+
+    /// Records a sign that the process of a server had ended at `at`. Returns whether the
+    /// server may have started again because of it.
+    fn suspect(&self, server: &Server, at: Instant) -> bool {
+        let is_new = !self.cold_period(server).is_zero() && {
+            let mut tracker = server.restart.borrow_mut();
+            tracker.record_end(at)
+        };
+        if is_new {
+            self.count_doubt("suspected");
+        }
+        is_new
+    }
+
+    /// Records that a connection to a server works.
+    pub(crate) fn record_running(&self, server: &Server, connection: &ServerConnection) {
+        let mut tracker = server.restart.borrow_mut();
+        tracker.record_running(connection.opened_at(), self.now());
+    }
+
+    /// How long servers of the same service are cold after a start.
+    fn cold_period(&self, server: &Server) -> Duration {
+        let config = self.config.borrow();
+        let rule = config
+            .as_ref()
+            .and_then(|config| config.services.get(&server.entry.borrow().service));
+        rule.map_or(Duration::ZERO, |rule| rule.cold_period)
+    }
+
+    pub(crate) fn count_doubt(&self, change: &'static str) {
+        let label = DoubtLabel { change };
+        self.metrics.restart_doubts.get_or_create(&label).inc();
+    }
+
+    /// Ends doubts, and probes the servers of which no running process was seen, until the
+    /// process ends.
+    pub(crate) async fn watch_restarts(self: Rc<Self>) {
+        for check in 1_u32.. {
+            let is_requested = tokio::select! {
+                () = self.restart_doubted.notified() => true,
+                () = actix_rt::time::sleep(CHECK_INTERVAL) => false,
+            };
+            let doubted = self.servers.borrow().in_doubt();
+            self.settle_doubts(&doubted);
+            let is_due = is_requested || check.is_multiple_of(CHECKS_PER_PROBE);
+            if is_due && !self.reach.borrow().is_partitioned() {
+                self.probe_doubted(doubted).await;
+            }
+        }
+    }
+
+    fn settle_doubts(&self, doubted: &[Rc<Server>]) {
+        let now = self.now();
+        let read_at = self.servers_read_at();
+        for server in doubted {
+            let cold_period = self.cold_period(server);
+            let mut tracker = server.restart.borrow_mut();
+            if tracker.settle(read_at, cold_period, now) {
+                let mut servers = self.servers.borrow_mut();
+                servers.take_back_ended(server.incarnation);
+                self.count_doubt("ruled_out");
+                self.log
+                    .event("restart_ruled_out", json!({"server": server.id().as_str()}));
+            }
+        }
+    }
+
+    /// The time up to which the copy of the servers' entries contains all changes. A time
+    /// in which the machine was suspended makes it seem older than it is.
+    fn servers_read_at(&self) -> Option<Instant> {
+        let mirrors = self.mirrors.borrow();
+        let proof = mirrors
+            .get(&TableKind::Servers)
+            .and_then(TableMirror::last_proof)?;
+        let age = self.proof_now().saturating_duration_since(proof);
+        self.now().checked_sub(age)
+    }
+
+    /// Opens connections to servers of which no running process was seen, to a part of
+    /// them at random if there are many.
+    async fn probe_doubted(&self, mut servers: Vec<Rc<Server>>) {
+        let now = self.now();
+        servers.retain(|server| server.is_available(now) && server.restart.borrow().needs_probe());
+        servers.shuffle(&mut rand::rng());
+        let targets = servers.iter().take(MAX_PROBES);
+        join_all(targets.map(|server| self.probe_process(server))).await;
+    }
+
+    async fn probe_process(&self, server: &Server) {
+        let address = server.entry.borrow().address;
+        self.metrics.connections_opened.inc();
+        match ServerConnection::open(address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                self.record_running(server, &connection);
+                server.return_connection(connection);
+            }
+            Err(error) => self.suspect_restart(server, &error),
+        }
+    }
+
+    /// The section of the digest with the servers whose process has ended.
+    pub(crate) fn encode_ended_section(&self, now: Instant) -> Option<Vec<u8>> {
+        let reports = self.servers.borrow().ended_reports(now);
+        if reports.is_empty() {
+            return None;
+        }
+        let servers = reports
+            .into_iter()
+            .map(|(server, age)| (server, age.into()))
+            .collect();
+        match encode(&EndedSection { servers }) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                let reason = error.to_string();
+                self.log
+                    .event("digest_section_not_sent", json!({"reason": reason}));
+                None
+            }
+        }
+    }
+
+    /// Records the servers whose process another instance reports as ended.
+    pub(crate) fn receive_ended(&self, digest: &InstanceDigest, now: Instant) {
+        let reporter = digest.record.name.as_str();
+        let section = match decode_section::<EndedSection>(digest, SectionTag::ENDED_SERVERS) {
+            None => return,
+            Some(Ok(section)) => section,
+            Some(Err(error)) => {
+                self.log.event(
+                    "digest_extension_ignored",
+                    json!({"sender": reporter, "reason": error.to_string()}),
+                );
+                return;
+            }
+        };
+        for (incarnation, age) in section.servers {
+            let server = self.servers.borrow().of_incarnation(incarnation);
+            let at = now.checked_sub(age.into()).unwrap_or(now);
+            let Some(server) = server.filter(|server| self.suspect(server, at)) else {
+                continue;
+            };
+            self.log.event(
+                "restart_suspected",
+                json!({"server": server.id().as_str(), "reporter": reporter}),
+            );
+            // The delegate passes the report on to the other data centres at once.
+            if self.peers.borrow().is_delegate(now) {
+                self.digest_requested.notify_one();
+            }
+        }
+    }
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -179,6 +179,7 @@
         instance.serve_peers(Rc::clone(&peers))
     });
     supervise(instance, "server reach", Instance::watch_reach);
+    supervise(instance, "server restarts", Instance::watch_restarts);
     supervise(instance, "rollouts", Instance::run_rollouts);
     supervise(instance, "registration", Instance::register);
     for table in [TableKind::Orders, TableKind::Servers, TableKind::Records] {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -13,6 +13,7 @@
 };
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::reach::ReachTracker;
+use tarragonpulley_policy::entry::restart::{END_REPORT_PERIOD, RestartTracker};
 use tarragonpulley_policy::entry::send_gate::SendGate;
 use tarragonpulley_policy::entry::server_limit::{LimitRate, LimitReport};
 
@@ -70,6 +71,8 @@
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Whether the server may have started again since its entry was read.
+    pub(crate) restart: RefCell<RestartTracker>,
     /// Whether a later start of the server has replaced this value in the set. Attempts in
     /// progress still hold it.
     pub(crate) is_replaced: Cell<bool>,
@@ -88,6 +91,7 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
+            restart: RefCell::default(),
             removed_at: Cell::new(None),
             is_replaced: Cell::new(false),
             health: RefCell::new(ServerHealth::new(now)),
@@ -105,8 +109,10 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Whether the server is cold, or may be because it may have started again.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.get().is_some_and(|until| now < until)
+            || self.restart.borrow().is_in_doubt()
     }
 
     /// Whether new requests may be sent to the server.
@@ -252,6 +258,9 @@
     /// Servers that said that they are leaving, and when this instance last heard it from
     /// them. Kept when their entries go: a restored table may contain these again.
     leaving: BTreeMap<ServerIncarnation, Option<Instant>>,
+    /// Servers of which this instance has seen that their process ended, and when. Kept
+    /// when they start again: others may read the new entry later.
+    ended: BTreeMap<ServerIncarnation, Instant>,
 }
 
 impl ServerSet {
@@ -367,6 +376,44 @@
             .collect()
     }
 
+    /// The servers that may have started again.
+    pub(crate) fn in_doubt(&self) -> Vec<Rc<Server>> {
+        let is_in_doubt = |server: &&Rc<Server>| server.restart.borrow().is_in_doubt();
+        self.servers.values().filter(is_in_doubt).cloned().collect()
+    }
+
+    pub(crate) fn of_incarnation(&self, incarnation: ServerIncarnation) -> Option<Rc<Server>> {
+        let mut servers = self.servers.values();
+        servers
+            .find(|server| server.incarnation == incarnation)
+            .cloned()
+    }
+
+    /// Records that this instance has seen that a server's process ended. Returns whether
+    /// that is not reported yet.
+    pub(crate) fn record_ended(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        self.ended
+            .retain(|_, at| now.saturating_duration_since(*at) < END_REPORT_PERIOD);
+        let count = self.ended.len();
+        self.ended.entry(server).or_insert(now);
+        self.ended.len() > count
+    }
+
+    /// Records that the process of a server did not end.
+    pub(crate) fn take_back_ended(&mut self, server: ServerIncarnation) {
+        self.ended.remove(&server);
+    }
+
+    /// The servers whose process has ended recently, and for how long, for the digest.
+    pub(crate) fn ended_reports(&self, now: Instant) -> Vec<(ServerIncarnation, Duration)> {
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        self.ended
+            .iter()
+            .map(|(server, at)| (*server, age(at)))
+            .filter(|(_, age)| *age < END_REPORT_PERIOD)
+            .collect()
+    }
+
     /// Closes the unusable idle connections of all servers.
     pub(crate) fn close_unusable_connections(&self) {
         for server in self.servers.values() {
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -22,6 +22,7 @@
 pub mod quota;
 pub mod reach;
 pub mod region_share;
+pub mod restart;
 pub mod send_gate;
 pub mod server_evidence;
 pub mod server_limit;
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -154,6 +154,8 @@
     pub const SERVICE_PRESSURE: Self = Self(5);
     /// The link of the instance and its use.
     pub const LINK: Self = Self(6);
+    /// Servers whose process has ended.
+    pub const ENDED_SERVERS: Self = Self(7);
 }
 
 /// Why an instance does not use a backend server.
--- /dev/null
+++ b/crates/policy/src/entry/restart.rs
@@ -0,0 +1,103 @@
+//! Whether a backend server may have started again since its entry was read.
+//!
+//! A server that starts again under its id is cold, but its entry says so only when it is
+//! read, up to the interval of the reads later. That its process ended is known before, as
+//! it refuses connections. From then on the server counts as cold, until a read of the
+//! entries shows that the process which runs now is the known one: a process writes its
+//! entry when it starts, so a read from after a connection to it was opened contains that
+//! entry. No clocks of different machines are compared.
+
+use std::time::{Duration, Instant};
+
+/// The time in which a process that accepts connections has written its entry.
+pub const REGISTRATION_DELAY: Duration = Duration::from_millis(250);
+
+/// The time in which what a process sent before its end has arrived and is read.
+pub const EVIDENCE_DELAY: Duration = Duration::from_millis(200);
+
+/// How long an instance reports to the others that a process ended: three intervals
+/// between data centres.
+pub const END_REPORT_PERIOD: Duration = Duration::from_secs(3);
+
+/// Evidence that a process is running.
+#[derive(Debug, Clone, Copy)]
+struct RunningProcess {
+    /// When a connection to it was opened.
+    since: Instant,
+    /// When that connection was last seen to work.
+    seen_at: Instant,
+}
+
+/// Follows the process of one server from a known start on.
+#[derive(Debug, Default)]
+pub struct RestartTracker {
+    /// The last sign that the process ended, until it turned out to be wrong.
+    ended_at: Option<Instant>,
+    running: Option<RunningProcess>,
+    /// Until when the process was certainly the known one.
+    known_until: Option<Instant>,
+}
+
+impl RestartTracker {
+    /// Records a sign that the process had ended at `at`. Returns whether that is new: the
+    /// process was not in doubt, or has been seen to run since the last sign.
+    pub fn record_end(&mut self, at: Instant) -> bool {
+        if self.known_until.is_some_and(|until| at <= until) {
+            return false;
+        }
+        let is_new = self.ended_at.is_none() || self.running_since().is_some();
+        self.ended_at = self.ended_at.max(Some(at));
+        is_new
+    }
+
+    /// Records that a connection which was opened at `since` works at `now`.
+    pub fn record_running(&mut self, since: Instant, now: Instant) {
+        let earlier = self.running_since().unwrap_or(since);
+        self.running = Some(RunningProcess {
+            since: since.min(earlier),
+            seen_at: now,
+        });
+    }
+
+    /// Whether the server may have started again.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        self.ended_at.is_some()
+    }
+
+    /// Whether nothing has shown a running process since the last sign of an end.
+    #[must_use]
+    pub fn needs_probe(&self) -> bool {
+        self.is_in_doubt() && self.running_since().is_none()
+    }
+
+    /// Ends the doubt if the process that runs now is the known one, or has been running
+    /// for longer than servers are cold. `read_at` is the time up to which the copy of the
+    /// entries contains all changes. Returns whether the doubt has ended.
+    pub fn settle(
+        &mut self,
+        read_at: Option<Instant>,
+        cold_period: Duration,
+        now: Instant,
+    ) -> bool {
+        let Some(since) = self.running_since().filter(|_| self.is_in_doubt()) else {
+            return false;
+        };
+        let is_known = read_at.is_some_and(|read_at| read_at >= since + REGISTRATION_DELAY);
+        let is_warm = now >= since + cold_period;
+        if !is_known && !is_warm {
+            return false;
+        }
+        self.ended_at = None;
+        self.known_until = self.running.map(|running| running.seen_at);
+        true
+    }
+
+    /// Since when the process that runs now is known to run, if it has been seen since the
+    /// last sign of an end.
+    fn running_since(&self) -> Option<Instant> {
+        let ended_at = self.ended_at?;
+        let is_later = |running: &RunningProcess| running.seen_at > ended_at + EVIDENCE_DELAY;
+        Some(self.running.filter(is_later)?.since)
+    }
+}
--- a/crates/policy/tests/entry/main.rs
+++ b/crates/policy/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod reach;
 mod regions;
+mod restart;
 mod send_gate;
 mod server_evidence;
 mod servers;
--- /dev/null
+++ b/crates/policy/tests/entry/restart.rs
@@ -0,0 +1,56 @@
+//! Whether a server may have started again.
+
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::entry::restart::RestartTracker;
+use yare::parameterized;
+
+const COLD_PERIOD: Duration = Duration::from_secs(3);
+
+/// What happens to a server, at times in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A sign that its process ended.
+    End(u64),
+    /// A connection opened at the first time works at the second.
+    Running(u64, u64),
+    /// At the second time, a read that includes all changes up to the first one is applied.
+    Read(u64, u64),
+}
+
+use Step::{End, Read, Running};
+
+/// Whether the server is in doubt after these steps.
+#[parameterized(
+    never_in_doubt = { &[Running(0, 100), Read(500, 600)], false },
+    ended = { &[End(1000)], true },
+    ended_for_long = { &[End(1000), Read(9000, 9100)], true },
+    read_before_it_ran_again = { &[End(1000), Running(2000, 2000), Read(1900, 2500)], true },
+    read_while_it_may_register = { &[End(1000), Running(2000, 2000), Read(2200, 2600)], true },
+    read_after_it_registered = { &[End(1000), Running(2000, 2000), Read(2300, 2600)], false },
+    earliest_connection_counts = { &[End(1000), Running(2000, 2000), Running(3000, 3000), Read(2300, 3100)], false },
+    cold_for_no_longer = { &[End(1000), Running(2000, 2000), Read(0, 5000)], false },
+    still_cold_without_reads = { &[End(1000), Running(2000, 2000), Read(0, 4900)], true },
+    connection_from_before_works = { &[End(1000), Running(400, 1300), Read(700, 1400)], false },
+    response_from_before_the_end = { &[End(1000), Running(400, 1100), Read(900, 1200)], true },
+    ended_again = { &[End(1000), Running(2000, 2000), End(2500), Read(3000, 3100)], true },
+    late_report_of_the_same_end = { &[End(1000), Running(2000, 2000), Read(2300, 2600), End(1300)], false },
+    new_end_after_a_read = { &[End(1000), Running(2000, 2000), Read(2300, 2600), End(2700)], true },
+)]
+fn servers_are_in_doubt_until_a_read_shows_the_known_process(steps: &[Step], expected: bool) {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut tracker = RestartTracker::default();
+    for step in steps {
+        match *step {
+            End(time) => {
+                tracker.record_end(at(time));
+            }
+            Running(since, now) => tracker.record_running(at(since), at(now)),
+            Read(read, now) => {
+                tracker.settle(Some(at(read)), COLD_PERIOD, at(now));
+            }
+        }
+    }
+    assert_eq!(tracker.is_in_doubt(), expected);
+}
