Count requests from before a server is known to be cold against its rate

The count of the last 1.6 s is now kept for every server, warm or cold, and passes to the next start under the same id.

--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -296,11 +296,14 @@
             server.is_replaced.set(true);
             change = EntryChange::Restarted(ReplacedStart {
                 started: known.started,
-                recent_sends: server.gate.borrow().recent_sends(now),
+                recent_sends: server.gate.borrow().cold().recent_sends(now),
                 in_progress: server.health.borrow().in_progress(),
             });
         }
-        let server = Server::new(entry, region, now);
+        let known_gate = self.servers.get(&entry.id).map(|server| &server.gate);
+        let gate = known_gate.map(|gate| gate.borrow().after_restart());
+        let mut server = Server::new(entry, region, now);
+        server.gate = RefCell::new(gate.unwrap_or_default());
         if self.leaving.contains_key(&server.incarnation) {
             server.gate.borrow_mut().record_leaving();
         }
--- a/crates/policy/src/entry/cold.rs
+++ b/crates/policy/src/entry/cold.rs
@@ -31,8 +31,9 @@
     pub slack: f64,
 }
 
-/// The recent requests of this instance to one cold server.
-#[derive(Debug, Default)]
+/// The recent requests of this instance to one server. Those from before it was known to
+/// be cold count too.
+#[derive(Debug, Clone, Default)]
 pub struct ColdLimiter {
     recent_sends: SendHistory,
 }
@@ -72,7 +73,13 @@
     /// Whether [`ColdLimiter::try_acquire`] would succeed.
     #[must_use]
     pub fn has_capacity(&self, allowed: usize, now: Instant) -> bool {
-        self.recent_sends.count(SEND_WINDOW, now) < allowed
+        self.recent_sends(now) < allowed
+    }
+
+    /// The number of requests in the last [`SEND_WINDOW`].
+    #[must_use]
+    pub fn recent_sends(&self, now: Instant) -> usize {
+        self.recent_sends.count(SEND_WINDOW, now)
     }
 
     /// Records a request.
--- a/crates/policy/src/entry/send_gate.rs
+++ b/crates/policy/src/entry/send_gate.rs
@@ -10,10 +10,9 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use super::cold::{ColdLimiter, SEND_WINDOW};
+use super::cold::ColdLimiter;
 use super::placement::mix;
 use super::server_limit::ServerLimit;
-use super::share::SendHistory;
 
 /// The longest pause. A server that states a longer one is back earlier only after a
 /// restart, which ends the pause anyway.
@@ -190,10 +189,19 @@
     gradual_return: Option<GradualReturn>,
     limit: ServerLimit,
     cold: ColdLimiter,
-    recent_sends: SendHistory,
 }
 
 impl SendGate {
+    /// The gate of the same server after a restart. Requests may have reached the new
+    /// process before it was known, so they count against its rate.
+    #[must_use]
+    pub fn after_restart(&self) -> Self {
+        Self {
+            cold: self.cold.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Whether the server has said that it is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -252,10 +260,10 @@
         has_returned
     }
 
-    /// The number of requests that were acquired in the last [`SEND_WINDOW`].
+    /// The requests that were acquired recently.
     #[must_use]
-    pub fn recent_sends(&self, now: Instant) -> usize {
-        self.recent_sends.count(SEND_WINDOW, now)
+    pub fn cold(&self) -> &ColdLimiter {
+        &self.cold
     }
 
     /// The limit that the server named.
@@ -323,11 +331,7 @@
                 back.last_send = Some(now);
             }
             self.limit.record_send(now);
-            self.recent_sends.record(SEND_WINDOW, now);
-            match shares.cold_allowance() {
-                Some(_) => self.cold.record_send(now),
-                None => self.cold = ColdLimiter::default(),
-            }
+            self.cold.record_send(now);
         }
         decision
     }
--- a/crates/policy/src/entry/share.rs
+++ b/crates/policy/src/entry/share.rs
@@ -23,7 +23,7 @@
 }
 
 /// The times of recent requests to one server.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct SendHistory {
     times: Vec<Instant>,
 }
--- a/crates/policy/tests/entry/send_gate.rs
+++ b/crates/policy/tests/entry/send_gate.rs
@@ -154,6 +154,28 @@
     assert_eq!(gate.decide_acquired(at(start, now)), expected);
 }
 
+/// Guards against one second with the rate of a cold server and the requests that were
+/// sent before it was known to be cold.
+#[parameterized(
+    cold_again = { false },
+    started_again = { true },
+)]
+fn requests_sent_before_a_server_is_known_to_be_cold_count(has_restarted: bool) {
+    let start = Instant::now();
+    let mut gate = SendGate::default();
+    assert!(gate.acquire(&FREE, start).may_send());
+    if has_restarted {
+        gate = gate.after_restart();
+    }
+    let cold = FixedShares {
+        cold_allowance: Some(1),
+        ..FREE
+    };
+    let held = gate.acquire(&cold, at(start, 500)).hold();
+    assert_eq!(held, Some((HoldReason::ColdRate, None)));
+    assert!(gate.acquire(&cold, at(start, 1600)).may_send());
+}
+
 /// Guards against requests in what a server has excluded, whatever the order of its
 /// responses, requests and reports.
 #[test]
