Check requests again that were placed before a server was known to be cold

The check now includes the share of the cold rate, and a request that was placed before its server started again is placed anew (reason restarted). The table acquired_requests_are_checked_again has the cases.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -168,12 +168,7 @@
 
     /// Whether the request may be sent on the connection that is open now.
     fn may_still_send(&self) -> bool {
-        let now = self.instance.now();
-        if self.server().is_replaced.get() {
-            self.log("sent_after_restart", &json!({}));
-        }
-        let decision = self.server().gate.borrow().decide_acquired(now);
-        self.is_permitted(decision)
+        self.is_permitted(self.shares().decide_acquired(self.server()))
     }
 
     /// The same for the second connection. A request that may have arrived over the first
@@ -182,8 +177,11 @@
         if !first.sent.get() {
             return self.may_still_send();
         }
-        let shares = FleetShares::new(self.instance, self.forward, self.instance.now());
-        self.is_permitted(shares.acquire(self.server()))
+        self.is_permitted(self.shares().acquire(self.server()))
+    }
+
+    fn shares(&self) -> FleetShares<'_> {
+        FleetShares::new(self.instance, self.forward, self.instance.now())
     }
 
     fn is_permitted(&self, decision: SendDecision) -> bool {
--- a/crates/edge/src/forward/shares.rs
+++ b/crates/edge/src/forward/shares.rs
@@ -5,13 +5,20 @@
 
 use serde_json::json;
 use tarragonpulley_policy::entry::cold::instance_allowance;
-use tarragonpulley_policy::entry::send_gate::{SendDecision, ShareLookup};
+use tarragonpulley_policy::entry::send_gate::{HoldReason, SendDecision, ShareLookup};
 use tarragonpulley_policy::entry::server_limit::{LimitRate, ServerLimit};
 
 use super::ForwardRequest;
 use crate::instance::Instance;
 use crate::servers::Server;
 
+/// The decision on a request that was placed before its server started again. The new
+/// process has a gate of its own.
+const RESTARTED: SendDecision = SendDecision::Wait {
+    until: None,
+    reason: HoldReason::Restarted,
+};
+
 /// The limits of servers at one moment.
 pub(super) struct FleetShares<'a> {
     instance: &'a Instance,
@@ -41,9 +48,23 @@
 
     /// The same; records the request if it may be sent.
     pub(super) fn acquire(&self, server: &Server) -> SendDecision {
+        if server.is_replaced.get() {
+            return RESTARTED;
+        }
         server.gate.borrow_mut().acquire(&self.of(server), self.now)
     }
 
+    /// Whether a request that was acquired before may still be sent.
+    pub(super) fn decide_acquired(&self, server: &Server) -> SendDecision {
+        if server.is_replaced.get() {
+            return RESTARTED;
+        }
+        server
+            .gate
+            .borrow()
+            .decide_acquired(&self.of(server), self.now)
+    }
+
     /// The requests that this instance may send to a cold server, see
     /// [`instance_allowance`]. An instance that does not know the others yet sends none.
     pub(super) fn cold_allowance(&self, server: &Server) -> usize {
--- a/crates/policy/src/entry/send_gate.rs
+++ b/crates/policy/src/entry/send_gate.rs
@@ -94,6 +94,8 @@
     ServerLimit,
     /// This instance has used its share of the rate of a cold server.
     ColdRate,
+    /// It has started again since the request was placed.
+    Restarted,
 }
 
 impl HoldReason {
@@ -106,6 +108,7 @@
             Self::Returning => "returning",
             Self::ServerLimit => "server_limit",
             Self::ColdRate => "cold_rate",
+            Self::Restarted => "restarted",
         }
     }
 }
@@ -299,9 +302,25 @@
     }
 
     /// Whether a request that was acquired before may still be sent at `now`: whether the
-    /// server has not asked for something else since.
+    /// server has not asked for something else since, or turned out to be cold.
     #[must_use]
-    pub fn decide_acquired(&self, now: Instant) -> SendDecision {
+    pub fn decide_acquired(&self, shares: &dyn ShareLookup, now: Instant) -> SendDecision {
+        let asked = self.decide_leaving_or_paused(now);
+        if !asked.may_send() {
+            return asked;
+        }
+        // The request itself is among the recent ones.
+        let is_over = |allowed| self.cold.recent_sends(now) > allowed;
+        if shares.cold_allowance().is_some_and(is_over) {
+            return SendDecision::Wait {
+                until: None,
+                reason: HoldReason::ColdRate,
+            };
+        }
+        SendDecision::Send
+    }
+
+    fn decide_leaving_or_paused(&self, now: Instant) -> SendDecision {
         if self.is_leaving {
             return SendDecision::Never;
         }
@@ -315,10 +334,10 @@
     }
 
     fn decide_asked(&self, now: Instant) -> SendDecision {
-        let acquired = self.decide_acquired(now);
-        match (acquired, &self.gradual_return) {
+        let asked = self.decide_leaving_or_paused(now);
+        match (asked, &self.gradual_return) {
             (SendDecision::Send, Some(back)) => back.decide(now),
-            _ => acquired,
+            _ => asked,
         }
     }
 
--- a/crates/policy/tests/entry/send_gate.rs
+++ b/crates/policy/tests/entry/send_gate.rs
@@ -26,6 +26,17 @@
     cold_allowance: None,
 };
 
+/// The server is cold, and this instance may send it one request.
+const COLD: FixedShares = FixedShares {
+    cold_allowance: Some(1),
+    ..FREE
+};
+
+const COLD_RATE: SendDecision = SendDecision::Wait {
+    until: None,
+    reason: HoldReason::ColdRate,
+};
+
 impl ShareLookup for FixedShares {
     fn has_limit_permit(&self, _limit: &ServerLimit) -> bool {
         self.has_limit_permit
@@ -144,14 +155,22 @@
 /// Guards against a request that was placed before a response asked for something, and is
 /// sent after it over a connection that took long to open.
 #[parameterized(
-    nothing = { &[], 100, SendDecision::Send },
-    leaving = { &[Event::Leaving], 100, SendDecision::Never },
-    returning = { &[Event::Pause(0, "1", 400)], 1100, SendDecision::Send },
+    nothing = { &[], FREE, 100, SendDecision::Send },
+    leaving = { &[Event::Leaving], FREE, 100, SendDecision::Never },
+    returning = { &[Event::Pause(0, "1", 400)], FREE, 1100, SendDecision::Send },
+    cold = { &[Event::Send(0), Event::Send(50)], COLD, 100, COLD_RATE },
+    cold_with_room = { &[Event::Send(0)], COLD, 100, SendDecision::Send },
+    cold_later = { &[Event::Send(0), Event::Send(50)], COLD, 1600, SendDecision::Send },
 )]
-fn acquired_requests_are_checked_again(events: &[Event], now: u64, expected: SendDecision) {
+fn acquired_requests_are_checked_again(
+    events: &[Event],
+    shares: FixedShares,
+    now: u64,
+    expected: SendDecision,
+) {
     let start = Instant::now();
     let gate = gate_after(events, start);
-    assert_eq!(gate.decide_acquired(at(start, now)), expected);
+    assert_eq!(gate.decide_acquired(&shares, at(start, now)), expected);
 }
 
 /// Guards against one second with the rate of a cold server and the requests that were
@@ -167,13 +186,9 @@
     if has_restarted {
         gate = gate.after_restart();
     }
-    let cold = FixedShares {
-        cold_allowance: Some(1),
-        ..FREE
-    };
-    let held = gate.acquire(&cold, at(start, 500)).hold();
+    let held = gate.acquire(&COLD, at(start, 500)).hold();
     assert_eq!(held, Some((HoldReason::ColdRate, None)));
-    assert!(gate.acquire(&cold, at(start, 1600)).may_send());
+    assert!(gate.acquire(&COLD, at(start, 1600)).may_send());
 }
 
 /// Guards against requests in what a server has excluded, whatever the order of its
@@ -221,7 +236,8 @@
                     let acquired = gate.acquire(&shares, time);
                     assert_eq!(decided, acquired, "seed {seed} at {now} ms");
                     let is_free = !is_leaving && paused_until.is_none_or(|until| until <= now);
-                    let is_sent = acquired.may_send() || gate.decide_acquired(time).may_send();
+                    let is_sent =
+                        acquired.may_send() || gate.decide_acquired(&shares, time).may_send();
                     assert!(is_free || !is_sent, "seed {seed} at {now} ms: {gate:?}");
                 }
             }
