Watch servers over open connections, and probe them when one breaks

Two instances near each server, by rendezvous hashing, now keep a connection to it open; when it ends, the next one is refused while the process is down, which is reported as before. A connection that breaks without a response, and the probe after a possible crash, lead to the same check. A broken connection alone no longer makes a server count as cold: busy servers reset connections beyond their limit (found by the review). Nor do errors of the instance itself.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -48,7 +48,11 @@
             actix_rt::time::sleep(PROBE_DELAY).await;
             let connect =
                 tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(suspect.address)).await;
-            let refused = matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+            let refused = matches!(&connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+            let server = self.servers.borrow().of_incarnation(suspect.server);
+            if let (Ok(Err(error)), Some(server)) = (&connect, server) {
+                self.suspect_restart(&server, error);
+            }
             if refused && self.reaches_others(suspect.address).await {
                 self.crashes
                     .borrow_mut()
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -133,7 +133,7 @@
         let is_stale = was_pooled && result.is_err() && !progress.received.get();
         if is_stale && self.may_retry_stale(&progress) {
             server.close_idle_connections();
-            self.instance.suspect_broken(server);
+            self.instance.request_probe(server);
             let connection = self.connect_unless_pooled(None).await;
             let Some(connection) = connection.filter(|_| self.may_send_again(&progress)) else {
                 return self.handle_broken_connection(&ExchangeError::Closed, &progress);
@@ -467,7 +467,7 @@
             return AttemptOutcome::NotSent;
         }
         if !progress.received.get() {
-            self.instance.suspect_broken(server);
+            self.instance.request_probe(server);
             self.instance.report_crash_suspect(CrashSuspect {
                 request: self.forward.id.clone(),
                 fingerprint: self.forward.fingerprint,
--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -145,6 +145,21 @@
         })
     }
 
+    /// Waits until the server closes the connection, or sends something to which there was
+    /// no request.
+    pub(crate) async fn closed(&self) {
+        let mut probe = [0_u8; 1];
+        loop {
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            let read = self.stream.try_read(&mut probe);
+            if !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
+                return;
+            }
+        }
+    }
+
     /// When the connection was opened.
     pub(crate) fn opened_at(&self) -> Instant {
         self.opened_at
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -111,8 +111,8 @@
     pub(crate) reach: RefCell<ReachTracker>,
     /// Requests a probe of servers at once.
     pub(crate) reach_doubted: tokio::sync::Notify,
-    /// Requests a probe of the servers that may have started again.
-    pub(crate) restart_doubted: tokio::sync::Notify,
+    /// Requests a probe of the servers whose process may have ended.
+    pub(crate) probe_requested: tokio::sync::Notify,
     /// Requests a digest before the next interval.
     pub(crate) digest_requested: tokio::sync::Notify,
     pub(crate) crash_suspects: Sender<CrashSuspect>,
@@ -196,7 +196,7 @@
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
-            restart_doubted: tokio::sync::Notify::new(),
+            probe_requested: tokio::sync::Notify::new(),
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -32,7 +32,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct DoubtLabel {
-    /// `suspected`, or how it ended: `restarted` or `ruled_out`.
+    /// `suspected`, `ruled_out`, or `restarted` when a new entry shows it.
     pub(crate) change: &'static str,
 }
 
@@ -186,7 +186,7 @@
         );
         registry.register(
             "sends_held",
-            "Placements in which a server got no request because of what it asked for",
+            "Requests that a server did not get because of what it asked for or because it is cold",
             metrics.holds.clone(),
         );
         registry.register(
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -2,6 +2,7 @@
 //! what ends the doubt.
 
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,11 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tarragonpulley_policy::entry::digest::{InstanceDigest, SectionTag, ServerIncarnation};
+use tarragonpulley_policy::entry::digest::{
+    InstanceDigest, InstanceRecord, SectionTag, ServerIncarnation,
+};
+use tarragonpulley_policy::entry::placement::text_hash;
+use tarragonpulley_policy::entry::restart::{ServerDistance, WatchCandidate, watches_server};
 
 use crate::forward::CONNECT_TIMEOUT;
 use crate::http::client::ServerConnection;
@@ -26,6 +31,15 @@
 /// One of this many checks probes servers of which no running process was seen.
 const CHECKS_PER_PROBE: u32 = 2;
 
+/// One of this many checks starts watching servers.
+const CHECKS_PER_WATCH: u32 = 4;
+
+/// Interval of the check whether a server is still to be watched.
+const WATCH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two connections of a watch that do not last.
+const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// The maximum number of servers that are probed at a time.
 const MAX_PROBES: usize = 16;
 
@@ -45,6 +59,35 @@
     }
 }
 
+fn is_network_failure(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    )
+}
+
+/// Marks a server as watched until dropped.
+#[derive(Debug)]
+struct WatchGuard {
+    server: Rc<Server>,
+}
+
+impl WatchGuard {
+    fn new(server: Rc<Server>) -> Self {
+        server.is_watched.set(true);
+        Self { server }
+    }
+}
+
+impl Drop for WatchGuard {
+    fn drop(&mut self) {
+        self.server.is_watched.set(false);
+    }
+}
+
 /// The section of a digest with the servers whose process has ended.
 #[derive(Debug, Serialize, Deserialize)]
 struct EndedSection {
@@ -54,11 +97,15 @@
 impl Instance {
     /// Records that no connection to a server could be opened, so that its process may
     /// have ended. That it refuses connections is reported to the other instances; without
-    /// a response, the network may have failed on the way from here.
+    /// a response, the network may have failed on the way from here. Errors of this
+    /// instance say nothing about the server.
     pub(crate) fn suspect_restart(&self, server: &Server, error: &io::Error) {
+        let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+        if !is_refused && !is_network_failure(error) {
+            return;
+        }
         let now = self.now();
         let is_new = self.suspect(server, now);
-        let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
         let is_reported = is_refused
             && server.restart.borrow().is_in_doubt()
             && !self.reach.borrow().is_partitioned()
@@ -78,15 +125,12 @@
         }
     }
 
-    /// Records that a connection to a server ended without a response. The network loses
-    /// connections too, so the server is probed at once.
-    pub(crate) fn suspect_broken(&self, server: &Server) {
-        if self.suspect(server, self.now()) {
-            self.log.event(
-                "restart_suspected",
-                json!({"server": server.id().as_str(), "reason": "no response"}),
-            );
-            self.restart_doubted.notify_one();
+    /// Has a server probed at once, as a connection to it ended without a response. The
+    /// network and busy servers end connections too.
+    pub(crate) fn request_probe(&self, server: &Server) {
+        if !self.cold_period(server).is_zero() {
+            server.needs_probe.set(true);
+            self.probe_requested.notify_one();
         }
     }
 
@@ -128,14 +172,17 @@
     pub(crate) async fn watch_restarts(self: Rc<Self>) {
         for check in 1_u32.. {
             let is_requested = tokio::select! {
-                () = self.restart_doubted.notified() => true,
+                () = self.probe_requested.notified() => true,
                 () = actix_rt::time::sleep(CHECK_INTERVAL) => false,
             };
             let doubted = self.servers.borrow().in_doubt();
             self.settle_doubts(&doubted);
             let is_due = is_requested || check.is_multiple_of(CHECKS_PER_PROBE);
             if is_due && !self.reach.borrow().is_partitioned() {
-                self.probe_doubted(doubted).await;
+                self.probe_processes().await;
+            }
+            if check.is_multiple_of(CHECKS_PER_WATCH) {
+                self.watch_servers();
             }
         }
     }
@@ -167,25 +214,99 @@
         self.now().checked_sub(age)
     }
 
-    /// Opens connections to servers of which no running process was seen, to a part of
-    /// them at random if there are many.
-    async fn probe_doubted(&self, mut servers: Vec<Rc<Server>>) {
+    /// Opens connections to servers whose process may have ended, to a part of them at
+    /// random if there are many.
+    async fn probe_processes(&self) {
         let now = self.now();
-        servers.retain(|server| server.is_available(now) && server.restart.borrow().needs_probe());
-        servers.shuffle(&mut rand::rng());
-        let targets = servers.iter().take(MAX_PROBES);
-        join_all(targets.map(|server| self.probe_process(server))).await;
+        let needs_probe = |server: &&Rc<Server>| {
+            server.is_available(now)
+                && (server.needs_probe.get() || server.restart.borrow().needs_probe())
+        };
+        let servers = self.servers.borrow();
+        let mut targets: Vec<Rc<Server>> = servers.all().filter(needs_probe).cloned().collect();
+        drop(servers);
+        targets.shuffle(&mut rand::rng());
+        let probes = targets.iter().take(MAX_PROBES);
+        join_all(probes.map(|server| self.probe_process(server))).await;
     }
 
     async fn probe_process(&self, server: &Server) {
+        server.needs_probe.set(false);
+        if let Some(connection) = self.open_to_process(server).await {
+            server.return_connection(connection);
+        }
+    }
+
+    /// Opens a connection to learn whether the server's process runs.
+    async fn open_to_process(&self, server: &Server) -> Option<ServerConnection> {
         let address = server.entry.borrow().address;
         self.metrics.connections_opened.inc();
         match ServerConnection::open(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 self.record_running(server, &connection);
-                server.return_connection(connection);
+                Some(connection)
+            }
+            Err(error) => {
+                self.suspect_restart(server, &error);
+                None
+            }
+        }
+    }
+
+    /// Starts to watch the servers that this instance is to watch and does not.
+    fn watch_servers(self: &Rc<Self>) {
+        let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
+        for server in servers {
+            if !server.is_watched.get() && self.is_to_watch(&server) {
+                let guard = WatchGuard::new(server);
+                let watch = Rc::clone(self).watch_server(guard);
+                actix_rt::spawn(watch);
+            }
+        }
+    }
+
+    /// Whether this instance is to watch a server.
+    fn is_to_watch(&self, server: &Server) -> bool {
+        let now = self.now();
+        if server.is_replaced.get()
+            || !server.is_available(now)
+            || self.cold_period(server).is_zero()
+        {
+            return false;
+        }
+        let peers = self.peers.borrow();
+        let (entry, region) = (server.entry.borrow(), server.region.borrow());
+        let candidate = |record: &InstanceRecord| WatchCandidate {
+            instance: text_hash(record.name.as_str()),
+            distance: match &*region {
+                _ if record.centre == entry.centre => ServerDistance::SameCentre,
+                Some(region) if region.name == record.region => ServerDistance::SameRegion,
+                _ => ServerDistance::OtherRegion,
+            },
+        };
+        let others = peers.ready(now).map(candidate);
+        watches_server(server.hash, candidate(peers.own()), others)
+    }
+
+    /// Keeps a connection to a server open while this instance is to watch it. When it
+    /// ends, the next one shows whether the process did.
+    async fn watch_server(self: Rc<Self>, guard: WatchGuard) {
+        let server = &guard.server;
+        while self.is_to_watch(server) {
+            let opened = self.now();
+            if !self.reach.borrow().is_partitioned()
+                && let Some(connection) = self.open_to_process(server).await
+            {
+                let closed = connection.closed();
+                let mut closed = pin!(closed);
+                while self.is_to_watch(server)
+                    && tokio::time::timeout(WATCH_CHECK_INTERVAL, &mut closed)
+                        .await
+                        .is_err()
+                {}
             }
-            Err(error) => self.suspect_restart(server, &error),
+            let lasted = self.now().saturating_duration_since(opened);
+            actix_rt::time::sleep(WATCH_RETRY_DELAY.saturating_sub(lasted)).await;
         }
     }
 
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -71,6 +71,10 @@
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Whether a connection ended without a response, so that the process may have ended.
+    pub(crate) needs_probe: Cell<bool>,
+    /// Whether a task of this instance watches the server over an open connection.
+    pub(crate) is_watched: Cell<bool>,
     /// Whether the server may have started again since its entry was read.
     pub(crate) restart: RefCell<RestartTracker>,
     /// Whether a later start of the server has replaced this value in the set. Attempts in
@@ -91,6 +95,8 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
+            needs_probe: Cell::new(false),
+            is_watched: Cell::new(false),
             restart: RefCell::default(),
             removed_at: Cell::new(None),
             is_replaced: Cell::new(false),
--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -6,19 +6,65 @@
 //! entries shows that the process which runs now is the known one: a process writes its
 //! entry when it starts, so a read from after a connection to it was opened contains that
 //! entry. No clocks of different machines are compared.
+//!
+//! A server without requests could be down for a moment without any instance trying to
+//! reach it. So a few instances near it keep a connection open, which ends with the
+//! process.
 
 use std::time::{Duration, Instant};
 
-/// The time in which a process that accepts connections has written its entry.
+use super::placement::mix;
+
+/// The time in which a process that accepts connections has written its entry. Servers
+/// write it as they start; the table service may be slow.
 pub const REGISTRATION_DELAY: Duration = Duration::from_millis(250);
 
-/// The time in which what a process sent before its end has arrived and is read.
+/// The time after which a response on a connection from before a sign of an end shows that
+/// the process still runs. Earlier, the response may have been under way.
 pub const EVIDENCE_DELAY: Duration = Duration::from_millis(200);
 
 /// How long an instance reports to the others that a process ended: three intervals
 /// between data centres.
 pub const END_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
+/// The number of instances that watch a server over an open connection. One of them may be
+/// cut off or restarting itself.
+pub const WATCHERS: usize = 2;
+
+/// How far an instance is from a server, the nearest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerDistance {
+    /// In the same data centre.
+    SameCentre,
+    /// In another data centre of the region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+/// An instance that may watch a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchCandidate {
+    /// Hash of the instance's name.
+    pub instance: u64,
+    /// The distance from the server.
+    pub distance: ServerDistance,
+}
+
+/// Whether the instance `own` is among the [`WATCHERS`] of a server: the nearest, by
+/// rendezvous hashing among those at the same distance. `server` is a hash of its id.
+pub fn watches_server(
+    server: u64,
+    own: WatchCandidate,
+    others: impl Iterator<Item = WatchCandidate>,
+) -> bool {
+    let rank = |candidate: WatchCandidate| {
+        let score = mix(candidate.instance ^ server);
+        (candidate.distance, u64::MAX - score)
+    };
+    others.filter(|other| rank(*other) < rank(own)).count() < WATCHERS
+}
+
 /// Evidence that a process is running.
 #[derive(Debug, Clone, Copy)]
 struct RunningProcess {
@@ -97,7 +143,9 @@
     /// last sign of an end.
     fn running_since(&self) -> Option<Instant> {
         let ended_at = self.ended_at?;
-        let is_later = |running: &RunningProcess| running.seen_at > ended_at + EVIDENCE_DELAY;
+        let is_later = |running: &RunningProcess| {
+            running.since > ended_at || running.seen_at > ended_at + EVIDENCE_DELAY
+        };
         Some(self.running.filter(is_later)?.since)
     }
 }
--- a/crates/policy/tests/entry/restart.rs
+++ b/crates/policy/tests/entry/restart.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use tarragonpulley_policy::entry::restart::RestartTracker;
+use tarragonpulley_policy::entry::placement::mix;
+use tarragonpulley_policy::entry::restart::{
+    RestartTracker, ServerDistance, WatchCandidate, watches_server,
+};
 use yare::parameterized;
 
 const COLD_PERIOD: Duration = Duration::from_secs(3);
@@ -20,6 +23,26 @@
 
 use Step::{End, Read, Running};
 
+fn at(start: Instant, millis: u64) -> Instant {
+    start + Duration::from_millis(millis)
+}
+
+fn tracker_after(steps: &[Step], start: Instant) -> RestartTracker {
+    let mut tracker = RestartTracker::default();
+    for step in steps {
+        match *step {
+            End(time) => {
+                tracker.record_end(at(start, time));
+            }
+            Running(since, now) => tracker.record_running(at(start, since), at(start, now)),
+            Read(read, now) => {
+                tracker.settle(Some(at(start, read)), COLD_PERIOD, at(start, now));
+            }
+        }
+    }
+    tracker
+}
+
 /// Whether the server is in doubt after these steps.
 #[parameterized(
     never_in_doubt = { &[Running(0, 100), Read(500, 600)], false },
@@ -38,19 +61,39 @@
     new_end_after_a_read = { &[End(1000), Running(2000, 2000), Read(2300, 2600), End(2700)], true },
 )]
 fn servers_are_in_doubt_until_a_read_shows_the_known_process(steps: &[Step], expected: bool) {
-    let start = Instant::now();
-    let at = |millis| start + Duration::from_millis(millis);
-    let mut tracker = RestartTracker::default();
-    for step in steps {
-        match *step {
-            End(time) => {
-                tracker.record_end(at(time));
-            }
-            Running(since, now) => tracker.record_running(at(since), at(now)),
-            Read(read, now) => {
-                tracker.settle(Some(at(read)), COLD_PERIOD, at(now));
-            }
+    let tracker = tracker_after(steps, Instant::now());
+    assert_eq!(tracker.is_in_doubt(), expected);
+}
+
+/// Guards against servers that nobody watches, or that the whole fleet does.
+#[parameterized(
+    same_centre = { &[3, 9, 9], 2 },
+    one_in_the_centre = { &[1, 4, 9], 2 },
+    only_in_the_region = { &[0, 5, 9], 2 },
+    only_elsewhere = { &[0, 0, 9], 2 },
+    single_instance = { &[1, 0, 0], 1 },
+)]
+fn few_of_the_nearest_instances_watch_a_server(by_distance: &[u64; 3], expected: usize) {
+    let distances = [
+        ServerDistance::SameCentre,
+        ServerDistance::SameRegion,
+        ServerDistance::OtherRegion,
+    ];
+    let mut fleet = Vec::new();
+    for (distance, count) in distances.into_iter().zip(by_distance) {
+        for _ in 0..*count {
+            let instance = mix(u64::try_from(fleet.len()).expect("small") + 1);
+            fleet.push(WatchCandidate { instance, distance });
         }
     }
-    assert_eq!(tracker.is_in_doubt(), expected);
+    for server in (0..50).map(mix) {
+        let is_watcher = |own: &&WatchCandidate| {
+            let others = fleet.iter().filter(|other| other != own).copied();
+            watches_server(server, **own, others)
+        };
+        let watchers: Vec<&WatchCandidate> = fleet.iter().filter(is_watcher).collect();
+        assert_eq!(watchers.len(), expected);
+        let nearest = fleet.iter().map(|one| one.distance).min();
+        assert!(watchers.iter().any(|one| Some(one.distance) == nearest));
+    }
 }
--- a/crates/policy/tests/entry/send_gate.rs
+++ b/crates/policy/tests/entry/send_gate.rs
@@ -237,7 +237,7 @@
                     assert_eq!(decided, acquired, "seed {seed} at {now} ms");
                     let is_free = !is_leaving && paused_until.is_none_or(|until| until <= now);
                     let is_sent =
-                        acquired.may_send() || gate.decide_acquired(&shares, time).may_send();
+                        acquired.may_send() || gate.decide_acquired(&FREE, time).may_send();
                     assert!(is_free || !is_sent, "seed {seed} at {now} ms: {gate:?}");
                 }
             }
