Take repeated reports of one end for known

An end is now new only if it is later than the evidence that the process ran; and that evidence is of one connection, the earliest. The table only_new_ends_are_new has the cases.

--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -86,23 +86,25 @@
 
 impl RestartTracker {
     /// Records a sign that the process had ended at `at`. Returns whether that is new: the
-    /// process was not in doubt, or has been seen to run since the last sign.
+    /// process was not in doubt, or was seen to run before `at` and since the last sign.
     pub fn record_end(&mut self, at: Instant) -> bool {
         if self.known_until.is_some_and(|until| at <= until) {
             return false;
         }
-        let is_new = self.ended_at.is_none() || self.running_since().is_some();
+        let (was_in_doubt, was_running) = (self.is_in_doubt(), self.running_since().is_some());
         self.ended_at = self.ended_at.max(Some(at));
-        is_new
+        !was_in_doubt || was_running && self.running_since().is_none()
     }
 
-    /// Records that a connection which was opened at `since` works at `now`.
+    /// Records that a connection which was opened at `since` works at `now`. The earliest
+    /// connection since the last sign of an end is kept.
     pub fn record_running(&mut self, since: Instant, now: Instant) {
-        let earlier = self.running_since().unwrap_or(since);
-        self.running = Some(RunningProcess {
-            since: since.min(earlier),
-            seen_at: now,
-        });
+        if self.running_since().is_none_or(|known| since <= known) {
+            self.running = Some(RunningProcess {
+                since,
+                seen_at: now,
+            });
+        }
     }
 
     /// Whether the server may have started again.
--- a/crates/policy/tests/entry/restart.rs
+++ b/crates/policy/tests/entry/restart.rs
@@ -65,6 +65,21 @@
     assert_eq!(tracker.is_in_doubt(), expected);
 }
 
+/// Guards against instances that report one end again and again.
+#[parameterized(
+    first = { &[], 1000, true },
+    repeated = { &[End(1000)], 1000, false },
+    refused_again = { &[End(1000)], 1500, false },
+    repeated_report_after_it_ran = { &[End(1000), Running(2000, 2000)], 1100, false },
+    ended_after_it_ran = { &[End(1000), Running(2000, 2000)], 2500, true },
+    other_connection_ended_before = { &[End(1000), Running(1500, 1500), Running(2300, 2300), Read(2100, 2400)], 1900, true },
+)]
+fn only_new_ends_are_new(steps: &[Step], at_ms: u64, expected: bool) {
+    let start = Instant::now();
+    let mut tracker = tracker_after(steps, start);
+    assert_eq!(tracker.record_end(at(start, at_ms)), expected);
+}
+
 /// Guards against servers that nobody watches, or that the whole fleet does.
 #[parameterized(
     same_centre = { &[3, 9, 9], 2 },
