--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -34,6 +34,10 @@
 /// The maximum number of bytes that one read takes.
 const MAX_READ_BYTES: usize = 16 * 1024;
 
+/// The size up to which the buffer of a connection is kept between exchanges, in bytes:
+/// that of one read, which holds most responses.
+const MAX_KEPT_BUFFER_BYTES: usize = MAX_READ_BYTES;
+
 /// The number of bytes after which an exchange lets other tasks run. A server that
 /// sends faster than the process reads would otherwise hold them up.
 const YIELD_BYTES: usize = 64 * 1024;
@@ -114,6 +118,9 @@
 pub(crate) struct ServerConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// The size of the allocation behind `buffer`, in bytes. Its capacity does not
+    /// include what was consumed.
+    allocated: usize,
     idle_since: Instant,
     keep_alive: Duration,
     reusable: bool,
@@ -135,6 +142,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            allocated: 0,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
             reusable: true,
@@ -227,6 +235,7 @@
                         let response = state.end_of_stream().ok_or(ExchangeError::Closed)?;
                         return Ok(response);
                     }
+                    self.allocated = self.allocated.max(self.buffer.capacity());
                     read_since_yield += count;
                     progress.received.set(true);
                 }
@@ -248,8 +257,18 @@
             && !head.has_token("connection", "close");
         self.keep_alive = keep_alive_timeout(head).unwrap_or(DEFAULT_KEEP_ALIVE);
         self.idle_since = Instant::now();
+        self.release_buffer();
         response
     }
+
+    /// Releases the allocation of a long response, which an idle connection would keep
+    /// alive without counting it.
+    fn release_buffer(&mut self) {
+        if self.allocated > MAX_KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+            self.allocated = 0;
+        }
+    }
 }
 
 /// The `timeout` parameter of `Keep-Alive`.
