Send no booking in a planned stop that may be cut (LOST)

What callers saw: a request that must not be repeated was sent to a server in the first 2.7 s of a planned stop, took longer than expected, and was cut when the process ended. Its caller does not know whether it has run and may not send it again.

Cause: until connections are closed, every request was accepted if its expected latency was shorter than the time left. The expectation follows a mean, and work varies.

Change: a request that must not be repeated is sent during a stop only if its deadline is before the end of the process. Otherwise it is rejected at once with status 503, which is true, and another instance serves it. At its deadline the caller gets a response in any case, so none is cut. Requests that may be repeated go by the expected latency as before: a cut costs their callers time, not the request.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -126,6 +126,7 @@
         // when this process ends is lost. So the longer of the estimates counts.
         let stopping_request = StoppingRequest {
             received: forward.request.received,
+            repeatable: forward.route.retryable,
             expected_latency: expected_latency(&view, false, &request.work),
             deadline: forward.deadline,
         };
--- a/crates/policy/src/entry/stopping.rs
+++ b/crates/policy/src/entry/stopping.rs
@@ -5,7 +5,9 @@
 //! accepted, as long as they are expected to complete in time. After that a request
 //! arrives only on connections that carried something before, such as the rest of a long
 //! body, and another instance serves it at once. It is accepted only if it certainly
-//! completes, as an estimate can be wrong and a request that is cut may have run.
+//! completes, as an estimate can be wrong and a request that is cut may have run. The
+//! same holds throughout the stop for requests that must not be repeated: once cut, they
+//! are lost to their callers, while a rejected one is sent to another instance.
 
 use std::time::{Duration, Instant};
 
@@ -42,7 +44,7 @@
     /// Whether a request may be sent to a server at `now`.
     #[must_use]
     pub fn accepts(&self, request: &StoppingRequest, now: Instant) -> bool {
-        let longest = if request.received < self.closes_at {
+        let longest = if request.repeatable && request.received < self.closes_at {
             request.expected_latency
         } else {
             request.deadline.saturating_duration_since(now)
@@ -56,6 +58,8 @@
 pub struct StoppingRequest {
     /// When it was received completely.
     pub received: Instant,
+    /// Whether it may be sent again after it may have run.
+    pub repeatable: bool,
     /// The expected latency at the selected server.
     pub expected_latency: Duration,
     /// When it gets a response at the latest.
--- a/crates/policy/tests/entry/stopping.rs
+++ b/crates/policy/tests/entry/stopping.rs
@@ -32,6 +32,35 @@
     let schedule = StopSchedule::new(start, DRAIN_PERIOD, STOP_TIMEOUT);
     let request = StoppingRequest {
         received: at(start, received),
+        repeatable: true,
+        expected_latency: Duration::from_millis(expected_ms),
+        deadline: at(start, received + timeout_ms),
+    };
+    assert_eq!(schedule.accepts(&request, at(start, now)), accepted);
+}
+
+/// Guards against a request that must not be repeated, is sent in the first part of a stop
+/// because of a wrong estimate and is cut when the process ends.
+#[parameterized(
+    early_and_certain = { 100, 100, 500, 4000, true },
+    early_and_only_expected_to_complete = { 100, 100, 500, 8000, false },
+    deadline_after_the_end = { 2600, 2600, 500, 4000, false },
+    early_and_sent_again_late = { 1000, 5000, 500, 4500, true },
+    late_and_certain = { 3000, 3000, 500, 2500, true },
+    late_and_only_expected_to_complete = { 3000, 3000, 500, 8000, false },
+)]
+fn requests_that_must_not_be_repeated_are_sent_if_they_certainly_complete(
+    received: u64,
+    now: u64,
+    expected_ms: u64,
+    timeout_ms: u64,
+    accepted: bool,
+) {
+    let start = Instant::now();
+    let schedule = StopSchedule::new(start, DRAIN_PERIOD, STOP_TIMEOUT);
+    let request = StoppingRequest {
+        received: at(start, received),
+        repeatable: false,
         expected_latency: Duration::from_millis(expected_ms),
         deadline: at(start, received + timeout_ms),
     };
