--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -76,7 +76,7 @@
 pub(crate) struct ServerResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
-    /// Counts the body as memory in use.
+    /// Counts the head and the body as memory in use.
     pub(crate) share: BufferShare,
 }
 
@@ -341,6 +341,7 @@
             if self.current.is_none() {
                 let head = take_response_head(buffer, &mut self.scanner, MAX_HEAD_BYTES)?;
                 let Some(head) = head else {
+                    self.count(buffer.len())?;
                     return Ok(None);
                 };
                 if (100..200).contains(&head.status) {
@@ -352,14 +353,13 @@
                 }
                 self.begin_response(head)?;
             }
-            let Some((_, reader)) = &mut self.current else {
+            let Some((head, reader)) = &mut self.current else {
                 return Ok(None);
             };
             let body = reader.take(buffer)?;
             let received = body.as_ref().map_or(reader.received(), Bytes::len);
-            if !self.share.resize(received + buffer.len()) {
-                return Err(ExchangeError::NoMemory);
-            }
+            let bytes = head.memory() + received + buffer.len();
+            self.count(bytes)?;
             let Some(body) = body else {
                 return Ok(None);
             };
@@ -372,6 +372,15 @@
         }
     }
 
+    /// Counts what has arrived of the response as memory in use.
+    fn count(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        if self.share.resize(bytes) {
+            Ok(())
+        } else {
+            Err(ExchangeError::NoMemory)
+        }
+    }
+
     fn begin_response(&mut self, head: ResponseHead) -> Result<(), ExchangeError> {
         self.is_skipping = self.expected.is_foreign(&head)?;
         if self.is_skipping && std::mem::replace(&mut self.has_skipped, true) {
--- a/crates/edge/src/http/framing.rs
+++ b/crates/edge/src/http/framing.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use super::message::{HeaderField, HeaderLookup, RequestHead};
+use super::message::{HeaderField, HeaderLookup, RequestHead, fields_memory};
 
 /// The maximum number of header fields of a message.
 const MAX_FIELDS: usize = 128;
@@ -72,6 +72,13 @@
     pub(crate) is_http10: bool,
 }
 
+impl ResponseHead {
+    /// The memory that the head takes, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        size_of::<Self>() + fields_memory(&self.fields)
+    }
+}
+
 impl HeaderLookup for ResponseHead {
     fn fields(&self) -> &[HeaderField] {
         &self.fields
--- a/crates/edge/src/http/message.rs
+++ b/crates/edge/src/http/message.rs
@@ -130,7 +130,7 @@
 /// What the allocator adds to an allocation, its rounding included, in bytes.
 const ALLOCATION_BYTES: usize = 24;
 
-fn fields_memory(fields: &[HeaderField]) -> usize {
+pub(super) fn fields_memory(fields: &[HeaderField]) -> usize {
     let field = |field: &HeaderField| {
         size_of::<HeaderField>() + field.name.len() + field.value.len() + 2 * ALLOCATION_BYTES
     };
