--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -34,6 +34,10 @@
 /// The maximum number of bytes that one read takes.
 const MAX_READ_BYTES: usize = 16 * 1024;
 
+/// The size up to which the buffer of a connection is kept between exchanges, in bytes:
+/// that of one read, which holds most responses.
+const MAX_KEPT_BUFFER_BYTES: usize = MAX_READ_BYTES;
+
 /// The number of bytes after which an exchange lets other tasks run. A server that
 /// sends faster than the process reads would otherwise hold them up.
 const YIELD_BYTES: usize = 64 * 1024;
@@ -72,7 +76,7 @@
 pub(crate) struct ServerResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
-    /// Counts the body as memory in use.
+    /// Counts the head and the body as memory in use.
     pub(crate) share: BufferShare,
 }
 
@@ -115,6 +119,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     opened_at: Instant,
+    /// The size of the allocation behind `buffer`, in bytes. Its capacity does not
+    /// include what was consumed.
+    allocated: usize,
     idle_since: Instant,
     keep_alive: Duration,
     reusable: bool,
@@ -137,6 +144,7 @@
             stream,
             buffer: BytesMut::new(),
             opened_at: Instant::now(),
+            allocated: 0,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
             reusable: true,
@@ -249,6 +257,7 @@
                         let response = state.end_of_stream().ok_or(ExchangeError::Closed)?;
                         return Ok(response);
                     }
+                    self.allocated = self.allocated.max(self.buffer.capacity());
                     read_since_yield += count;
                     progress.received.set(true);
                 }
@@ -270,8 +279,18 @@
             && !head.has_token("connection", "close");
         self.keep_alive = keep_alive_timeout(head).unwrap_or(DEFAULT_KEEP_ALIVE);
         self.idle_since = Instant::now();
+        self.release_buffer();
         response
     }
+
+    /// Releases the allocation of a long response, which an idle connection would keep
+    /// alive without counting it.
+    fn release_buffer(&mut self) {
+        if self.allocated > MAX_KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+            self.allocated = 0;
+        }
+    }
 }
 
 /// The `timeout` parameter of `Keep-Alive`.
@@ -344,6 +363,7 @@
             if self.current.is_none() {
                 let head = take_response_head(buffer, &mut self.scanner, MAX_HEAD_BYTES)?;
                 let Some(head) = head else {
+                    self.count(buffer.len())?;
                     return Ok(None);
                 };
                 if (100..200).contains(&head.status) {
@@ -355,14 +375,13 @@
                 }
                 self.begin_response(head)?;
             }
-            let Some((_, reader)) = &mut self.current else {
+            let Some((head, reader)) = &mut self.current else {
                 return Ok(None);
             };
             let body = reader.take(buffer)?;
             let received = body.as_ref().map_or(reader.received(), Bytes::len);
-            if !self.share.resize(received + buffer.len()) {
-                return Err(ExchangeError::NoMemory);
-            }
+            let bytes = head.memory() + received + buffer.len();
+            self.count(bytes)?;
             let Some(body) = body else {
                 return Ok(None);
             };
@@ -375,6 +394,15 @@
         }
     }
 
+    /// Counts what has arrived of the response as memory in use.
+    fn count(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        if self.share.resize(bytes) {
+            Ok(())
+        } else {
+            Err(ExchangeError::NoMemory)
+        }
+    }
+
     fn begin_response(&mut self, head: ResponseHead) -> Result<(), ExchangeError> {
         self.is_skipping = self.expected.is_foreign(&head)?;
         if self.is_skipping && std::mem::replace(&mut self.has_skipped, true) {
