Keep what a restarted server asked for before its entry was read

What was asked since the new process was first seen now passes to its value, and responses that arrive after the read go there too. What the earlier process asked for still ends with it. The table what_the_new_process_asked_for_holds has the cases; without the change a pause or limit of the new process is lost.

--- a/crates/edge/src/forward/asked.rs
+++ b/crates/edge/src/forward/asked.rs
@@ -40,11 +40,23 @@
         response.head.status == UNAVAILABLE && self.record_pause(response, now)
     }
 
+    /// The server that sent the response: the one of the attempt, or its next start if
+    /// that was learned meanwhile.
+    fn asking_server(&self) -> Rc<Server> {
+        let server = self.server();
+        let servers = self.instance.servers.borrow();
+        let next = servers
+            .get(&server.id())
+            .filter(|_| server.is_replaced.get());
+        Rc::clone(next.unwrap_or(server))
+    }
+
     /// A misdirected request was answered by another server at the same address.
     fn record_leaving(&self, response: &ServerResponse, now: Instant) {
         let request = Some(self.forward.id.as_str());
         if response.head.status != MISDIRECTED {
-            self.instance.record_leaving(self.server(), request, now);
+            self.instance
+                .record_leaving(&self.asking_server(), request, now);
             return;
         }
         let others: Vec<Rc<Server>> = {
@@ -73,7 +85,7 @@
             return false;
         };
         let instance = self.instance;
-        let server = self.server();
+        let server = self.asking_server();
         let delay = {
             let peers = instance.peers.borrow();
             let slots = server.entry.borrow().slots;
@@ -123,10 +135,14 @@
             None if response.head.text(names.seal).is_none() => return,
             None => None,
         };
-        self.instance
-            .update_limit(self.server(), Some(&self.forward.id), now, |limit| {
+        self.instance.update_limit(
+            &self.asking_server(),
+            Some(&self.forward.id),
+            now,
+            |limit| {
                 limit.record_response(rate, now);
-            });
+            },
+        );
     }
 }
 
@@ -134,7 +150,7 @@
     /// Records that a server is leaving, and logs it if that is new. `request` is the one
     /// whose response said so; `None` if other instances reported it.
     pub(crate) fn record_leaving(&self, server: &Server, request: Option<&str>, now: Instant) {
-        let is_new = server.gate.borrow_mut().record_leaving();
+        let is_new = server.gate.borrow_mut().record_leaving(now);
         // Without the time of its start, a restarted server could not be told from this one.
         if request.is_some() && server.entry.borrow().started.is_some() {
             let mut servers = self.servers.borrow_mut();
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -243,9 +243,10 @@
             server.is_available(now)
                 && (server.needs_probe.get() || server.restart.borrow().needs_probe())
         };
-        let servers = self.servers.borrow();
-        let mut targets: Vec<Rc<Server>> = servers.all().filter(needs_probe).cloned().collect();
-        drop(servers);
+        let mut targets: Vec<Rc<Server>> = {
+            let servers = self.servers.borrow();
+            servers.all().filter(needs_probe).cloned().collect()
+        };
         targets.shuffle(&mut rand::rng());
         let probes = targets.iter().take(MAX_PROBES);
         join_all(probes.map(|server| self.probe_process(server))).await;
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -306,12 +306,16 @@
                 in_progress: server.health.borrow().in_progress(),
             });
         }
-        let known_gate = self.servers.get(&entry.id).map(|server| &server.gate);
-        let gate = known_gate.map(|gate| gate.borrow().after_restart());
+        let gate = self.servers.get(&entry.id).map(|server| {
+            let running_since = server.restart.borrow().running_since();
+            server.gate.borrow().after_restart(running_since)
+        });
         let mut server = Server::new(entry, region, now);
         server.gate = RefCell::new(gate.unwrap_or_default());
         if self.leaving.contains_key(&server.incarnation) {
-            server.gate.borrow_mut().record_leaving();
+            server.gate.borrow_mut().record_leaving(now);
+        } else if server.gate.borrow().is_leaving() {
+            self.record_leaving(server.incarnation, now);
         }
         self.servers.insert(server.id(), Rc::new(server));
         self.rebuild_service_index();
--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -143,7 +143,8 @@
 
     /// Since when the process that runs now is known to run, if it has been seen since the
     /// last sign of an end.
-    fn running_since(&self) -> Option<Instant> {
+    #[must_use]
+    pub fn running_since(&self) -> Option<Instant> {
         let ended_at = self.ended_at?;
         let is_later = |running: &RunningProcess| {
             running.since > ended_at || running.seen_at > ended_at + EVIDENCE_DELAY
--- a/crates/policy/src/entry/send_gate.rs
+++ b/crates/policy/src/entry/send_gate.rs
@@ -187,7 +187,10 @@
 /// What one server has asked of this instance, from the server's start on.
 #[derive(Debug, Default)]
 pub struct SendGate {
-    is_leaving: bool,
+    /// When the server last said that it is leaving.
+    left_at: Option<Instant>,
+    /// When the server last asked for a pause.
+    paused_at: Option<Instant>,
     paused_until: Option<Instant>,
     gradual_return: Option<GradualReturn>,
     limit: ServerLimit,
@@ -196,24 +199,32 @@
 
 impl SendGate {
     /// The gate of the same server after a restart. Requests may have reached the new
-    /// process before it was known, so they count against its rate.
+    /// process before it was known, so they count against its limits, and what was asked
+    /// for since `running_since` was asked for by it. `running_since` is the time since
+    /// which the new process is known to run, if it was seen.
     #[must_use]
-    pub fn after_restart(&self) -> Self {
+    pub fn after_restart(&self, running_since: Option<Instant>) -> Self {
+        let is_of_new = |at: Option<Instant>| running_since.is_some_and(|since| at > Some(since));
+        let is_paused = is_of_new(self.paused_at);
         Self {
+            left_at: self.left_at.filter(|at| is_of_new(Some(*at))),
+            paused_at: self.paused_at.filter(|_| is_paused),
+            paused_until: self.paused_until.filter(|_| is_paused),
+            gradual_return: self.gradual_return.filter(|_| is_paused),
+            limit: self.limit.after_restart(running_since),
             cold: self.cold.clone(),
-            ..Self::default()
         }
     }
 
     /// Whether the server has said that it is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.left_at.is_some()
     }
 
     /// Records that the server is leaving. Returns whether that is new.
-    pub fn record_leaving(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_leaving, true)
+    pub fn record_leaving(&mut self, now: Instant) -> bool {
+        self.left_at.replace(now).is_none()
     }
 
     /// The end of the pause that the server has asked for.
@@ -232,6 +243,7 @@
         now: Instant,
     ) -> Option<Instant> {
         let until = now + length.duration();
+        self.paused_at = Some(now);
         if until <= now || self.paused_until.is_some_and(|known| until <= known) {
             return None;
         }
@@ -321,7 +333,7 @@
     }
 
     fn decide_leaving_or_paused(&self, now: Instant) -> SendDecision {
-        if self.is_leaving {
+        if self.is_leaving() {
             return SendDecision::Never;
         }
         match self.paused_until(now) {
--- a/crates/policy/src/entry/server_limit.rs
+++ b/crates/policy/src/entry/server_limit.rs
@@ -146,6 +146,18 @@
 }
 
 impl ServerLimit {
+    /// The limit of the same server after a restart, with what it said since
+    /// `running_since`. Requests may have reached the new process before it was known.
+    #[must_use]
+    pub fn after_restart(&self, running_since: Option<Instant>) -> Self {
+        let is_of_new = |said: &LimitStatement| running_since.is_some_and(|since| said.at > since);
+        Self {
+            observed: self.observed.filter(is_of_new),
+            reported: ReportedLimit::default(),
+            sends: self.sends.clone(),
+        }
+    }
+
     /// The limit in force.
     #[must_use]
     pub fn rate(&self, now: Instant) -> Option<LimitRate> {
--- a/crates/policy/tests/entry/send_gate.rs
+++ b/crates/policy/tests/entry/send_gate.rs
@@ -91,7 +91,7 @@
     for event in events {
         match *event {
             Event::Leaving => {
-                gate.record_leaving();
+                gate.record_leaving(start);
             }
             Event::Pause(time, length, delay) => {
                 let delay = Duration::from_millis(delay);
@@ -184,13 +184,41 @@
     let mut gate = SendGate::default();
     assert!(gate.acquire(&FREE, start).may_send());
     if has_restarted {
-        gate = gate.after_restart();
+        gate = gate.after_restart(None);
     }
     let held = gate.acquire(&COLD, at(start, 500)).hold();
     assert_eq!(held, Some((HoldReason::ColdRate, None)));
     assert!(gate.acquire(&COLD, at(start, 1600)).may_send());
 }
 
+/// Guards against requests that a server has excluded after it started again, before its
+/// new entry was read; and against what the earlier process asked for.
+#[parameterized(
+    pause_of_the_earlier_process = { &[Event::Pause(100, "5", 0)], Some(500), None },
+    pause_of_the_new_process = { &[Event::Pause(600, "5", 0)], Some(500), Some(HoldReason::Paused) },
+    pause_without_evidence = { &[Event::Pause(600, "5", 0)], None, None },
+    leaving_of_the_earlier_process = { &[Event::Leaving, Event::Pause(600, "5", 0)], Some(500), Some(HoldReason::Paused) },
+    limit_of_the_earlier_process = { &[Event::Limit(100)], Some(500), None },
+    limit_of_the_new_process = { &[Event::Limit(600)], Some(500), Some(HoldReason::ServerLimit) },
+)]
+fn what_the_new_process_asked_for_holds_after_a_restart(
+    events: &[Event],
+    running_since: Option<u64>,
+    expected: Option<HoldReason>,
+) {
+    let start = Instant::now();
+    let gate = gate_after(events, start);
+    let running_since = running_since.map(|since| at(start, since));
+    let shares = FixedShares {
+        has_limit_permit: false,
+        ..FREE
+    };
+    let decision = gate
+        .after_restart(running_since)
+        .decide(&shares, at(start, 700));
+    assert_eq!(decision.hold().map(|(reason, _)| reason), expected);
+}
+
 /// Guards against requests in what a server has excluded, whatever the order of its
 /// responses, requests and reports.
 #[test]
@@ -208,7 +236,7 @@
             let time = at(start, now);
             match random.random_range(0..100) {
                 0 if random.random_bool(0.1) => {
-                    gate.record_leaving();
+                    gate.record_leaving(time);
                     is_leaving = true;
                 }
                 1..6 => {
