--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -1,6 +1,7 @@
 //! Servers that may have started again since their entry was read: the signs of it, and
 //! what ends the doubt.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -13,8 +14,11 @@
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, InstanceRecord, SectionTag, ServerIncarnation,
 };
+use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 use tarragonpulley_policy::entry::placement::text_hash;
-use tarragonpulley_policy::entry::restart::{ServerDistance, WatchCandidate, watches_server};
+use tarragonpulley_policy::entry::restart::{
+    ServerDistance, WATCHERS, WatchCandidate, watches_server,
+};
 
 use crate::forward::CONNECT_TIMEOUT;
 use crate::http::client::ServerConnection;
@@ -31,7 +35,7 @@
 /// One of this many checks probes servers of which no running process was seen.
 const CHECKS_PER_PROBE: u32 = 2;
 
-/// One of this many checks starts watching servers.
+/// One of this many checks decides which servers this instance watches.
 const CHECKS_PER_WATCH: u32 = 4;
 
 /// Interval of the check whether a server is still to be watched.
@@ -69,6 +73,70 @@
     )
 }
 
+/// The instances that may watch servers, at one moment.
+#[derive(Debug)]
+struct WatcherView {
+    own: WatcherPlace,
+    others: Vec<WatcherPlace>,
+    /// The number of instances in each data centre.
+    counts: BTreeMap<CentreName, usize>,
+}
+
+/// An instance and its location.
+#[derive(Debug)]
+struct WatcherPlace {
+    /// Hash of the instance's name.
+    hash: u64,
+    centre: CentreName,
+    region: RegionName,
+}
+
+impl From<&InstanceRecord> for WatcherPlace {
+    fn from(record: &InstanceRecord) -> Self {
+        Self {
+            hash: text_hash(record.name.as_str()),
+            centre: record.centre.clone(),
+            region: record.region.clone(),
+        }
+    }
+}
+
+impl WatcherView {
+    fn new<'a>(own: &InstanceRecord, others: impl Iterator<Item = &'a InstanceRecord>) -> Self {
+        let own = WatcherPlace::from(own);
+        let others: Vec<WatcherPlace> = others.map(WatcherPlace::from).collect();
+        let mut counts = BTreeMap::new();
+        for place in others.iter().chain([&own]) {
+            *counts.entry(place.centre.clone()).or_default() += 1;
+        }
+        Self {
+            own,
+            others,
+            counts,
+        }
+    }
+
+    /// Whether this instance is to watch a server.
+    fn own_watches(&self, server: &Server) -> bool {
+        let (entry, region) = (server.entry.borrow(), server.region.borrow());
+        let is_near = self.own.centre == entry.centre;
+        let near_count = self.counts.get(&entry.centre).copied().unwrap_or(0);
+        if !is_near && near_count >= WATCHERS {
+            return false;
+        }
+        let candidate = |place: &WatcherPlace| WatchCandidate {
+            instance: place.hash,
+            distance: match &*region {
+                _ if place.centre == entry.centre => ServerDistance::SameCentre,
+                Some(region) if region.name == place.region => ServerDistance::SameRegion,
+                _ => ServerDistance::OtherRegion,
+            },
+        };
+        let others = self.others.iter().map(candidate);
+        watches_server(server.hash, candidate(&self.own), others)
+    }
+}
+
 /// Marks a server as watched until dropped.
 #[derive(Debug)]
 struct WatchGuard {
@@ -182,7 +250,7 @@
                 self.probe_processes().await;
             }
             if check.is_multiple_of(CHECKS_PER_WATCH) {
-                self.watch_servers();
+                self.update_watches();
             }
         }
     }
@@ -275,11 +343,20 @@
         }
     }
 
-    /// Starts to watch the servers that this instance is to watch and does not.
-    fn watch_servers(self: &Rc<Self>) {
+    /// Decides which servers this instance watches, and starts to watch them.
+    fn update_watches(self: &Rc<Self>) {
+        let now = self.now();
+        let watchers = {
+            let peers = self.peers.borrow();
+            WatcherView::new(peers.own(), peers.ready(now))
+        };
         let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
         for server in servers {
-            if !server.is_watched.get() && self.is_to_watch(&server) {
+            let is_to_watch = server.is_available(now)
+                && !self.cold_period(&server).is_zero()
+                && watchers.own_watches(&server);
+            server.is_to_watch.set(is_to_watch);
+            if is_to_watch && !server.is_watched.get() {
                 let guard = WatchGuard::new(server);
                 let watch = Rc::clone(self).watch_server(guard);
                 actix_rt::spawn(watch);
@@ -287,41 +364,21 @@
         }
     }
 
-    /// Whether this instance is to watch a server.
-    fn is_to_watch(&self, server: &Server) -> bool {
-        let now = self.now();
-        if server.is_replaced.get()
-            || !server.is_available(now)
-            || self.cold_period(server).is_zero()
-        {
-            return false;
-        }
-        let peers = self.peers.borrow();
-        let (entry, region) = (server.entry.borrow(), server.region.borrow());
-        let candidate = |record: &InstanceRecord| WatchCandidate {
-            instance: text_hash(record.name.as_str()),
-            distance: match &*region {
-                _ if record.centre == entry.centre => ServerDistance::SameCentre,
-                Some(region) if region.name == record.region => ServerDistance::SameRegion,
-                _ => ServerDistance::OtherRegion,
-            },
-        };
-        let others = peers.ready(now).map(candidate);
-        watches_server(server.hash, candidate(peers.own()), others)
-    }
-
     /// Keeps a connection to a server open while this instance is to watch it. When it
     /// ends, the next one shows whether the process did.
     async fn watch_server(self: Rc<Self>, guard: WatchGuard) {
         let server = &guard.server;
-        while self.is_to_watch(server) {
+        let is_to_watch = || {
+            server.is_to_watch.get() && !server.is_replaced.get() && server.is_available(self.now())
+        };
+        while is_to_watch() {
             let opened = self.now();
             if !self.reach.borrow().is_partitioned()
                 && let Some(connection) = self.open_to_process(server).await
             {
                 let closed = connection.closed();
                 let mut closed = pin!(closed);
-                while self.is_to_watch(server)
+                while is_to_watch()
                     && tokio::time::timeout(WATCH_CHECK_INTERVAL, &mut closed)
                         .await
                         .is_err()
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -73,7 +73,9 @@
     pub(crate) cold_until: Cell<Option<Instant>>,
     /// Whether a connection ended without a response, so that the process may have ended.
     pub(crate) needs_probe: Cell<bool>,
-    /// Whether a task of this instance watches the server over an open connection.
+    /// Whether this instance is to watch the server over an open connection.
+    pub(crate) is_to_watch: Cell<bool>,
+    /// Whether a task of this instance does so.
     pub(crate) is_watched: Cell<bool>,
     /// Whether the server may have started again since its entry was read.
     pub(crate) restart: RefCell<RestartTracker>,
@@ -96,6 +98,7 @@
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
             needs_probe: Cell::new(false),
+            is_to_watch: Cell::new(false),
             is_watched: Cell::new(false),
             restart: RefCell::default(),
             removed_at: Cell::new(None),
