--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -111,6 +111,8 @@
     pub(crate) reach: RefCell<ReachTracker>,
     /// Requests a probe of servers at once.
     pub(crate) reach_doubted: tokio::sync::Notify,
+    /// Requests a digest with new reports of ended processes.
+    pub(crate) end_reported: tokio::sync::Notify,
     /// Requests a probe of the servers whose process may have ended.
     pub(crate) probe_requested: tokio::sync::Notify,
     /// Requests a digest before the next interval.
@@ -196,6 +198,7 @@
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
+            end_reported: tokio::sync::Notify::new(),
             probe_requested: tokio::sync::Notify::new(),
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -44,6 +44,9 @@
 /// Time between two connections of a watch that do not last.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// The shortest time between two digests that are sent for reports of ended processes.
+const END_REPORT_GAP: Duration = Duration::from_millis(100);
+
 /// The maximum number of servers that are probed at a time.
 const MAX_PROBES: usize = 16;
 
@@ -177,12 +180,11 @@
         let is_reported = is_refused
             && server.restart.borrow().is_in_doubt()
             && !self.reach.borrow().is_partitioned()
-            && self
-                .servers
-                .borrow_mut()
-                .record_ended(server.incarnation, now);
+            && !server.is_end_reported.replace(true);
         if is_reported {
-            self.digest_requested.notify_one();
+            let mut servers = self.servers.borrow_mut();
+            servers.record_ended(server.incarnation, now);
+            self.end_reported.notify_one();
         }
         if is_new || is_reported {
             self.log.event(
@@ -265,6 +267,7 @@
             if tracker.settle(read_at, cold_period, now) {
                 let mut servers = self.servers.borrow_mut();
                 servers.take_back_ended(server.incarnation);
+                server.is_end_reported.set(false);
                 self.count_doubt("ruled_out");
                 self.log
                     .event("restart_ruled_out", json!({"server": server.id().as_str()}));
@@ -389,6 +392,16 @@
         }
     }
 
+    /// Has digests sent when there are new reports, until the process ends. Servers often
+    /// end together, so reports that follow each other share a digest.
+    pub(crate) async fn send_end_reports(self: Rc<Self>) {
+        loop {
+            self.end_reported.notified().await;
+            self.digest_requested.notify_one();
+            actix_rt::time::sleep(END_REPORT_GAP).await;
+        }
+    }
+
     /// The section of the digest with the servers whose process has ended.
     pub(crate) fn encode_ended_section(&self, now: Instant) -> Option<Vec<u8>> {
         let reports = self.servers.borrow().ended_reports(now);
@@ -430,13 +443,14 @@
             let Some(server) = server.filter(|server| self.suspect(server, at)) else {
                 continue;
             };
+            server.is_end_reported.set(true);
             self.log.event(
                 "restart_suspected",
                 json!({"server": server.id().as_str(), "reporter": reporter}),
             );
             // The delegate passes the report on to the other data centres at once.
             if self.peers.borrow().is_delegate(now) {
-                self.digest_requested.notify_one();
+                self.end_reported.notify_one();
             }
         }
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -180,6 +180,7 @@
     });
     supervise(instance, "server reach", Instance::watch_reach);
     supervise(instance, "server restarts", Instance::watch_restarts);
+    supervise(instance, "end reports", Instance::send_end_reports);
     supervise(instance, "rollouts", Instance::run_rollouts);
     supervise(instance, "registration", Instance::register);
     for table in [TableKind::Orders, TableKind::Servers, TableKind::Records] {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -71,6 +71,8 @@
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Whether this instance or another one reports that the process ended.
+    pub(crate) is_end_reported: Cell<bool>,
     /// Whether a connection ended without a response, so that the process may have ended.
     pub(crate) needs_probe: Cell<bool>,
     /// Whether this instance is to watch the server over an open connection.
@@ -97,6 +99,7 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
+            is_end_reported: Cell::new(false),
             needs_probe: Cell::new(false),
             is_to_watch: Cell::new(false),
             is_watched: Cell::new(false),
@@ -405,14 +408,11 @@
             .cloned()
     }
 
-    /// Records that this instance has seen that a server's process ended. Returns whether
-    /// that is not reported yet.
-    pub(crate) fn record_ended(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+    /// Records that this instance has seen that a server's process ended.
+    pub(crate) fn record_ended(&mut self, server: ServerIncarnation, now: Instant) {
         self.ended
             .retain(|_, at| now.saturating_duration_since(*at) < END_REPORT_PERIOD);
-        let count = self.ended.len();
-        self.ended.entry(server).or_insert(now);
-        self.ended.len() > count
+        self.ended.insert(server, now);
     }
 
     /// Records that the process of a server did not end.
