--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use serde_json::json;
 use tarragonpulley_policy::entry::digest::{InstanceRecord, SectionTag};
 use tarragonpulley_policy::entry::directory::MAX_INSTANCES;
 use tarragonpulley_policy::entry::link_load::{LinkMeter, LinkRate, LinkReport, lookup_addresses};
@@ -14,7 +13,7 @@
 
 use crate::instance::Instance;
 use crate::metrics::LookupLabel;
-use crate::peers::{decode_section, encode};
+use crate::peers::decode_section;
 
 /// The use of this instance's link.
 #[derive(Debug)]
@@ -55,15 +54,7 @@
     /// The section of the digest with the report on this instance's link.
     pub(crate) fn encode_link_section(&self, now: Instant) -> Option<Vec<u8>> {
         let report = self.own_link_report(now)?;
-        match encode(&report) {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                let reason = error.to_string();
-                self.log
-                    .event("digest_section_not_sent", json!({"reason": reason}));
-                None
-            }
-        }
+        self.encode_section(&report)
     }
 
     /// The addresses for a lookup among instances that are equally near. Without large
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -455,6 +455,17 @@
             .collect()
     }
 
+    /// Encodes a section of the digest; logs a failure.
+    pub(crate) fn encode_section<T: Serialize>(&self, section: &T) -> Option<Vec<u8>> {
+        let result = encode(section);
+        if let Err(error) = &result {
+            let reason = error.to_string();
+            self.log
+                .event("digest_section_not_sent", json!({"reason": reason}));
+        }
+        result.ok()
+    }
+
     /// The number of the next digest. Kept when the task that sends digests is started
     /// again: receivers ignore digests with a number that they know.
     fn next_digest_number(&self) -> u64 {
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -25,7 +25,7 @@
 use crate::instance::Instance;
 use crate::metrics::DoubtLabel;
 use crate::mirror::{REWRITE_GRACE, TableMirror};
-use crate::peers::{decode_section, encode};
+use crate::peers::decode_section;
 use crate::servers::Server;
 use crate::table::TableKind;
 
@@ -412,15 +412,7 @@
             .into_iter()
             .map(|(server, age)| (server, age.into()))
             .collect();
-        match encode(&EndedSection { servers }) {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                let reason = error.to_string();
-                self.log
-                    .event("digest_section_not_sent", json!({"reason": reason}));
-                None
-            }
-        }
+        self.encode_section(&EndedSection { servers })
     }
 
     /// Records the servers whose process another instance reports as ended.
