Heed reports of ended servers whose current start is not known here

Reports now name the server and the start; one about another start concerns an instance that knew its own before.

--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -12,12 +12,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, InstanceRecord, SectionTag, ServerIncarnation,
+    InstanceDigest, InstanceRecord, SectionTag, ServerIncarnation, ServerKey,
 };
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::restart::{
-    ServerDistance, WATCHERS, WatchCandidate, watches_server,
+    ServerDistance, WATCHERS, WatchCandidate, report_concerns, watches_server,
 };
 
 use crate::forward::CONNECT_TIMEOUT;
@@ -162,7 +162,7 @@
 /// The section of a digest with the servers whose process has ended.
 #[derive(Debug, Serialize, Deserialize)]
 struct EndedSection {
-    servers: Vec<(ServerIncarnation, WireAge)>,
+    servers: Vec<(ServerKey, ServerIncarnation, WireAge)>,
 }
 
 impl Instance {
@@ -183,7 +183,7 @@
             && !server.is_end_reported.replace(true);
         if is_reported {
             let mut servers = self.servers.borrow_mut();
-            servers.record_ended(server.incarnation, now);
+            servers.record_ended(server, now);
             self.end_reported.notify_one();
         }
         if is_new || is_reported {
@@ -266,7 +266,7 @@
             let mut tracker = server.restart.borrow_mut();
             if tracker.settle(read_at, cold_period, now) {
                 let mut servers = self.servers.borrow_mut();
-                servers.take_back_ended(server.incarnation);
+                servers.take_back_ended(server);
                 server.is_end_reported.set(false);
                 self.count_doubt("ruled_out");
                 self.log
@@ -410,7 +410,7 @@
         }
         let servers = reports
             .into_iter()
-            .map(|(server, age)| (server, age.into()))
+            .map(|(server, incarnation, age)| (server, incarnation, age.into()))
             .collect();
         self.encode_section(&EndedSection { servers })
     }
@@ -429,10 +429,16 @@
                 return;
             }
         };
-        for (incarnation, age) in section.servers {
-            let server = self.servers.borrow().of_incarnation(incarnation);
+        for (key, incarnation, age) in section.servers {
+            let server = self.servers.borrow().of_key(key);
             let at = now.checked_sub(age.into()).unwrap_or(now);
-            let Some(server) = server.filter(|server| self.suspect(server, at)) else {
+            let is_concerned = |server: &Rc<Server>| {
+                report_concerns(server.incarnation == incarnation, server.known_since, at)
+            };
+            let Some(server) = server
+                .filter(is_concerned)
+                .filter(|server| self.suspect(server, at))
+            else {
                 continue;
             };
             server.is_end_reported.set(true);
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::config::ServerEntry;
-use tarragonpulley_policy::entry::digest::{ServerIncarnation, ServerTag, SuspectReason};
+use tarragonpulley_policy::entry::digest::{
+    ServerIncarnation, ServerKey, ServerTag, SuspectReason,
+};
 use tarragonpulley_policy::entry::health::{AttemptTicket, ServerHealth};
 use tarragonpulley_policy::entry::names::{
     CentreName, RegionName, ServerId, ServiceName, VersionName,
@@ -68,6 +70,8 @@
     /// What the server has asked for.
     pub(crate) gate: RefCell<SendGate>,
     pub(crate) incarnation: ServerIncarnation,
+    /// When the entry of this start was first read.
+    pub(crate) known_since: Instant,
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
@@ -109,6 +113,7 @@
             health: RefCell::new(ServerHealth::new(now)),
             gate: RefCell::default(),
             incarnation: ServerIncarnation::new(entry.id.as_str(), entry.started),
+            known_since: now,
             logged_limit: Cell::default(),
             known_objects: RefCell::default(),
             forgotten_in_row: Cell::default(),
@@ -272,7 +277,14 @@
     leaving: BTreeMap<ServerIncarnation, Option<Instant>>,
     /// Servers of which this instance has seen that their process ended, and when. Kept
     /// when they start again: others may read the new entry later.
-    ended: BTreeMap<ServerIncarnation, Instant>,
+    ended: BTreeMap<ServerKey, EndedStart>,
+}
+
+/// The end of a server's process, as this instance has seen it.
+#[derive(Debug, Clone, Copy)]
+struct EndedStart {
+    incarnation: ServerIncarnation,
+    at: Instant,
 }
 
 impl ServerSet {
@@ -401,6 +413,13 @@
         self.servers.values().filter(is_in_doubt).cloned().collect()
     }
 
+    pub(crate) fn of_key(&self, key: ServerKey) -> Option<Rc<Server>> {
+        let mut servers = self.servers.values();
+        servers
+            .find(|server| ServerKey::new(server.hash) == key)
+            .cloned()
+    }
+
     pub(crate) fn of_incarnation(&self, incarnation: ServerIncarnation) -> Option<Rc<Server>> {
         let mut servers = self.servers.values();
         servers
@@ -409,24 +428,31 @@
     }
 
     /// Records that this instance has seen that a server's process ended.
-    pub(crate) fn record_ended(&mut self, server: ServerIncarnation, now: Instant) {
+    pub(crate) fn record_ended(&mut self, server: &Server, now: Instant) {
         self.ended
-            .retain(|_, at| now.saturating_duration_since(*at) < END_REPORT_PERIOD);
-        self.ended.insert(server, now);
+            .retain(|_, ended| now.saturating_duration_since(ended.at) < END_REPORT_PERIOD);
+        let ended = EndedStart {
+            incarnation: server.incarnation,
+            at: now,
+        };
+        self.ended.insert(ServerKey::new(server.hash), ended);
     }
 
     /// Records that the process of a server did not end.
-    pub(crate) fn take_back_ended(&mut self, server: ServerIncarnation) {
-        self.ended.remove(&server);
+    pub(crate) fn take_back_ended(&mut self, server: &Server) {
+        self.ended.remove(&ServerKey::new(server.hash));
     }
 
     /// The servers whose process has ended recently, and for how long, for the digest.
-    pub(crate) fn ended_reports(&self, now: Instant) -> Vec<(ServerIncarnation, Duration)> {
-        let age = |at: &Instant| now.saturating_duration_since(*at);
+    pub(crate) fn ended_reports(
+        &self,
+        now: Instant,
+    ) -> Vec<(ServerKey, ServerIncarnation, Duration)> {
+        let age = |ended: &EndedStart| now.saturating_duration_since(ended.at);
         self.ended
             .iter()
-            .map(|(server, at)| (*server, age(at)))
-            .filter(|(_, age)| *age < END_REPORT_PERIOD)
+            .map(|(server, ended)| (*server, ended.incarnation, age(ended)))
+            .filter(|(_, _, age)| *age < END_REPORT_PERIOD)
             .collect()
     }
 
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -136,6 +136,18 @@
     }
 }
 
+/// Identifies one backend server in digests, whichever of its starts: a hash of its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerKey(u64);
+
+impl ServerKey {
+    /// Creates the identifier of a server from the hash of its id.
+    #[must_use]
+    pub fn new(hash: u64) -> Self {
+        Self(hash)
+    }
+}
+
 /// Identifies a section of a digest. Instances ignore sections that they do not know, so
 /// that a feature can add one without a change of the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -65,6 +65,14 @@
     others.filter(|other| rank(*other) < rank(own)).count() < WATCHERS
 }
 
+/// Whether another instance's report that a server's process ended at `ended_at` concerns
+/// the start that is known here since `known_since`. The other instance may know an earlier
+/// start, or a later one that was not read here yet.
+#[must_use]
+pub fn report_concerns(is_same_start: bool, known_since: Instant, ended_at: Instant) -> bool {
+    is_same_start || known_since < ended_at
+}
+
 /// Evidence that a process is running.
 #[derive(Debug, Clone, Copy)]
 struct RunningProcess {
--- a/crates/policy/tests/entry/restart.rs
+++ b/crates/policy/tests/entry/restart.rs
@@ -4,7 +4,7 @@
 
 use tarragonpulley_policy::entry::placement::mix;
 use tarragonpulley_policy::entry::restart::{
-    RestartTracker, ServerDistance, WatchCandidate, watches_server,
+    RestartTracker, ServerDistance, WatchCandidate, report_concerns, watches_server,
 };
 use yare::parameterized;
 
@@ -80,6 +80,24 @@
     assert_eq!(tracker.record_end(at(start, at_ms)), expected);
 }
 
+/// Guards against instances that ignore the end of a start which they do not know yet, or
+/// take the end of an earlier start for one of the start that they know.
+#[parameterized(
+    same_start = { true, 2000, 1000, true },
+    later_start_not_read_here = { false, 1000, 2000, true },
+    earlier_start = { false, 2000, 1000, false },
+)]
+fn reports_concern_the_known_start_or_a_later_one(
+    is_same_start: bool,
+    known_since: u64,
+    ended_at: u64,
+    expected: bool,
+) {
+    let start = Instant::now();
+    let concerns = report_concerns(is_same_start, at(start, known_since), at(start, ended_at));
+    assert_eq!(concerns, expected);
+}
+
 /// Guards against servers that nobody watches, or that the whole fleet does.
 #[parameterized(
     same_centre = { &[3, 9, 9], 2 },
