--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -299,15 +299,21 @@
         let mut change = EntryChange::Changed;
         if let Some(server) = self.servers.get(&entry.id) {
             let known = server.entry.borrow().clone();
-            let same_start = known.started == entry.started
-                && known.address == entry.address
-                && known.service == entry.service;
-            if same_start {
+            let same_place = known.address == entry.address && known.service == entry.service;
+            // A late write of a process that has ended, or a server whose clock was set
+            // back: nothing says that it is warm.
+            let is_earlier_start = entry.started.is_some() && entry.started < known.started;
+            if same_place && is_earlier_start {
+                server.restart.borrow_mut().record_end(now);
+            }
+            if same_place && (known.started == entry.started || is_earlier_start) {
                 server.removed_at.set(None);
                 if let Some(until) = cold_until(&entry, now) {
                     server.cold_until.set(Some(until));
                 }
-                let changed = known.draining != entry.draining || known.version != entry.version;
+                let changed = known.draining != entry.draining
+                    || known.version != entry.version
+                    || is_earlier_start;
                 *server.entry.borrow_mut() = entry;
                 *server.region.borrow_mut() = region.map(ServerRegion::from);
                 return if changed {
