Doubt servers that other instances report as unreachable

Cause: connections that time out are a sign of an end only for the instance that opened them, as a lossy link causes them too. Five of twelve instances suspected the server from 15.66 s on, and all others excluded it because of these reports from 16.63 s on; but when it came back, four that had sent nothing meanwhile took it for the warm process.

An exclusion needs reports of two instances in the regions concerned, which is the protection against one lossy or cut link. It now also starts the doubt, which ends as before: by a connection from before it that still works, or by a read of the entries from after a new one was opened.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tarragonpulley_policy::entry::crash::{CrashReport, ServedReport};
 use tarragonpulley_policy::entry::digest::{
-    InstanceDigest, SectionTag, ServerIncarnation, ServerTag, split_by_size,
+    InstanceDigest, SectionTag, ServerIncarnation, ServerTag, SuspectReason, split_by_size,
 };
 use tarragonpulley_policy::entry::names::{CentreName, RegionName};
 use tarragonpulley_policy::entry::server_limit::LimitReport;
@@ -685,11 +685,14 @@
             let region = server.region.borrow();
             let regions = region.iter().map(|region| &region.name);
             let regions = regions.chain([&peers.own().region]).collect();
-            let is_excluded = suspects.exclude(tag, &regions);
-            health.set_excluded(is_excluded);
+            let exclusion = suspects.exclusion(tag, &regions);
+            let was_excluded = health.set_excluded(exclusion.is_some());
+            if !was_excluded && exclusion == Some(SuspectReason::Unreachable) {
+                self.suspect_unreachable(server);
+            }
             let reported = limits.get(&tag).copied().unwrap_or_default();
             self.update_limit(server, None, now, |limit| limit.set_reported(reported));
-            if is_excluded {
+            if exclusion.is_some() {
                 view.excluded.insert(server.id());
             }
         }
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -195,6 +195,17 @@
         }
     }
 
+    /// Records that the other instances report that they cannot reach a server, so that its
+    /// process may have ended.
+    pub(crate) fn suspect_unreachable(&self, server: &Server) {
+        if self.suspect(server, self.now()) {
+            self.log.event(
+                "restart_suspected",
+                json!({"server": server.id().as_str(), "reason": "unreachable for others"}),
+            );
+        }
+    }
+
     /// Has a server probed at once, as a connection to it ended without a response. The
     /// network and busy servers end connections too.
     pub(crate) fn request_probe(&self, server: &Server) {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -198,16 +198,22 @@
 }
 
 impl SuspectReports<'_> {
-    /// Whether an instance in one of `regions`, its own and that of the server, should
-    /// not use the server. What instances of a third region cannot reach may be cut off
-    /// from them only.
+    /// Why an instance in one of `regions`, its own and that of the server, should not use
+    /// the server; `None` if it may. What instances of a third region cannot reach may be
+    /// cut off from them only.
     #[must_use]
-    pub fn exclude(&self, server: ServerTag, regions: &BTreeSet<&RegionName>) -> bool {
-        self.by_server.get(&server).is_some_and(|reports| {
-            let count = |region: &&RegionName| reports.unreachable.get(*region).copied();
-            reports.is_replaced
-                || regions.iter().filter_map(count).sum::<usize>() >= MIN_UNREACHABLE_REPORTS
-        })
+    pub fn exclusion(
+        &self,
+        server: ServerTag,
+        regions: &BTreeSet<&RegionName>,
+    ) -> Option<SuspectReason> {
+        let reports = self.by_server.get(&server)?;
+        if reports.is_replaced {
+            return Some(SuspectReason::Replaced);
+        }
+        let count = |region: &&RegionName| reports.unreachable.get(*region).copied();
+        let unreachable: usize = regions.iter().filter_map(count).sum();
+        (unreachable >= MIN_UNREACHABLE_REPORTS).then_some(SuspectReason::Unreachable)
     }
 }
 
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -199,9 +199,10 @@
         self.unreachable_at.is_some_and(is_recent)
     }
 
-    /// Sets whether the reports of the other instances exclude the server.
-    pub fn set_excluded(&mut self, is_excluded: bool) {
-        self.is_excluded = is_excluded;
+    /// Sets whether the reports of the other instances exclude the server. Returns whether
+    /// they did before.
+    pub fn set_excluded(&mut self, is_excluded: bool) -> bool {
+        std::mem::replace(&mut self.is_excluded, is_excluded)
     }
 
     /// Suspends the server because it cannot be reached.
--- a/crates/policy/tests/entry/instances.rs
+++ b/crates/policy/tests/entry/instances.rs
@@ -217,14 +217,17 @@
 }
 
 #[parameterized(
-    nobody = { &[], false },
-    one_cannot_reach_it = { &[SuspectReason::Unreachable], false },
-    two_cannot_reach_it = { &[SuspectReason::Unreachable, SuspectReason::Unreachable], true },
-    one_found_another_server = { &[SuspectReason::Replaced], true },
+    nobody = { &[], None },
+    one_cannot_reach_it = { &[SuspectReason::Unreachable], None },
+    two_cannot_reach_it = { &[SuspectReason::Unreachable, SuspectReason::Unreachable], Some(SuspectReason::Unreachable) },
+    one_found_another_server = { &[SuspectReason::Replaced], Some(SuspectReason::Replaced) },
+    another_server_among_those_that_cannot_reach_it = {
+        &[SuspectReason::Unreachable, SuspectReason::Replaced, SuspectReason::Unreachable], Some(SuspectReason::Replaced)
+    },
 )]
 fn a_server_is_excluded_by_reports_that_a_partitioned_reporter_cannot_cause(
     reports: &[SuspectReason],
-    is_excluded: bool,
+    expected: Option<SuspectReason>,
 ) {
     let start = Instant::now();
     let mut table = InstanceTable::new(record("e0", "a-1"), start);
@@ -235,13 +238,13 @@
         table.receive(report, true, start);
     }
     let region = "a".parse().expect("a name");
-    let excludes = |millis| {
+    let exclusion = |millis| {
         let reports = table.suspects(at(start, millis));
-        reports.exclude(tag, &[&region].into())
+        reports.exclusion(tag, &[&region].into())
     };
-    assert_eq!(excludes(100), is_excluded);
+    assert_eq!(exclusion(100), expected);
     // Reports of failed instances do not count.
-    assert!(!excludes(5_000));
+    assert_eq!(exclusion(5_000), None);
 }
 
 /// Guards against a region that stops using its own servers, because another region
@@ -269,7 +272,8 @@
     }
     let (own, server) = (own.parse().expect("a name"), "a".parse().expect("a name"));
     let reports = table.suspects(at(start, 100));
-    assert_eq!(reports.exclude(tag, &[&own, &server].into()), is_excluded);
+    let exclusion = reports.exclusion(tag, &[&own, &server].into());
+    assert_eq!(exclusion.is_some(), is_excluded);
 }
 
 /// Guards against two regions that lose each other, while both reach the third and
