Probe a server that left a request without any response

Cause: of the signs of an end only failed connections counted, and an instance with open ones opens none while the server is silent. In the logs edge-nizwa-a-1 had five requests without an answer until their timeouts of 1.2 s, and then sent five to the new process in half a second.

After a timeout the idle connections are closed anyway. Now a new one is opened at once, unless another response arrived in the second half of the request's time; where it fails, the server is in doubt.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -532,6 +532,7 @@
             self.instance.record_unanswered(self.started);
             // The connections may have failed without a reset.
             server.close_idle_connections();
+            self.instance.probe_silent(server, self.started);
             self.record_evidence(true);
         }
         let remaining = self
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -206,8 +206,17 @@
         }
     }
 
-    /// Has a server probed at once, as a connection to it ended without a response. The
-    /// network and busy servers end connections too.
+    /// Has a server probed that left a request from `started` without a response until now,
+    /// unless another response arrived in the second half of that time.
+    pub(crate) fn probe_silent(&self, server: &Server, started: Instant) {
+        let half_time = started + self.now().saturating_duration_since(started) / 2;
+        if !server.health.borrow().has_responded_since(half_time) {
+            self.request_probe(server);
+        }
+    }
+
+    /// Has a server probed at once, as a request to it got no response. The network and busy
+    /// servers cause that too.
     pub(crate) fn request_probe(&self, server: &Server) {
         if !self.cold_period(server).is_zero() {
             server.needs_probe.set(true);
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -221,6 +221,12 @@
         self.unreachable_at = None;
     }
 
+    /// Whether a response has arrived since `at`.
+    #[must_use]
+    pub fn has_responded_since(&self, at: Instant) -> bool {
+        self.last_activity >= at
+    }
+
     /// Whether requests have been in progress without a response for `span`.
     #[must_use]
     pub fn is_silent(&self, span: Duration, now: Instant) -> bool {
