--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -420,17 +420,16 @@
     }
 
     pub(crate) fn of_key(&self, key: ServerKey) -> Option<Rc<Server>> {
-        let mut servers = self.servers.values();
-        servers
-            .find(|server| ServerKey::new(server.hash) == key)
-            .cloned()
+        self.find(|server| ServerKey::new(server.hash) == key)
     }
 
     pub(crate) fn of_incarnation(&self, incarnation: ServerIncarnation) -> Option<Rc<Server>> {
+        self.find(|server| server.incarnation == incarnation)
+    }
+
+    fn find(&self, is_sought: impl Fn(&Server) -> bool) -> Option<Rc<Server>> {
         let mut servers = self.servers.values();
-        servers
-            .find(|server| server.incarnation == incarnation)
-            .cloned()
+        servers.find(|server| is_sought(server)).cloned()
     }
 
     /// Records that this instance has seen that a server's process ended.
