--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -148,14 +148,14 @@
 
 impl WatchGuard {
     fn new(server: Rc<Server>) -> Self {
-        server.is_watched.set(true);
+        server.restart.is_watched.set(true);
         Self { server }
     }
 }
 
 impl Drop for WatchGuard {
     fn drop(&mut self) {
-        self.server.is_watched.set(false);
+        self.server.restart.is_watched.set(false);
     }
 }
 
@@ -178,9 +178,9 @@
         let now = self.now();
         let is_new = self.suspect(server, now);
         let is_reported = is_refused
-            && server.restart.borrow().is_in_doubt()
+            && server.restart.tracker.borrow().is_in_doubt()
             && !self.reach.borrow().is_partitioned()
-            && !server.is_end_reported.replace(true);
+            && !server.restart.is_end_reported.replace(true);
         if is_reported {
             let mut servers = self.servers.borrow_mut();
             servers.record_ended(server, now);
@@ -219,7 +219,7 @@
     /// servers cause that too.
     pub(crate) fn request_probe(&self, server: &Server) {
         if !self.cold_period(server).is_zero() {
-            server.needs_probe.set(true);
+            server.restart.needs_probe.set(true);
             self.probe_requested.notify_one();
         }
     }
@@ -228,7 +228,7 @@
     /// server may have started again because of it.
     fn suspect(&self, server: &Server, at: Instant) -> bool {
         let is_new = !self.cold_period(server).is_zero() && {
-            let mut tracker = server.restart.borrow_mut();
+            let mut tracker = server.restart.tracker.borrow_mut();
             tracker.record_end(at)
         };
         if is_new {
@@ -239,7 +239,7 @@
 
     /// Records that a connection to a server works.
     pub(crate) fn record_running(&self, server: &Server, connection: &ServerConnection) {
-        let mut tracker = server.restart.borrow_mut();
+        let mut tracker = server.restart.tracker.borrow_mut();
         tracker.record_running(connection.opened_at(), self.now());
     }
 
@@ -283,11 +283,11 @@
         for server in doubted {
             let cold_period = self.cold_period(server);
             let read_at = read_at.filter(|_| !self.is_entry_held(server));
-            let mut tracker = server.restart.borrow_mut();
+            let mut tracker = server.restart.tracker.borrow_mut();
             if tracker.settle(read_at, cold_period, now) {
                 let mut servers = self.servers.borrow_mut();
                 servers.take_back_ended(server);
-                server.is_end_reported.set(false);
+                server.restart.is_end_reported.set(false);
                 self.count_doubt("ruled_out");
                 self.log
                     .event("restart_ruled_out", json!({"server": server.id().as_str()}));
@@ -332,7 +332,8 @@
         let now = self.now();
         let needs_probe = |server: &&Rc<Server>| {
             server.is_available(now)
-                && (server.needs_probe.get() || server.restart.borrow().needs_probe())
+                && (server.restart.needs_probe.get()
+                    || server.restart.tracker.borrow().needs_probe())
         };
         let mut targets: Vec<Rc<Server>> = {
             let servers = self.servers.borrow();
@@ -344,7 +345,7 @@
     }
 
     async fn probe_process(&self, server: &Server) {
-        server.needs_probe.set(false);
+        server.restart.needs_probe.set(false);
         if let Some(connection) = self.open_to_process(server).await {
             server.return_connection(connection);
         }
@@ -378,8 +379,8 @@
             let is_to_watch = server.is_available(now)
                 && !self.cold_period(&server).is_zero()
                 && watchers.own_watches(&server);
-            server.is_to_watch.set(is_to_watch);
-            if is_to_watch && !server.is_watched.get() {
+            server.restart.is_to_watch.set(is_to_watch);
+            if is_to_watch && !server.restart.is_watched.get() {
                 let guard = WatchGuard::new(server);
                 let watch = Rc::clone(self).watch_server(guard);
                 actix_rt::spawn(watch);
@@ -392,7 +393,9 @@
     async fn watch_server(self: Rc<Self>, guard: WatchGuard) {
         let server = &guard.server;
         let is_to_watch = || {
-            server.is_to_watch.get() && !server.is_replaced.get() && server.is_available(self.now())
+            server.restart.is_to_watch.get()
+                && !server.is_replaced.get()
+                && server.is_available(self.now())
         };
         while is_to_watch() {
             let opened = self.now();
@@ -461,7 +464,7 @@
             else {
                 continue;
             };
-            server.is_end_reported.set(true);
+            server.restart.is_end_reported.set(true);
             self.log.event(
                 "restart_suspected",
                 json!({"server": server.id().as_str(), "reporter": reporter}),
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -59,6 +59,21 @@
     }
 }
 
+/// Whether a server may have started again since its entry was read, and what this instance
+/// does to find out.
+#[derive(Debug, Default)]
+pub(crate) struct RestartState {
+    pub(crate) tracker: RefCell<RestartTracker>,
+    /// Whether this instance or another one reports that the process ended.
+    pub(crate) is_end_reported: Cell<bool>,
+    /// Whether a request got no response, so that the process may have ended.
+    pub(crate) needs_probe: Cell<bool>,
+    /// Whether this instance is to watch the server over an open connection.
+    pub(crate) is_to_watch: Cell<bool>,
+    /// Whether a task of this instance does so.
+    pub(crate) is_watched: Cell<bool>,
+}
+
 /// One backend server from its start on; a restarted server is a new value.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -75,16 +90,7 @@
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
     pub(crate) cold_until: Cell<Option<Instant>>,
-    /// Whether this instance or another one reports that the process ended.
-    pub(crate) is_end_reported: Cell<bool>,
-    /// Whether a connection ended without a response, so that the process may have ended.
-    pub(crate) needs_probe: Cell<bool>,
-    /// Whether this instance is to watch the server over an open connection.
-    pub(crate) is_to_watch: Cell<bool>,
-    /// Whether a task of this instance does so.
-    pub(crate) is_watched: Cell<bool>,
-    /// Whether the server may have started again since its entry was read.
-    pub(crate) restart: RefCell<RestartTracker>,
+    pub(crate) restart: RestartState,
     /// Whether a later start of the server has replaced this value in the set. Attempts in
     /// progress still hold it.
     pub(crate) is_replaced: Cell<bool>,
@@ -103,11 +109,7 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
-            is_end_reported: Cell::new(false),
-            needs_probe: Cell::new(false),
-            is_to_watch: Cell::new(false),
-            is_watched: Cell::new(false),
-            restart: RefCell::default(),
+            restart: RestartState::default(),
             removed_at: Cell::new(None),
             is_replaced: Cell::new(false),
             health: RefCell::new(ServerHealth::new(now)),
@@ -129,7 +131,7 @@
     /// Whether the server is cold, or may be because it may have started again.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.get().is_some_and(|until| now < until)
-            || self.restart.borrow().is_in_doubt()
+            || self.restart.tracker.borrow().is_in_doubt()
     }
 
     /// Whether new requests may be sent to the server.
@@ -304,7 +306,7 @@
             // back: nothing says that it is warm.
             let is_earlier_start = entry.started.is_some() && entry.started < known.started;
             if same_place && is_earlier_start {
-                server.restart.borrow_mut().record_end(now);
+                server.restart.tracker.borrow_mut().record_end(now);
             }
             if same_place && (known.started == entry.started || is_earlier_start) {
                 server.removed_at.set(None);
@@ -331,7 +333,7 @@
             });
         }
         let gate = self.servers.get(&entry.id).map(|server| {
-            let running_since = server.restart.borrow().running_since();
+            let running_since = server.restart.tracker.borrow().running_since();
             server.gate.borrow().after_restart(running_since)
         });
         let mut server = Server::new(entry, region, now);
@@ -415,7 +417,7 @@
 
     /// The servers that may have started again.
     pub(crate) fn in_doubt(&self) -> Vec<Rc<Server>> {
-        let is_in_doubt = |server: &&Rc<Server>| server.restart.borrow().is_in_doubt();
+        let is_in_doubt = |server: &&Rc<Server>| server.restart.tracker.borrow().is_in_doubt();
         self.servers.values().filter(is_in_doubt).cloned().collect()
     }
 
