Keep the doubt about a server when an entry of another start is read

The server had started again in a cut data centre, so most instances had not read its entry when the table service fell silent. It then crashed once more. Two instances knew that, as their connections had been refused. 0.7 and 0.8 s later they read the entry of the start before, from the copy of another instance, took it for the new process, and forgot the doubt. The entry said that the server is warm.

The doubt now passes to the new start, if the address is the same. It ends as before: by a read from after the running process was seen, or when that has run for longer than servers are cold. An end of an earlier start stays in the reports when the later one is known, as it did.

The test fails without the change ("the doubt was forgotten").

--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -290,8 +290,8 @@
 }
 
 impl ServerSet {
-    /// Adds or updates a server from its entry. A restart under the same id
-    /// begins without history.
+    /// Adds or updates a server from its entry. After a restart under the same id only
+    /// what may concern the new process is kept.
     pub(crate) fn update(
         &mut self,
         entry: ServerEntry,
@@ -332,12 +332,17 @@
                 in_progress: server.health.borrow().in_progress(),
             });
         }
-        let gate = self.servers.get(&entry.id).map(|server| {
-            let running_since = server.restart.tracker.borrow().running_since();
-            server.gate.borrow().after_restart(running_since)
-        });
+        let earlier = self.servers.get(&entry.id).cloned();
         let mut server = Server::new(entry, region, now);
-        server.gate = RefCell::new(gate.unwrap_or_default());
+        if let Some(earlier) = earlier {
+            let tracker = earlier.restart.tracker.borrow();
+            let gate = earlier.gate.borrow().after_restart(tracker.running_since());
+            server.gate = RefCell::new(gate);
+            // The new entry may be an old one that arrived late, of a process that ended too.
+            if earlier.entry.borrow().address == server.entry.borrow().address {
+                server.restart.tracker = RefCell::new(tracker.clone());
+            }
+        }
         if self.leaving.contains_key(&server.incarnation) {
             server.gate.borrow_mut().record_leaving(now);
         } else if server.gate.borrow().is_leaving() {
@@ -445,9 +450,14 @@
         self.ended.insert(ServerKey::new(server.hash), ended);
     }
 
-    /// Records that the process of a server did not end.
+    /// Records that the known process of a server did not end. That an earlier one ended is
+    /// still reported.
     pub(crate) fn take_back_ended(&mut self, server: &Server) {
-        self.ended.remove(&ServerKey::new(server.hash));
+        let is_of_known = |ended: &EndedStart| ended.incarnation == server.incarnation;
+        let key = ServerKey::new(server.hash);
+        if self.ended.get(&key).is_some_and(is_of_known) {
+            self.ended.remove(&key);
+        }
     }
 
     /// The servers whose process has ended recently, and for how long, for the digest.
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -9,4 +9,5 @@
 mod mirror;
 mod peers;
 mod restore;
+mod servers;
 mod supervise;
--- /dev/null
+++ b/crates/edge/src/tests/servers.rs
@@ -0,0 +1,95 @@
+//! The known backend servers when their entries change.
+
+use std::time::{Duration, Instant};
+
+use tarragonpulley_policy::entry::config::ServerEntry;
+use tarragonpulley_policy::entry::names::ServerId;
+
+use crate::servers::ServerSet;
+
+const COLD_PERIOD: Duration = Duration::from_secs(3);
+
+fn server_id() -> ServerId {
+    "i-0".parse().expect("a name")
+}
+
+/// The entry of a process that is no longer cold.
+fn warm_entry(started: i64, port: u16) -> ServerEntry {
+    ServerEntry {
+        id: server_id(),
+        service: "svc".parse().expect("a name"),
+        version: "v1".parse().expect("a name"),
+        address: ([127, 0, 0, 1], port).into(),
+        centre: "north-a".parse().expect("a name"),
+        slots: 3,
+        draining: false,
+        cold_remaining: Duration::ZERO,
+        started: Some(started),
+    }
+}
+
+fn at(start: Instant, millis: u64) -> Instant {
+    start + Duration::from_millis(millis)
+}
+
+/// Guards against an entry that is read late, from the copy of another instance: its
+/// process may be the one that ended, and its successor is cold.
+#[test]
+fn entry_from_before_an_end_does_not_make_a_server_warm() {
+    let start = Instant::now();
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(1, 80), None, start);
+    let earlier = servers.get(&server_id()).expect("a server").clone();
+    earlier
+        .restart
+        .tracker
+        .borrow_mut()
+        .record_end(at(start, 1000));
+
+    servers.update(warm_entry(2, 80), None, at(start, 1800));
+    let server = servers.get(&server_id()).expect("a server");
+    assert!(server.is_cold(at(start, 1800)), "the doubt was forgotten");
+
+    let mut tracker = server.restart.tracker.borrow_mut();
+    tracker.record_running(at(start, 2000), at(start, 2000));
+    tracker.settle(Some(at(start, 900)), COLD_PERIOD, at(start, 2100));
+    assert!(tracker.is_in_doubt(), "the copy is older than the process");
+    tracker.settle(Some(at(start, 2300)), COLD_PERIOD, at(start, 2400));
+    assert!(!tracker.is_in_doubt());
+}
+
+/// Guards against servers that count as cold because of an address which they left.
+#[test]
+fn end_at_an_earlier_address_does_not_concern_the_later_one() {
+    let start = Instant::now();
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(1, 80), None, start);
+    let earlier = servers.get(&server_id()).expect("a server").clone();
+    earlier
+        .restart
+        .tracker
+        .borrow_mut()
+        .record_end(at(start, 1000));
+
+    servers.update(warm_entry(2, 81), None, at(start, 1800));
+    let server = servers.get(&server_id()).expect("a server");
+    assert!(!server.is_cold(at(start, 1800)));
+}
+
+/// Guards against reports of an end that stop when its successor is known here: others may
+/// read the new entry later.
+#[test]
+fn end_is_reported_after_the_next_process_is_known() {
+    let start = Instant::now();
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(1, 80), None, start);
+    let earlier = servers.get(&server_id()).expect("a server").clone();
+    servers.record_ended(&earlier, at(start, 1000));
+    servers.update(warm_entry(2, 80), None, at(start, 1800));
+    let later = servers.get(&server_id()).expect("a server").clone();
+
+    servers.take_back_ended(&later);
+    assert_eq!(servers.ended_reports(at(start, 2000)).len(), 1);
+    servers.take_back_ended(&earlier);
+    assert!(servers.ended_reports(at(start, 2000)).is_empty());
+}
--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -82,8 +82,8 @@
     seen_at: Instant,
 }
 
-/// Follows the process of one server from a known start on.
-#[derive(Debug, Default)]
+/// Follows the process of one server.
+#[derive(Debug, Clone, Default)]
 pub struct RestartTracker {
     /// The last sign that the process ended, until it turned out to be wrong.
     ended_at: Option<Instant>,
