Doubt a server whose entry returns after it was gone

Traced: a cut kept the server from renewing its entry, which went. As nothing is sent to a server without an entry, and nobody watches one, no instance saw that it crashed and started again then, for the second time. After the following outage of the table service a late write of the first process brought back the entry that was known, and the instances took the server for warm.

What is known of a server's process now ends when its entry goes: when the entry returns, whatever it says, the server is in doubt since then, until a connection and a later read show the process. Entries that went in an outage of the table service are not concerned, as servers stay in use until they have had the time to write them again.

After five seconds without an entry a server was also forgotten entirely, with the pause it had asked for. What is known is now kept for a minute, apart from the servers that are looked at. The return is logged.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -515,6 +515,7 @@
                     "leaving": entry.draining, "cold_left_ms": entry.cold_remaining.as_millis(),
                     "started": entry.started});
                 let region = self.options.borrow().regions.get(&entry.centre).cloned();
+                self.suspect_after_absence(&entry.id);
                 let change = self.servers.borrow_mut().update(entry, region, now);
                 self.log_entry_change(&change, fields);
             }
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -14,7 +14,7 @@
 use tarragonpulley_policy::entry::digest::{
     InstanceDigest, InstanceRecord, SectionTag, ServerIncarnation, ServerKey,
 };
-use tarragonpulley_policy::entry::names::{CentreName, RegionName};
+use tarragonpulley_policy::entry::names::{CentreName, RegionName, ServerId};
 use tarragonpulley_policy::entry::placement::text_hash;
 use tarragonpulley_policy::entry::restart::{
     ServerDistance, WATCHERS, WatchCandidate, report_concerns, watches_server,
@@ -224,6 +224,20 @@
         }
     }
 
+    /// Records that a server whose entry returns may have started again without one, in
+    /// which time no instance watched it.
+    pub(crate) fn suspect_after_absence(&self, id: &ServerId) {
+        let absent = self.servers.borrow().without_entry(id, self.now());
+        if let Some((server, since)) = absent
+            && self.suspect(&server, since)
+        {
+            self.log.event(
+                "restart_suspected",
+                json!({"server": id.as_str(), "reason": "the entry was gone"}),
+            );
+        }
+    }
+
     /// Records a sign that the process of a server had ended at `at`. Returns whether the
     /// server may have started again because of it.
     fn suspect(&self, server: &Server, at: Instant) -> bool {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -35,6 +35,13 @@
 /// The maximum number of idle connections in the pool of a server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// Time after which a server without an entry is no longer looked at.
+const REMOVED_RETENTION: Duration = Duration::from_secs(5);
+
+/// How long what is known of a server without an entry is kept: as long as a cut may last
+/// in which the server cannot renew it.
+const ABSENT_RETENTION: Duration = Duration::from_mins(1);
+
 /// The maximum number of servers that are remembered as leaving.
 const MAX_LEAVING_SERVERS: usize = 4096;
 
@@ -252,7 +259,7 @@
 pub(crate) enum EntryChange {
     /// Nothing that is logged.
     Unlogged,
-    /// The server is new, or its version or draining state changed.
+    /// The server is new or has an entry again, or its version or draining state changed.
     Changed,
     /// The server started again under the same id.
     Restarted(ReplacedStart),
@@ -274,6 +281,9 @@
 pub(crate) struct ServerSet {
     servers: BTreeMap<ServerId, Rc<Server>>,
     by_service: BTreeMap<ServiceName, Vec<Rc<Server>>>,
+    /// Servers whose entries have been gone for longer than [`REMOVED_RETENTION`]. An entry
+    /// that returns continues what is known.
+    absent: BTreeMap<ServerId, Rc<Server>>,
     /// Servers that said that they are leaving, and when this instance last heard it from
     /// them. Kept when their entries go: a restored table may contain these again.
     leaving: BTreeMap<ServerIncarnation, Option<Instant>>,
@@ -299,6 +309,10 @@
         now: Instant,
     ) -> EntryChange {
         let mut change = EntryChange::Changed;
+        if let Some(server) = self.absent.remove(&entry.id) {
+            self.servers.insert(entry.id.clone(), server);
+            self.rebuild_service_index();
+        }
         if let Some(server) = self.servers.get(&entry.id) {
             let known = server.entry.borrow().clone();
             let same_place = known.address == entry.address && known.service == entry.service;
@@ -309,13 +323,14 @@
                 server.restart.tracker.borrow_mut().record_end(now);
             }
             if same_place && (known.started == entry.started || is_earlier_start) {
-                server.removed_at.set(None);
+                let was_removed = server.removed_at.take().is_some();
                 if let Some(until) = cold_until(&entry, now) {
                     server.cold_until.set(Some(until));
                 }
                 let changed = known.draining != entry.draining
                     || known.version != entry.version
-                    || is_earlier_start;
+                    || is_earlier_start
+                    || was_removed;
                 *server.entry.borrow_mut() = entry;
                 *server.region.borrow_mut() = region.map(ServerRegion::from);
                 return if changed {
@@ -480,19 +495,37 @@
         }
     }
 
-    /// Drops servers that were removed some seconds ago.
+    /// Sets servers aside that were removed some seconds ago, and drops them later.
     pub(crate) fn expire_removed(&mut self, now: Instant) {
-        const REMOVED_RETENTION: Duration = Duration::from_secs(5);
-        let before = self.servers.len();
-        self.servers.retain(|_, server| {
-            server
-                .removed_at
-                .get()
-                .is_none_or(|at| now.saturating_duration_since(at) < REMOVED_RETENTION)
-        });
-        if self.servers.len() != before {
-            self.rebuild_service_index();
+        let is_removed_for = |server: &Server, span| {
+            let removed_at = server.removed_at.get();
+            removed_at.is_some_and(|at| now.saturating_duration_since(at) >= span)
+        };
+        self.absent
+            .retain(|_, server| !is_removed_for(server, ABSENT_RETENTION));
+        let removed: Vec<(ServerId, Rc<Server>)> = self
+            .servers
+            .extract_if(.., |_, server| is_removed_for(server, REMOVED_RETENTION))
+            .collect();
+        if removed.is_empty() {
+            return;
         }
+        for (_, server) in &removed {
+            server.close_idle_connections();
+        }
+        self.absent.extend(removed);
+        self.rebuild_service_index();
+    }
+
+    /// A server that has been without an entry, and since when.
+    pub(crate) fn without_entry(
+        &self,
+        id: &ServerId,
+        now: Instant,
+    ) -> Option<(Rc<Server>, Instant)> {
+        let server = self.servers.get(id).or_else(|| self.absent.get(id))?;
+        let removed_at = server.removed_at.get().filter(|at| *at <= now)?;
+        Some((Rc::clone(server), removed_at))
     }
 
     fn rebuild_service_index(&mut self) {
--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -4,6 +4,7 @@
 
 use tarragonpulley_policy::entry::config::ServerEntry;
 use tarragonpulley_policy::entry::names::ServerId;
+use yare::parameterized;
 
 use crate::servers::ServerSet;
 
@@ -93,3 +94,24 @@
     servers.take_back_ended(&earlier);
     assert!(servers.ended_reports(at(start, 2000)).is_empty());
 }
+
+/// Guards against requests in a pause that a server asked for before its entry was gone.
+#[parameterized(short = { 2000 }, long = { 20_000 })]
+fn pause_lasts_while_the_entry_is_gone(absence: u64) {
+    let start = Instant::now();
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(1, 80), None, start);
+    let earlier = servers.get(&server_id()).expect("a server").clone();
+    let pause = "60".parse().expect("a number");
+    let mut gate = earlier.gate.borrow_mut();
+    gate.record_pause(pause, Duration::ZERO, start);
+    drop(gate);
+
+    servers.mark_removed(&server_id(), at(start, 1000));
+    let returns_at = at(start, 1000 + absence);
+    servers.expire_removed(returns_at);
+    servers.update(warm_entry(1, 80), None, returns_at);
+    let server = servers.get(&server_id()).expect("a server");
+    assert!(server.is_available(returns_at));
+    assert!(server.gate.borrow().paused_until(returns_at).is_some());
+}
