Watch the servers as soon as an instance has started

Traced: both instances that watched the server were killed together (18.77 to 19.27 s) and read the servers again at 19.60 s, while the server was down (19.29 to 20.07 s). Who watches a server is decided once a second, the first time a second after the start, and nobody else sent anything to it, so no instance saw that its process had ended.

An instance now begins to watch new servers at the next check, 250 ms later at most. As it may not have heard the others yet, it counts all registered instances, live or not, so that it watches none which it would stop watching once it hears them.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -115,6 +115,9 @@
     pub(crate) end_reported: tokio::sync::Notify,
     /// Requests a probe of the servers whose process may have ended.
     pub(crate) probe_requested: tokio::sync::Notify,
+    /// Whether an entry or a configuration was applied since the watched servers were
+    /// last decided.
+    pub(crate) has_new_servers: Cell<bool>,
     /// Requests a digest before the next interval.
     pub(crate) digest_requested: tokio::sync::Notify,
     pub(crate) crash_suspects: Sender<CrashSuspect>,
@@ -200,6 +203,7 @@
             reach_doubted: tokio::sync::Notify::new(),
             end_reported: tokio::sync::Notify::new(),
             probe_requested: tokio::sync::Notify::new(),
+            has_new_servers: Cell::default(),
             digest_requested: tokio::sync::Notify::new(),
             crash_suspects,
             response_budget: BufferBudget::new(response_memory),
@@ -499,6 +503,7 @@
             );
         }
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.has_new_servers.set(true);
     }
 
     fn apply_server(&self, key: &str, now: Instant) {
@@ -518,6 +523,9 @@
                 self.suspect_after_absence(&entry.id);
                 let change = self.servers.borrow_mut().update(entry, region, now);
                 self.log_entry_change(&change, fields);
+                if change != EntryChange::Unlogged {
+                    self.has_new_servers.set(true);
+                }
             }
             Err(error) => {
                 if let Some(id) = self.adapter.server_id(key) {
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -287,6 +287,8 @@
             }
             if check.is_multiple_of(CHECKS_PER_WATCH) {
                 self.update_watches();
+            } else if self.has_new_servers.get() {
+                self.begin_watches();
             }
         }
     }
@@ -383,25 +385,55 @@
 
     /// Decides which servers this instance watches, and starts to watch them.
     fn update_watches(self: &Rc<Self>) {
-        let now = self.now();
+        self.has_new_servers.set(false);
         let watchers = {
             let peers = self.peers.borrow();
-            WatcherView::new(peers.own(), peers.ready(now))
+            WatcherView::new(peers.own(), peers.ready(self.now()))
         };
         let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
         for server in servers {
-            let is_to_watch = server.is_available(now)
-                && !self.cold_period(&server).is_zero()
-                && watchers.own_watches(&server);
+            let is_to_watch = self.is_to_watch(&server, &watchers);
             server.restart.is_to_watch.set(is_to_watch);
-            if is_to_watch && !server.restart.is_watched.get() {
-                let guard = WatchGuard::new(server);
-                let watch = Rc::clone(self).watch_server(guard);
-                actix_rt::spawn(watch);
+            if is_to_watch {
+                self.watch(server);
             }
         }
     }
 
+    /// Starts to watch servers that are new here, if this instance is to do so whichever
+    /// other instances are ready. Right after a start it has not heard from them yet.
+    fn begin_watches(self: &Rc<Self>) {
+        let watchers = {
+            let peers = self.peers.borrow();
+            if peers.sharer_hashes(self.now()).is_none() {
+                return;
+            }
+            WatcherView::new(peers.own(), peers.known_instances())
+        };
+        self.has_new_servers.set(false);
+        let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
+        for server in servers {
+            if self.is_to_watch(&server, &watchers) {
+                server.restart.is_to_watch.set(true);
+                self.watch(server);
+            }
+        }
+    }
+
+    fn is_to_watch(&self, server: &Server, watchers: &WatcherView) -> bool {
+        server.is_available(self.now())
+            && !self.cold_period(server).is_zero()
+            && watchers.own_watches(server)
+    }
+
+    fn watch(self: &Rc<Self>, server: Rc<Server>) {
+        if !server.restart.is_watched.get() {
+            let guard = WatchGuard::new(server);
+            let watch = Rc::clone(self).watch_server(guard);
+            actix_rt::spawn(watch);
+        }
+    }
+
     /// Keeps a connection to a server open while this instance is to watch it. When it
     /// ends, the next one shows whether the process did.
     async fn watch_server(self: Rc<Self>, guard: WatchGuard) {
