Follow entries with an earlier start that are written after a restore

After a restore of the table, an entry that is older than the known one is held back, as it comes from the copy that was restored. This had no end: an instance that had once seen a restore ignored every later write of a server that started again with its clock set back, with its new address, its state and that it is cold, until the clock had passed the known start.

A row that is written when the time for writing lost rows again is over is not from the restored copy, and is now followed, as it is without a restore; a server counts as possibly restarted then. Rows of the restored copy itself are held as before, also when all rows are read again.

--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -283,7 +283,7 @@
             self.remove_row(&row.key, row.version, false, now);
             return true;
         };
-        if self.must_hold(&row.key, &value, now, rules) {
+        if self.must_hold(&row.key, row.version, &value, now, rules) {
             self.held.insert(row.key, Some(row.version));
             return false;
         }
@@ -304,18 +304,28 @@
 
     /// Whether a row of a restored table is older than what is known of it. Where the
     /// values do not tell, it is taken for older until [`REWRITE_GRACE`] has passed,
-    /// unless the table service had caught up with the known state before.
-    fn must_hold(&self, key: &str, value: &[u8], now: Instant, rules: &dyn RowRules) -> bool {
+    /// unless the table service had caught up with the known state before. An older one
+    /// that is written after that time is not from the restored table: its writer counts
+    /// anew, as a server does whose clock was set back.
+    fn must_hold(
+        &self,
+        key: &str,
+        version: u64,
+        value: &[u8],
+        now: Instant,
+        rules: &dyn RowRules,
+    ) -> bool {
         if self.restored_at.is_none() {
             return false;
         }
         let is_behind = self.upto.is_none() || self.is_held(key);
         let is_unsettled = is_behind && self.is_settling(now);
+        let is_new = self.upto.is_some_and(|upto| version > upto) && !self.is_settling(now);
         if let Some(known) = self.rows.get(key) {
             return !rules.is_equivalent(&known.value, value)
                 && match rules.compare_age(key, value, &known.value) {
                     Some(Ordering::Greater) => false,
-                    Some(Ordering::Less) => true,
+                    Some(Ordering::Less) => !is_new,
                     Some(Ordering::Equal) | None => is_unsettled,
                 };
         }
--- a/crates/edge/src/tests/restore.rs
+++ b/crates/edge/src/tests/restore.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
+use yare::parameterized;
 
 use crate::mirror::{REWRITE_GRACE, RowRules, TableMirror};
 use crate::table::{TableBatch, TableEra, TableRow};
@@ -313,3 +314,41 @@
         play(steps, Restores::Repeatedly)?;
     }
 }
+
+/// Guards against entries of a server whose clock was set back that are ignored for good
+/// because the table was restored some time before.
+#[parameterized(
+    written_after_the_grace = { REWRITE_GRACE, 3 },
+    written_in_the_grace = { Duration::from_secs(1), 9 },
+)]
+fn row_with_an_earlier_value_is_followed_when_it_is_written_after_a_restore(
+    delay: Duration,
+    expected: u8,
+) {
+    let mut now = Instant::now();
+    let mut mirror = TableMirror::default();
+    let mut read = |now, era: &str, version, value, complete| {
+        let row = TableRow {
+            key: "k0".to_owned(),
+            version,
+            value: Some(vec![value]),
+        };
+        let batch = TableBatch {
+            rows: vec![row],
+            upto: version,
+            complete,
+            age: Duration::ZERO,
+            service_time: None,
+            era: Some(era.parse().expect("a number")),
+            is_copy: false,
+        };
+        mirror.apply(batch, now, now, &RisingRows);
+        mirror.value("k0").map(|value| value[0])
+    };
+    assert_eq!(read(now, "0", 7, 9, true), Some(9));
+    // The restored table has an older value, which is not the known one also later.
+    assert_eq!(read(now, "1", 5, 8, true), Some(9));
+    now += delay;
+    assert_eq!(read(now, "1", 5, 8, true), Some(9));
+    assert_eq!(read(now, "1", 6, 3, false), Some(expected));
+}
