Compare reports of ended servers with the age of the copy

A report that a start ended which this instance does not know concerns the server if the start known here is from before the end. The time of a known start was when its entry was read, but copies of other instances are seconds old while the table service is silent. An instance that read an old entry after the end ignored the reports of it.

The time is now that until which the copy had all changes.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -521,7 +521,10 @@
                     "started": entry.started});
                 let region = self.options.borrow().regions.get(&entry.centre).cloned();
                 self.suspect_after_absence(&entry.id);
-                let change = self.servers.borrow_mut().update(entry, region, now);
+                let read_at = self.servers_copied_at().unwrap_or(now);
+                let mut servers = self.servers.borrow_mut();
+                let change = servers.update(entry, region, read_at, now);
+                drop(servers);
                 self.log_entry_change(&change, fields);
                 if change != EntryChange::Unlogged {
                     self.has_new_servers.set(true);
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -325,7 +325,7 @@
 
     /// The time up to which the copy of the servers' entries contains all changes; `None`
     /// while servers may not have written again what the table service lost or did not
-    /// accept. A time in which the machine was suspended makes it seem older than it is.
+    /// accept.
     fn servers_read_at(&self) -> Option<Instant> {
         let (now, proof_now) = (self.now(), self.proof_now());
         let recovered_at = self.table_recovered_at.get();
@@ -335,11 +335,19 @@
         {
             return None;
         }
+        self.servers_copied_at()
+    }
+
+    /// The time up to which the copy of the servers' entries contains all changes of the
+    /// table service. A time in which the machine was suspended makes it seem older than it
+    /// is.
+    pub(crate) fn servers_copied_at(&self) -> Option<Instant> {
         let mirrors = self.mirrors.borrow();
         let proof = mirrors
             .get(&TableKind::Servers)
             .and_then(TableMirror::last_proof)?;
-        now.checked_sub(proof_now.saturating_duration_since(proof))
+        let age = self.proof_now().saturating_duration_since(proof);
+        self.now().checked_sub(age)
     }
 
     /// Opens connections to servers whose process may have ended, to a part of them at
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -92,7 +92,7 @@
     /// What the server has asked for.
     pub(crate) gate: RefCell<SendGate>,
     pub(crate) incarnation: ServerIncarnation,
-    /// When the entry of this start was first read.
+    /// Until when the copy contained all changes in which this start was first read.
     pub(crate) known_since: Instant,
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
@@ -111,7 +111,7 @@
 }
 
 impl Server {
-    fn new(entry: ServerEntry, region: Option<RegionName>, now: Instant) -> Self {
+    fn new(entry: ServerEntry, region: Option<RegionName>, read_at: Instant, now: Instant) -> Self {
         Self {
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
@@ -122,7 +122,7 @@
             health: RefCell::new(ServerHealth::new(now)),
             gate: RefCell::default(),
             incarnation: ServerIncarnation::new(entry.id.as_str(), entry.started),
-            known_since: now,
+            known_since: read_at,
             logged_limit: Cell::default(),
             known_objects: RefCell::default(),
             forgotten_in_row: Cell::default(),
@@ -300,12 +300,14 @@
 }
 
 impl ServerSet {
-    /// Adds or updates a server from its entry. After a restart under the same id only
-    /// what may concern the new process is kept.
+    /// Adds or updates a server from its entry, in a copy that contains all changes until
+    /// `read_at`. After a restart under the same id only what may concern the new process
+    /// is kept.
     pub(crate) fn update(
         &mut self,
         entry: ServerEntry,
         region: Option<RegionName>,
+        read_at: Instant,
         now: Instant,
     ) -> EntryChange {
         let mut change = EntryChange::Changed;
@@ -348,7 +350,7 @@
             });
         }
         let earlier = self.servers.get(&entry.id).cloned();
-        let mut server = Server::new(entry, region, now);
+        let mut server = Server::new(entry, region, read_at, now);
         if let Some(earlier) = earlier {
             let tracker = earlier.restart.tracker.borrow();
             let gate = earlier.gate.borrow().after_restart(tracker.running_since());
--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -4,6 +4,7 @@
 
 use tarragonpulley_policy::entry::config::ServerEntry;
 use tarragonpulley_policy::entry::names::ServerId;
+use tarragonpulley_policy::entry::restart::report_concerns;
 use yare::parameterized;
 
 use crate::servers::ServerSet;
@@ -39,7 +40,7 @@
 fn entry_from_before_an_end_does_not_make_a_server_warm() {
     let start = Instant::now();
     let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start);
+    servers.update(warm_entry(1, 80), None, start, start);
     let earlier = servers.get(&server_id()).expect("a server").clone();
     earlier
         .restart
@@ -47,7 +48,7 @@
         .borrow_mut()
         .record_end(at(start, 1000));
 
-    servers.update(warm_entry(2, 80), None, at(start, 1800));
+    servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
     let server = servers.get(&server_id()).expect("a server");
     assert!(server.is_cold(at(start, 1800)), "the doubt was forgotten");
 
@@ -64,7 +65,7 @@
 fn end_at_an_earlier_address_does_not_concern_the_later_one() {
     let start = Instant::now();
     let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start);
+    servers.update(warm_entry(1, 80), None, start, start);
     let earlier = servers.get(&server_id()).expect("a server").clone();
     earlier
         .restart
@@ -72,7 +73,7 @@
         .borrow_mut()
         .record_end(at(start, 1000));
 
-    servers.update(warm_entry(2, 81), None, at(start, 1800));
+    servers.update(warm_entry(2, 81), None, at(start, 900), at(start, 1800));
     let server = servers.get(&server_id()).expect("a server");
     assert!(!server.is_cold(at(start, 1800)));
 }
@@ -83,10 +84,10 @@
 fn end_is_reported_after_the_next_process_is_known() {
     let start = Instant::now();
     let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start);
+    servers.update(warm_entry(1, 80), None, start, start);
     let earlier = servers.get(&server_id()).expect("a server").clone();
     servers.record_ended(&earlier, at(start, 1000));
-    servers.update(warm_entry(2, 80), None, at(start, 1800));
+    servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
     let later = servers.get(&server_id()).expect("a server").clone();
 
     servers.take_back_ended(&later);
@@ -95,12 +96,30 @@
     assert!(servers.ended_reports(at(start, 2000)).is_empty());
 }
 
+/// Guards against reports that are ignored because the entry was read after the end,
+/// though from a copy that is older.
+#[parameterized(
+    old_copy = { 900, true },
+    recent_copy = { 1700, false },
+)]
+fn report_of_an_end_after_the_copy_concerns_the_server(read_at: u64, expected: bool) {
+    let start = Instant::now();
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(2, 80), None, at(start, read_at), at(start, 1800));
+    let server = servers.get(&server_id()).expect("a server");
+    let ended_at = at(start, 1000);
+    assert_eq!(
+        report_concerns(false, server.known_since, ended_at),
+        expected
+    );
+}
+
 /// Guards against requests in a pause that a server asked for before its entry was gone.
 #[parameterized(short = { 2000 }, long = { 20_000 })]
 fn pause_lasts_while_the_entry_is_gone(absence: u64) {
     let start = Instant::now();
     let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start);
+    servers.update(warm_entry(1, 80), None, start, start);
     let earlier = servers.get(&server_id()).expect("a server").clone();
     let pause = "60".parse().expect("a number");
     let mut gate = earlier.gate.borrow_mut();
@@ -110,7 +129,7 @@
     servers.mark_removed(&server_id(), at(start, 1000));
     let returns_at = at(start, 1000 + absence);
     servers.expire_removed(returns_at);
-    servers.update(warm_entry(1, 80), None, returns_at);
+    servers.update(warm_entry(1, 80), None, returns_at, returns_at);
     let server = servers.get(&server_id()).expect("a server");
     assert!(server.is_available(returns_at));
     assert!(server.gate.borrow().paused_until(returns_at).is_some());
