--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -1,5 +1,6 @@
 //! The known backend servers when their entries change.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::config::ServerEntry;
@@ -7,7 +8,7 @@
 use tarragonpulley_policy::entry::restart::report_concerns;
 use yare::parameterized;
 
-use crate::servers::ServerSet;
+use crate::servers::{Server, ServerSet};
 
 const COLD_PERIOD: Duration = Duration::from_secs(3);
 
@@ -34,6 +35,10 @@
     start + Duration::from_millis(millis)
 }
 
+fn record_end(server: &Server, at: Instant) {
+    server.restart.tracker.borrow_mut().record_end(at);
+}
+
 /// Guards against an entry that is read late, from the copy of another instance: its
 /// process may be the one that ended, and its successor is cold.
 #[test]
@@ -41,12 +46,8 @@
     let start = Instant::now();
     let mut servers = ServerSet::default();
     servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = servers.get(&server_id()).expect("a server").clone();
-    earlier
-        .restart
-        .tracker
-        .borrow_mut()
-        .record_end(at(start, 1000));
+    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    record_end(&earlier, at(start, 1000));
 
     servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
     let server = servers.get(&server_id()).expect("a server");
@@ -66,12 +67,8 @@
     let start = Instant::now();
     let mut servers = ServerSet::default();
     servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = servers.get(&server_id()).expect("a server").clone();
-    earlier
-        .restart
-        .tracker
-        .borrow_mut()
-        .record_end(at(start, 1000));
+    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    record_end(&earlier, at(start, 1000));
 
     servers.update(warm_entry(2, 81), None, at(start, 900), at(start, 1800));
     let server = servers.get(&server_id()).expect("a server");
@@ -85,10 +82,10 @@
     let start = Instant::now();
     let mut servers = ServerSet::default();
     servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = servers.get(&server_id()).expect("a server").clone();
+    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
     servers.record_ended(&earlier, at(start, 1000));
     servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
-    let later = servers.get(&server_id()).expect("a server").clone();
+    let later = Rc::clone(servers.get(&server_id()).expect("a server"));
 
     servers.take_back_ended(&later);
     assert_eq!(servers.ended_reports(at(start, 2000)).len(), 1);
@@ -120,7 +117,7 @@
     let start = Instant::now();
     let mut servers = ServerSet::default();
     servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = servers.get(&server_id()).expect("a server").clone();
+    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
     let pause = "60".parse().expect("a number");
     let mut gate = earlier.gate.borrow_mut();
     gate.record_pause(pause, Duration::ZERO, start);
