Don't take the time of messages that waited for a paused holder

After the holder of the usage reports had stood still for some seconds, requests were reported in the wrong window or never. Operators saw usage_time_corrected with minus 1 to 4 s on several instances, although no time of day was wrong.

Cause: the holder compares the time in each hand-in with its own and takes the median as the fleet's time, which it uses itself and sends in the acknowledgements. A holder that resumes reads the hand-ins that waited for it, so all senders seem to be behind by as long as these waited, and it sets itself and every sender back by that. Requests then count in an earlier window; if that window is recorded already, they are never reported.

A message that waits makes its sender seem behind, never ahead. The holder now takes the highest difference of the last three samples of a sender, where messages that arrive within a second are one sample, and knows no difference before there are two. What waited arrives at once and is one sample. Samples of an earlier process of the sender are dropped. A sender ignores the time in an acknowledgement that comes over 500 ms after its first message, because it may itself have stood still meanwhile. Messages have the same form as before. A wrong time is corrected one window later than before.

--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -101,6 +101,8 @@
 #[derive(Debug, Default)]
 struct SentParts {
     acknowledged: BTreeSet<u16>,
+    /// An acknowledgement may answer any of the messages since then.
+    first_sent_at: Option<Instant>,
     sent_at: Option<Instant>,
 }
 
@@ -388,6 +390,7 @@
             if !is_due {
                 return;
             }
+            entry.first_sent_at.get_or_insert(now);
             entry.sent_at = Some(now);
             let parts = parts.into_iter();
             parts
@@ -412,7 +415,7 @@
                 let time = usage.time(now);
                 let fleet_time = {
                     let mut collector = usage.collector.borrow_mut();
-                    collector.record_clock(&part.writer.name, part.sent_at, time);
+                    collector.record_clock(&part.writer, part.sent_at, time);
                     collector.add(&part);
                     collector.fleet_time(time)
                 };
@@ -421,7 +424,7 @@
                     part: part.part,
                     fleet_time,
                 };
-                self.correct_time(usage, fleet_time);
+                self.correct_time(usage, fleet_time, now);
                 self.send_message(sender, &PeerMessage::Usage(received))
                     .await;
             }
@@ -430,20 +433,32 @@
                 part,
                 fleet_time,
             } => {
-                if let Some(sent) = usage.sent.borrow_mut().get_mut(&(window, sender)) {
-                    sent.acknowledged.insert(part);
+                let first_sent_at = {
+                    let mut sent = usage.sent.borrow_mut();
+                    let Some(parts) = sent.get_mut(&(window, sender)) else {
+                        return;
+                    };
+                    parts.acknowledged.insert(part);
+                    parts.first_sent_at
+                };
+                if let Some(first_sent_at) = first_sent_at {
+                    self.correct_time(usage, fleet_time, first_sent_at);
                 }
-                self.correct_time(usage, fleet_time);
             }
         }
     }
 
-    fn correct_time(&self, usage: &UsageReporting, fleet_time: Option<UnixMillis>) {
+    fn correct_time(
+        &self,
+        usage: &UsageReporting,
+        fleet_time: Option<UnixMillis>,
+        asked_at: Instant,
+    ) {
         let Some(fleet_time) = fleet_time else {
             return;
         };
         let now = self.proof_now();
-        if let Some(difference) = usage.time.borrow_mut().correct(fleet_time, now) {
+        if let Some(difference) = usage.time.borrow_mut().correct(fleet_time, asked_at, now) {
             usage.collector.borrow_mut().forget_clocks();
             self.log
                 .event("usage_time_corrected", json!({"by_ms": difference}));
--- a/crates/policy/src/entry/usage.rs
+++ b/crates/policy/src/entry/usage.rs
@@ -6,7 +6,7 @@
 //! it, so that the next holder repeats the same report: a window never has two different
 //! ones, and one whose record was lost has none.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -66,9 +66,23 @@
 /// The difference to the time of the fleet at which an instance corrects its own.
 const MAX_CLOCK_DIFFERENCE_MS: i64 = 500;
 
+/// The time between a question and its response beyond which the response does not
+/// correct the time: it may be as old as that.
+const MAX_CLOCK_ROUND_TRIP: Duration = Duration::from_millis(500);
+
 /// The senders without which the fleet's time is not known.
 const MIN_CLOCK_SENDERS: usize = 3;
 
+/// Messages of a sender that arrive within this time count as one sample of its time.
+/// All messages that waited for an instance that stood still arrive at once.
+const CLOCK_SAMPLE_SPAN_MS: i64 = 1000;
+
+/// The samples without which the time of a sender is not known.
+const MIN_CLOCK_SAMPLES: usize = 2;
+
+/// The samples of a sender's time that are kept.
+const KEPT_CLOCK_SAMPLES: usize = 3;
+
 /// The number of a window: window k begins k times its length after the Unix epoch.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -194,8 +208,12 @@
         )
     }
 
-    /// Takes over the fleet's time if the difference is large. Returns the correction.
-    pub fn correct(&mut self, fleet: UnixMillis, now: Instant) -> Option<i64> {
+    /// Takes over the fleet's time, which was asked for at `asked_at`, if the difference is
+    /// large. Returns the correction.
+    pub fn correct(&mut self, fleet: UnixMillis, asked_at: Instant, now: Instant) -> Option<i64> {
+        if now.saturating_duration_since(asked_at) > MAX_CLOCK_ROUND_TRIP {
+            return None;
+        }
         let difference = fleet.0.saturating_sub(self.at(now).0);
         if difference.abs() <= MAX_CLOCK_DIFFERENCE_MS {
             return None;
@@ -274,12 +292,53 @@
     complete: BTreeSet<InstanceName>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct ClockSample {
+    /// When the first message arrived.
+    since: UnixMillis,
+    /// The highest difference of the sender's time to this instance's, in milliseconds.
+    difference: i64,
+}
+
+/// The time of a process in comparison with that of this instance.
+#[derive(Debug, Default)]
+struct SenderClock {
+    start: i64,
+    samples: VecDeque<ClockSample>,
+}
+
+impl SenderClock {
+    fn record(&mut self, difference: i64, now: UnixMillis) {
+        if let Some(last) = self.samples.back_mut()
+            && now.0.saturating_sub(last.since.0) < CLOCK_SAMPLE_SPAN_MS
+        {
+            last.difference = last.difference.max(difference);
+            return;
+        }
+        self.samples.push_back(ClockSample {
+            since: now,
+            difference,
+        });
+        while self.samples.len() > KEPT_CLOCK_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The difference to this instance's time. The time that a message travels or waits
+    /// makes its difference lower, never higher.
+    fn difference(&self) -> Option<i64> {
+        let differences = self.samples.iter().map(|sample| sample.difference);
+        differences
+            .max()
+            .filter(|_| self.samples.len() >= MIN_CLOCK_SAMPLES)
+    }
+}
+
 /// The counts that instances handed in.
 #[derive(Debug, Default)]
 pub struct UsageCollector {
     windows: BTreeMap<WindowNumber, WindowTotal>,
-    /// The difference of each sender's time to this instance's, in milliseconds.
-    clock_differences: BTreeMap<InstanceName, i64>,
+    clocks: BTreeMap<InstanceName, SenderClock>,
 }
 
 impl UsageCollector {
@@ -301,18 +360,25 @@
     }
 
     /// Records the time of a sender when its message arrived.
-    pub fn record_clock(&mut self, name: &InstanceName, sent_at: UnixMillis, now: UnixMillis) {
-        let difference = sent_at.0.saturating_sub(now.0);
-        self.clock_differences.insert(name.clone(), difference);
+    pub fn record_clock(&mut self, sender: &DutyWriter, sent_at: UnixMillis, now: UnixMillis) {
+        let clock = self.clocks.entry(sender.name.clone()).or_default();
+        if clock.start != sender.start {
+            *clock = SenderClock {
+                start: sender.start,
+                samples: VecDeque::new(),
+            };
+        }
+        clock.record(sent_at.0.saturating_sub(now.0), now);
     }
 
     /// The fleet's time: the median of the senders' times and this instance's.
     #[must_use]
     pub fn fleet_time(&self, now: UnixMillis) -> Option<UnixMillis> {
-        if self.clock_differences.len() < MIN_CLOCK_SENDERS {
+        let clocks = self.clocks.values();
+        let mut differences: Vec<i64> = clocks.filter_map(SenderClock::difference).collect();
+        if differences.len() < MIN_CLOCK_SENDERS {
             return None;
         }
-        let mut differences: Vec<i64> = self.clock_differences.values().copied().collect();
         differences.push(0);
         differences.sort_unstable();
         let median = differences[differences.len() / 2];
@@ -321,7 +387,7 @@
 
     /// Forgets the senders' times, after this instance's own was corrected.
     pub fn forget_clocks(&mut self) {
-        self.clock_differences.clear();
+        self.clocks.clear();
     }
 
     /// The number of instances whose counts of a window are complete.
