Keep usage windows until their report is late, not for a number of windows

With windows shorter than half of usage-late, no usage was reported for as long as the holder was live but had no connection to the store. Found while tracing the test of a holder that stands still; the settings of the deployments (windows of 5 s, late after 10 s) don't show it.

Cause: instances handed in the last two closed windows, and counts were kept for four, whatever the length of a window. With windows of 2 s the counts were no longer handed in 4 s after the end of the window, which is when hand-ins to the second candidate begin, and were dropped after 8 s, before the last chance at 8.5 s to record a window of which few handed in. For the same reason a record kept at most four reports, those of 8 s.

A window is now handed in and recorded until its report is late, and counts and reports are kept for twice that time. For windows of 5 s the numbers are those of before.

The cases short, two_seconds and three_seconds of the policy tests fail with a fixed number of two windows, and kept counts of four.

--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -49,9 +49,6 @@
 /// The size of an encoded count, beside the name of its team.
 const COUNT_BYTES: usize = 6;
 
-/// The closed windows that are handed in.
-const HANDED_IN_WINDOWS: u64 = 2;
-
 /// How often an instance that shuts down sends its last counts.
 const LAST_HAND_INS: u32 = 3;
 
@@ -187,12 +184,7 @@
     /// The windows of which counts are due, with the time since their end.
     fn closed_windows(&self, now: Instant) -> Vec<(WindowNumber, Duration)> {
         let time = self.time(now);
-        let current = self.terms.window_at(time).0;
-        (current.saturating_sub(HANDED_IN_WINDOWS)..current)
-            .map(WindowNumber)
-            .filter(|window| self.duty.borrow().is_open(*window))
-            .filter_map(|window| Some((window, self.terms.since_end(window, time)?)))
-            .collect()
+        self.duty.borrow().due_windows(time).collect()
     }
 }
 
@@ -323,14 +315,13 @@
         loop {
             self.hear_usage_holder(usage);
             let now = self.proof_now();
-            let current = usage.terms.window_at(usage.time(now));
-            usage.counter.borrow_mut().expire(current);
-            usage.collector.borrow_mut().expire(current);
-            let oldest = WindowNumber(current.0.saturating_sub(HANDED_IN_WINDOWS));
+            let kept = usage.terms.kept_windows(usage.time(now));
+            usage.counter.borrow_mut().expire(&kept);
+            usage.collector.borrow_mut().expire(&kept);
             usage
                 .sent
                 .borrow_mut()
-                .retain(|(window, _), _| *window >= oldest);
+                .retain(|(window, _), _| kept.contains(window));
             let windows = usage.closed_windows(now);
             self.update_usage_metrics(usage, &windows);
             for (window, since) in windows {
--- a/crates/policy/src/entry/usage.rs
+++ b/crates/policy/src/entry/usage.rs
@@ -7,6 +7,7 @@
 //! ones, and one whose record was lost has none.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -51,18 +52,9 @@
 /// Time for which a holder that cannot deliver reports leaves the duty to others.
 pub const YIELD_PERIOD: Duration = Duration::from_secs(30);
 
-/// The reports without an acknowledgement that a record keeps.
-const MAX_PENDING_REPORTS: usize = 4;
-
 /// The sent reports that a digest names: those of the last write, usually one.
 const TOLD_REPORTS: usize = 2;
 
-/// The sent reports that an instance remembers.
-const KEPT_SENT: usize = 8;
-
-/// The closed windows whose counts are kept.
-const KEPT_WINDOWS: u64 = 4;
-
 /// The difference to the time of the fleet at which an instance corrects its own.
 const MAX_CLOCK_DIFFERENCE_MS: i64 = 500;
 
@@ -129,6 +121,48 @@
             .map(Duration::from_millis)
     }
 
+    /// The closed windows whose reports are not yet late, oldest first, with the time since
+    /// their end.
+    pub fn timely_windows(
+        &self,
+        time: UnixMillis,
+    ) -> impl Iterator<Item = (WindowNumber, Duration)> + use<> {
+        let terms = *self;
+        let current = self.window_at(time).0;
+        (current.saturating_sub(self.windows_until_late())..current)
+            .map(WindowNumber)
+            .filter_map(move |window| Some((window, terms.since_end(window, time)?)))
+            .filter(move |(_, since)| *since < terms.late)
+    }
+
+    fn windows_until_late(&self) -> u64 {
+        u64::try_from(
+            self.late
+                .as_millis()
+                .div_ceil(self.window.as_millis().max(1)),
+        )
+        .unwrap_or(u64::MAX)
+    }
+
+    /// The number of closed windows of which counts and reports are kept: until twice the
+    /// time at which they are late.
+    fn kept_count(&self) -> u64 {
+        self.windows_until_late().saturating_mul(2)
+    }
+
+    /// The windows whose counts are kept. Hand-ins of other windows are dropped, also if
+    /// they are too far ahead.
+    #[must_use]
+    pub fn kept_windows(&self, time: UnixMillis) -> RangeInclusive<WindowNumber> {
+        let current = self.window_at(time).0;
+        let kept = self.kept_count();
+        WindowNumber(current.saturating_sub(kept))..=WindowNumber(current.saturating_add(kept))
+    }
+
+    fn max_pending_reports(&self) -> usize {
+        usize::try_from(self.kept_count()).unwrap_or(usize::MAX)
+    }
+
     /// The time after the end of a window at which a candidate records it.
     #[must_use]
     pub fn turn(&self, rank: usize) -> Duration {
@@ -261,9 +295,8 @@
     }
 
     /// Drops windows that are no longer reported.
-    pub fn expire(&mut self, current: WindowNumber) {
-        let first = WindowNumber(current.0.saturating_sub(KEPT_WINDOWS));
-        self.windows = self.windows.split_off(&first);
+    pub fn expire(&mut self, kept: &RangeInclusive<WindowNumber>) {
+        self.windows = self.windows.split_off(kept.start());
     }
 }
 
@@ -414,11 +447,8 @@
     }
 
     /// Drops windows that are no longer reported, and those too far ahead.
-    pub fn expire(&mut self, current: WindowNumber) {
-        let first = WindowNumber(current.0.saturating_sub(KEPT_WINDOWS));
-        let last = WindowNumber(current.0.saturating_add(KEPT_WINDOWS));
-        self.windows = self.windows.split_off(&first);
-        self.windows.retain(|window, _| *window <= last);
+    pub fn expire(&mut self, kept: &RangeInclusive<WindowNumber>) {
+        self.windows.retain(|window, _| kept.contains(window));
     }
 }
 
@@ -565,8 +595,7 @@
     }
 
     /// Whether the counts of a window are still wanted.
-    #[must_use]
-    pub fn is_open(&self, window: WindowNumber) -> bool {
+    fn is_open(&self, window: WindowNumber) -> bool {
         self.last_known.is_none_or(|last| window > last)
     }
 
@@ -629,7 +658,8 @@
 
     fn record_sent(&mut self, window: WindowNumber, hash: ReportHash) {
         self.sent.entry(window).or_insert(hash);
-        while self.sent.len() > KEPT_SENT {
+        let kept = self.terms.max_pending_reports().saturating_mul(2);
+        while self.sent.len() > kept {
             self.sent.pop_first();
         }
     }
@@ -800,16 +830,11 @@
             .is_some_and(|since| since > self.terms.late * 2)
     }
 
-    /// The closed windows that are not recorded and whose report is not yet late.
-    fn due_windows(&self, time: UnixMillis) -> impl Iterator<Item = WindowNumber> {
-        let current = self.terms.window_at(time).0;
-        (current.saturating_sub(KEPT_WINDOWS)..current)
-            .map(WindowNumber)
-            .filter(move |window| self.is_open(*window))
-            .filter(move |window| {
-                let since = self.terms.since_end(*window, time);
-                since.is_some_and(|since| since < self.terms.late)
-            })
+    /// The closed windows that are not recorded and whose report is not yet late, with the
+    /// time since their end.
+    pub fn due_windows(&self, time: UnixMillis) -> impl Iterator<Item = (WindowNumber, Duration)> {
+        let windows = self.terms.timely_windows(time);
+        windows.filter(|(window, _)| self.is_open(*window))
     }
 
     fn has_due_window(
@@ -818,10 +843,7 @@
         view: &UsageView<'_>,
         collector: &UsageCollector,
     ) -> bool {
-        self.due_windows(view.time).any(|window| {
-            let Some(since) = self.terms.since_end(window, view.time) else {
-                return false;
-            };
+        self.due_windows(view.time).any(|(window, since)| {
             let reporters = collector.reporters(window);
             if reporters == 0 {
                 return false;
@@ -843,23 +865,21 @@
             .collect();
         let mut last = self.last_known;
         let mut reporters = self.record.reporters;
-        for window in self.due_windows(view.time) {
+        for (window, since) in self.due_windows(view.time) {
             let Some(report) = collector.report(window) else {
                 continue;
             };
             // A later window may still receive the counts of most instances.
-            let is_closed = self
-                .terms
-                .since_end(window, view.time)
-                .is_some_and(|since| since >= RECORD_DEADLINE)
-                || collector.has_all(window, view.live.iter());
+            let is_closed = since >= RECORD_DEADLINE || collector.has_all(window, view.live.iter());
             if is_closed {
                 pending.push(report);
                 last = last.max(Some(window));
                 reporters = collector.reporters(window);
             }
         }
-        let excess = pending.len().saturating_sub(MAX_PENDING_REPORTS);
+        let excess = pending
+            .len()
+            .saturating_sub(self.terms.max_pending_reports());
         UsageRecord {
             last,
             era: self.era,
--- a/crates/policy/tests/entry/usage.rs
+++ b/crates/policy/tests/entry/usage.rs
@@ -1,12 +1,13 @@
 //! Counts of usage: what is counted, handed in and recorded, and when.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tarragonpulley_policy::entry::digest::InstanceState;
-use tarragonpulley_policy::entry::duty::DutyWriter;
+use tarragonpulley_policy::entry::duty::{DutyWriter, Fence, LeaseTerms, RowPosition};
 use tarragonpulley_policy::entry::names::{InstanceName, TeamName};
 use tarragonpulley_policy::entry::usage::{
-    SteadyTime, UnixMillis, UsageCollector, UsageCounter, WindowNumber, candidates,
+    HandIn, SteadyTime, UnixMillis, UsageCollector, UsageCounter, UsageDuty, UsageRecord, UsageRow,
+    UsageStep, UsageTerms, UsageView, WindowNumber, candidates,
 };
 use yare::parameterized;
 
@@ -138,3 +139,104 @@
     let expected: Vec<InstanceName> = expected.iter().map(|text| name(text)).collect();
     assert_eq!(ranked, expected);
 }
+
+fn terms(window_ms: u64) -> UsageTerms {
+    UsageTerms {
+        window: Duration::from_millis(window_ms),
+        late: Duration::from_secs(10),
+        lease: LeaseTerms {
+            length: Duration::from_secs(3),
+            margin: Duration::from_secs(1),
+        },
+        call_timeout: Duration::from_secs(1),
+    }
+}
+
+/// Guards against windows that are given up, or whose counts are dropped, before their
+/// report is late.
+#[parameterized(
+    short = { 500, 0, 980 },
+    two_seconds = { 2000, 0, 995 },
+    two_seconds_at_the_end = { 2000, 1999, 995 },
+    three_seconds = { 3000, 999, 996 },
+    three_seconds_late = { 3000, 1000, 997 },
+    five_seconds = { 5000, 0, 998 },
+    long = { 60_000, 9999, 999 },
+    long_late = { 60_000, 10_000, 1000 },
+)]
+fn windows_are_kept_until_their_report_is_late(window_ms: u64, millis: u64, first: u64) {
+    let terms = terms(window_ms);
+    let time = UnixMillis(i64::try_from(window_ms * 1000 + millis).expect("milliseconds"));
+    let windows: Vec<(u64, u64)> = terms
+        .timely_windows(time)
+        .map(|(window, since)| (window.0, u64::try_from(since.as_millis()).expect("a time")))
+        .collect();
+    let expected: Vec<(u64, u64)> = (first..1000)
+        .map(|window| (window, (999 - window) * window_ms + millis))
+        .collect();
+    assert_eq!(windows, expected);
+    assert!(terms.kept_windows(time).contains(&WindowNumber(first)));
+}
+
+/// Guards against a window that no instance records because few have handed in, though
+/// its report is not yet late.
+#[parameterized(
+    short = { 500 },
+    two_seconds = { 2000 },
+    five_seconds = { 5000 },
+)]
+fn window_with_few_hand_ins_is_recorded_before_it_is_late(window_ms: u64) {
+    let start = Instant::now();
+    let own = DutyWriter {
+        name: name("e2"),
+        start: 1,
+    };
+    let holder = DutyWriter {
+        name: name("e1"),
+        start: 1,
+    };
+    let mut duty = UsageDuty::new(own.clone(), terms(window_ms));
+    let position = RowPosition {
+        era: Some(1),
+        version: 7,
+    };
+    let row = UsageRow {
+        writer: holder,
+        fence: Fence(20),
+        record: UsageRecord {
+            last: Some(WindowNumber(999)),
+            era: Some(1),
+            reporters: 4,
+            pending: Vec::new(),
+        },
+    };
+    let end = i64::try_from(window_ms * 1001).expect("milliseconds");
+    duty.record_read(position, Some(row), UnixMillis(end), start);
+    let mut collector = UsageCollector::default();
+    collector.add(&HandIn {
+        writer: own.clone(),
+        window: WindowNumber(1000),
+        part: 0,
+        parts: 1,
+        sent_at: UnixMillis(end),
+        counts: [("team".parse().expect("a name"), 3)].into(),
+    });
+    let step_after = |duty: &mut UsageDuty, collector: &mut UsageCollector, millis: u64| {
+        let time = UnixMillis(end + i64::try_from(millis).expect("milliseconds"));
+        collector.expire(&terms(window_ms).kept_windows(time));
+        let live = [name("e1"), name("e2"), name("e3"), name("e4")];
+        let view = UsageView {
+            time,
+            rank: Some(1),
+            live: &live,
+        };
+        duty.next_step(&view, collector, at(start, millis))
+    };
+    assert_eq!(step_after(&mut duty, &mut collector, 8000), UsageStep::Idle);
+    let step = step_after(&mut duty, &mut collector, 8600);
+    let UsageStep::Write { row, .. } = step else {
+        panic!("{step:?}");
+    };
+    let windows: Vec<u64> = row.record.pending.iter().map(|it| it.window.0).collect();
+    assert_eq!(windows, [1000]);
+}
--- a/crates/policy/tests/entry/usage_simulation.rs
+++ b/crates/policy/tests/entry/usage_simulation.rs
@@ -381,7 +381,7 @@
             return;
         }
         instance.handed_in = Some(closed);
-        instance.collector.expire(current);
+        instance.collector.expire(&TERMS.kept_windows(time));
         let count = self.random.random();
         let counts = TeamCounts::from([("team".parse().expect("a name"), count)]);
         instance.collector.add(&HandIn {
