Doubt a server from the time when its entry returns

Cause: the doubt began when the entry went. A response or a connection that worked 200 ms later counted as evidence of the process that runs now, though the process may have ended after it, unseen, as nobody watches a server without an entry. Requests in progress when the entry goes are the usual case. The doubt then ended at the next check, or when the old connection had been open for longer than servers are cold.

The doubt now begins when the entry returns, so only a connection which works after that ends it.

--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -225,11 +225,13 @@
     }
 
     /// Records that a server whose entry returns may have started again without one, in
-    /// which time no instance watched it.
+    /// which time no instance watched it. A connection that worked in that time does not
+    /// show which process runs now.
     pub(crate) fn suspect_after_absence(&self, id: &ServerId) {
-        let absent = self.servers.borrow().without_entry(id, self.now());
-        if let Some((server, since)) = absent
-            && self.suspect(&server, since)
+        let now = self.now();
+        let absent = self.servers.borrow().without_entry(id, now);
+        if let Some(server) = absent
+            && self.suspect(&server, now)
         {
             self.log.event(
                 "restart_suspected",
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -519,15 +519,11 @@
         self.rebuild_service_index();
     }
 
-    /// A server that has been without an entry, and since when.
-    pub(crate) fn without_entry(
-        &self,
-        id: &ServerId,
-        now: Instant,
-    ) -> Option<(Rc<Server>, Instant)> {
+    /// A server that is without an entry.
+    pub(crate) fn without_entry(&self, id: &ServerId, now: Instant) -> Option<Rc<Server>> {
         let server = self.servers.get(id).or_else(|| self.absent.get(id))?;
-        let removed_at = server.removed_at.get().filter(|at| *at <= now)?;
-        Some((Rc::clone(server), removed_at))
+        let is_gone = server.removed_at.get().is_some_and(|at| at <= now);
+        is_gone.then(|| Rc::clone(server))
     }
 
     fn rebuild_service_index(&mut self) {
