Report the second end of a server that is still in doubt

A server that crashed twice while its entry could not be read got 26 requests in a second, 9.5 allowed, from an instance that sent it nothing in between.

Cause: an instance reports that a process ended once for each doubt. While the entry is not read, the doubt lasts until a process has run for longer than servers are cold. When that process ended shortly before, the instances that saw it did not report it, as the report of the first end was still marked as made. The others took the next process for the one that they had seen, and at the end of its cold time for warm.

A sign of an end that comes after a process was seen running is now reported again. Further signs of the same end are not, nor is an end that another instance has reported: these are not new to the tracker.

--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -177,6 +177,10 @@
         }
         let now = self.now();
         let is_new = self.suspect(server, now);
+        if is_new {
+            // A process that was seen since the last report has ended too.
+            server.restart.is_end_reported.set(false);
+        }
         let is_reported = is_refused
             && server.restart.tracker.borrow().is_in_doubt()
             && !self.reach.borrow().is_partitioned()
