Follow entries of removed servers that are written after a restore

An instance that had once seen a restore of the table ignored, for up to a minute, the entry of a server whose earlier entry was removed and that wrote one with an earlier start or the same order: callers did not get its capacity. let rows through that are written when the time for writing lost rows again is over, but only where the earlier row is still there. A server that crashed and started again with its clock set back has usually lost it.

The same condition now holds for rows that were removed. Rows that the restored table itself has are not later than what was read, and stay held.

Found by reading.

--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -336,7 +336,7 @@
             return false;
         };
         match rules.compare_age(key, value, known) {
-            Some(order) if !tombstone.was_lost => order != Ordering::Greater,
+            Some(order) if !tombstone.was_lost => order != Ordering::Greater && !is_new,
             _ => is_unsettled,
         }
     }
--- a/crates/edge/src/tests/restore.rs
+++ b/crates/edge/src/tests/restore.rs
@@ -315,6 +315,32 @@
     }
 }
 
+/// Reads the row `k0`, all rows or a change. Returns the value that the copy has then.
+fn read_row(
+    mirror: &mut TableMirror,
+    now: Instant,
+    era: &str,
+    (version, value): (u64, Option<u8>),
+    complete: bool,
+) -> Option<u8> {
+    let row = TableRow {
+        key: "k0".to_owned(),
+        version,
+        value: value.map(|value| vec![value]),
+    };
+    let batch = TableBatch {
+        rows: vec![row],
+        upto: version,
+        complete,
+        age: Duration::ZERO,
+        service_time: None,
+        era: Some(era.parse().expect("a number")),
+        is_copy: false,
+    };
+    mirror.apply(batch, now, now, &RisingRows);
+    mirror.value("k0").map(|value| value[0])
+}
+
 /// Guards against entries of a server whose clock was set back that are ignored for good
 /// because the table was restored some time before.
 #[parameterized(
@@ -327,28 +353,33 @@
 ) {
     let mut now = Instant::now();
     let mut mirror = TableMirror::default();
-    let mut read = |now, era: &str, version, value, complete| {
-        let row = TableRow {
-            key: "k0".to_owned(),
-            version,
-            value: Some(vec![value]),
-        };
-        let batch = TableBatch {
-            rows: vec![row],
-            upto: version,
-            complete,
-            age: Duration::ZERO,
-            service_time: None,
-            era: Some(era.parse().expect("a number")),
-            is_copy: false,
-        };
-        mirror.apply(batch, now, now, &RisingRows);
-        mirror.value("k0").map(|value| value[0])
-    };
-    assert_eq!(read(now, "0", 7, 9, true), Some(9));
+    let mut read = |now, era, row, complete| read_row(&mut mirror, now, era, row, complete);
+    assert_eq!(read(now, "0", (7, Some(9)), true), Some(9));
     // The restored table has an older value, which is not the known one also later.
-    assert_eq!(read(now, "1", 5, 8, true), Some(9));
+    assert_eq!(read(now, "1", (5, Some(8)), true), Some(9));
+    now += delay;
+    assert_eq!(read(now, "1", (5, Some(8)), true), Some(9));
+    assert_eq!(read(now, "1", (6, Some(3)), false), Some(expected));
+}
+
+/// Guards against entries that are ignored for a minute because the server had another one
+/// before, which was removed, and the table was restored some time ago.
+#[parameterized(
+    written_after_the_grace = { REWRITE_GRACE, Some(3) },
+    written_in_the_grace = { Duration::from_secs(1), None },
+)]
+fn removed_row_with_an_earlier_value_is_followed_when_it_is_written_after_a_restore(
+    delay: Duration,
+    expected: Option<u8>,
+) {
+    let mut now = Instant::now();
+    let mut mirror = TableMirror::default();
+    let mut read = |now, era, row, complete| read_row(&mut mirror, now, era, row, complete);
+    assert_eq!(read(now, "0", (7, Some(9)), true), Some(9));
+    assert_eq!(read(now, "0", (8, None), false), None);
+    // The restored table has the row that was removed, also when all rows are read again.
+    assert_eq!(read(now, "1", (5, Some(8)), true), None);
     now += delay;
-    assert_eq!(read(now, "1", 5, 8, true), Some(9));
-    assert_eq!(read(now, "1", 6, 3, false), Some(expected));
+    assert_eq!(read(now, "1", (5, Some(8)), true), None);
+    assert_eq!(read(now, "1", (6, Some(3)), false), expected);
 }
