--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -24,7 +24,7 @@
 use crate::http::client::ServerConnection;
 use crate::instance::Instance;
 use crate::metrics::DoubtLabel;
-use crate::mirror::TableMirror;
+use crate::mirror::{REWRITE_GRACE, TableMirror};
 use crate::peers::decode_section;
 use crate::servers::Server;
 use crate::table::TableKind;
@@ -301,10 +301,12 @@
 
     fn settle_doubts(&self, doubted: &[Rc<Server>]) {
         let now = self.now();
+        let read_at = self.servers_read_at();
         for server in doubted {
             let cold_period = self.cold_period(server);
+            let read_at = read_at.filter(|_| !self.is_entry_held(server));
             let mut tracker = server.restart.tracker.borrow_mut();
-            if tracker.settle(cold_period, now) {
+            if tracker.settle(read_at, cold_period, now) {
                 let mut servers = self.servers.borrow_mut();
                 servers.take_back_ended(server);
                 server.restart.is_end_reported.set(false);
@@ -315,6 +317,33 @@
         }
     }
 
+    /// Whether the known entry of a server is kept instead of one in a restored table.
+    fn is_entry_held(&self, server: &Server) -> bool {
+        let mirrors = self.mirrors.borrow();
+        let Some(mirror) = mirrors.get(&TableKind::Servers) else {
+            return false;
+        };
+        let id = server.id();
+        mirror
+            .held()
+            .any(|key| self.adapter.server_id(key).as_ref() == Some(&id))
+    }
+
+    /// The time up to which the copy of the servers' entries contains all changes; `None`
+    /// while servers may not have written again what the table service lost or did not
+    /// accept.
+    fn servers_read_at(&self) -> Option<Instant> {
+        let (now, proof_now) = (self.now(), self.proof_now());
+        let recovered_at = self.table_recovered_at.get();
+        let restored_at = self.restored_at(TableKind::Servers);
+        if recovered_at.is_some_and(|at| now < at + REWRITE_GRACE)
+            || restored_at.is_some_and(|at| proof_now < at + REWRITE_GRACE)
+        {
+            return None;
+        }
+        self.servers_copied_at()
+    }
+
     /// The time up to which the copy of the servers' entries contains all changes of the
     /// table service. A time in which the machine was suspended makes it seem older than it
     /// is.
