--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,6 +2,8 @@
 //! of tables over TCP.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::error::Error;
+use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -466,6 +468,14 @@
         result.ok()
     }
 
+    /// Logs that a part of another instance's digest cannot be decoded.
+    pub(crate) fn log_ignored_extension(&self, sender: &dyn Display, error: &dyn Error) {
+        self.log.event(
+            "digest_extension_ignored",
+            json!({"sender": sender.to_string(), "reason": error.to_string()}),
+        );
+    }
+
     /// The number of the next digest. Kept when the task that sends digests is started
     /// again: receivers ignore digests with a number that they know.
     fn next_digest_number(&self) -> u64 {
@@ -605,10 +615,7 @@
             let digest = match decode_digest(&bytes) {
                 Ok((digest, None)) => digest,
                 Ok((digest, Some(error))) => {
-                    self.log.event(
-                        "digest_extension_ignored",
-                        json!({"sender": sender.to_string(), "reason": error.to_string()}),
-                    );
+                    self.log_ignored_extension(&sender, &error);
                     digest
                 }
                 Err(error) => {
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -1,7 +1,7 @@
 //! Servers that may have started again since their entry was read: the signs of it, and
 //! what ends the doubt.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -202,12 +202,7 @@
     /// Records that the other instances report that they cannot reach a server, so that its
     /// process may have ended.
     pub(crate) fn suspect_unreachable(&self, server: &Server) {
-        if self.suspect(server, self.now()) {
-            self.log.event(
-                "restart_suspected",
-                json!({"server": server.id().as_str(), "reason": "unreachable for others"}),
-            );
-        }
+        self.suspect_because(server, "unreachable for others");
     }
 
     /// Has a server probed that left a request from `started` without a response until now,
@@ -232,14 +227,18 @@
     /// which time no instance watched it. A connection that worked in that time does not
     /// show which process runs now.
     pub(crate) fn suspect_after_absence(&self, id: &ServerId) {
-        let now = self.now();
-        let absent = self.servers.borrow().without_entry(id, now);
-        if let Some(server) = absent
-            && self.suspect(&server, now)
-        {
+        let absent = self.servers.borrow().without_entry(id, self.now());
+        if let Some(server) = absent {
+            self.suspect_because(&server, "the entry was gone");
+        }
+    }
+
+    /// Records and logs a sign that the process of a server may have ended.
+    fn suspect_because(&self, server: &Server, reason: &str) {
+        if self.suspect(server, self.now()) {
             self.log.event(
                 "restart_suspected",
-                json!({"server": id.as_str(), "reason": "the entry was gone"}),
+                json!({"server": server.id().as_str(), "reason": reason}),
             );
         }
     }
@@ -300,11 +299,15 @@
     }
 
     fn settle_doubts(&self, doubted: &[Rc<Server>]) {
+        if doubted.is_empty() {
+            return;
+        }
         let now = self.now();
         let read_at = self.servers_read_at();
+        let held = self.held_servers();
         for server in doubted {
             let cold_period = self.cold_period(server);
-            let read_at = read_at.filter(|_| !self.is_entry_held(server));
+            let read_at = read_at.filter(|_| !held.contains(&server.id()));
             let mut tracker = server.restart.tracker.borrow_mut();
             if tracker.settle(read_at, cold_period, now) {
                 let mut servers = self.servers.borrow_mut();
@@ -317,16 +320,15 @@
         }
     }
 
-    /// Whether the known entry of a server is kept instead of one in a restored table.
-    fn is_entry_held(&self, server: &Server) -> bool {
+    /// The servers whose known entry is kept instead of one in a restored table.
+    fn held_servers(&self) -> BTreeSet<ServerId> {
         let mirrors = self.mirrors.borrow();
-        let Some(mirror) = mirrors.get(&TableKind::Servers) else {
-            return false;
-        };
-        let id = server.id();
+        let mirror = mirrors.get(&TableKind::Servers);
         mirror
-            .held()
-            .any(|key| self.adapter.server_id(key).as_ref() == Some(&id))
+            .into_iter()
+            .flat_map(TableMirror::held)
+            .filter_map(|key| self.adapter.server_id(key))
+            .collect()
     }
 
     /// The time up to which the copy of the servers' entries contains all changes; `None`
@@ -399,19 +401,14 @@
 
     /// Decides which servers this instance watches, and starts to watch them.
     fn update_watches(self: &Rc<Self>) {
-        self.has_new_servers.set(false);
         let watchers = {
             let peers = self.peers.borrow();
             WatcherView::new(peers.own(), peers.ready(self.now()))
         };
-        let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
-        for server in servers {
-            let is_to_watch = self.is_to_watch(&server, &watchers);
-            server.restart.is_to_watch.set(is_to_watch);
-            if is_to_watch {
-                self.watch(server);
-            }
+        for server in self.servers.borrow().all() {
+            server.restart.is_to_watch.set(false);
         }
+        self.start_watches(&watchers);
     }
 
     /// Starts to watch servers that are new here, if this instance is to do so whichever
@@ -424,27 +421,27 @@
             }
             WatcherView::new(peers.own(), peers.known_instances())
         };
-        self.has_new_servers.set(false);
-        let servers: Vec<Rc<Server>> = self.servers.borrow().all().cloned().collect();
-        for server in servers {
-            if self.is_to_watch(&server, &watchers) {
-                server.restart.is_to_watch.set(true);
-                self.watch(server);
-            }
-        }
+        self.start_watches(&watchers);
     }
 
-    fn is_to_watch(&self, server: &Server, watchers: &WatcherView) -> bool {
-        server.is_available(self.now())
-            && !self.cold_period(server).is_zero()
-            && watchers.own_watches(server)
-    }
-
-    fn watch(self: &Rc<Self>, server: Rc<Server>) {
-        if !server.restart.is_watched.get() {
-            let guard = WatchGuard::new(server);
-            let watch = Rc::clone(self).watch_server(guard);
-            actix_rt::spawn(watch);
+    /// Watches the servers that are this instance's to watch among `watchers`, with those
+    /// that it watches already.
+    fn start_watches(self: &Rc<Self>, watchers: &WatcherView) {
+        self.has_new_servers.set(false);
+        let now = self.now();
+        for server in self.servers.borrow().all() {
+            let is_to_watch = server.is_available(now)
+                && !self.cold_period(server).is_zero()
+                && watchers.own_watches(server);
+            if !is_to_watch {
+                continue;
+            }
+            server.restart.is_to_watch.set(true);
+            if !server.restart.is_watched.get() {
+                let guard = WatchGuard::new(Rc::clone(server));
+                let watch = Rc::clone(self).watch_server(guard);
+                actix_rt::spawn(watch);
+            }
         }
     }
 
@@ -500,15 +497,12 @@
 
     /// Records the servers whose process another instance reports as ended.
     pub(crate) fn receive_ended(&self, digest: &InstanceDigest, now: Instant) {
-        let reporter = digest.record.name.as_str();
+        let reporter = &digest.record.name;
         let section = match decode_section::<EndedSection>(digest, SectionTag::ENDED_SERVERS) {
             None => return,
             Some(Ok(section)) => section,
             Some(Err(error)) => {
-                self.log.event(
-                    "digest_extension_ignored",
-                    json!({"sender": reporter, "reason": error.to_string()}),
-                );
+                self.log_ignored_extension(reporter, &error);
                 return;
             }
         };
@@ -527,7 +521,7 @@
             server.restart.is_end_reported.set(true);
             self.log.event(
                 "restart_suspected",
-                json!({"server": server.id().as_str(), "reporter": reporter}),
+                json!({"server": server.id().as_str(), "reporter": reporter.as_str()}),
             );
             // The delegate passes the report on to the other data centres at once.
             if self.peers.borrow().is_delegate(now) {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -315,7 +315,8 @@
             self.servers.insert(entry.id.clone(), server);
             self.rebuild_service_index();
         }
-        if let Some(server) = self.servers.get(&entry.id) {
+        let earlier = self.servers.get(&entry.id).cloned();
+        if let Some(server) = &earlier {
             let known = server.entry.borrow().clone();
             let same_place = known.address == entry.address && known.service == entry.service;
             // A late write of a process that has ended, or a server whose clock was set
@@ -349,7 +350,6 @@
                 in_progress: server.health.borrow().in_progress(),
             });
         }
-        let earlier = self.servers.get(&entry.id).cloned();
         let mut server = Server::new(entry, region, read_at, now);
         if let Some(earlier) = earlier {
             let tracker = earlier.restart.tracker.borrow();
--- a/crates/edge/src/team_limits.rs
+++ b/crates/edge/src/team_limits.rs
@@ -24,7 +24,7 @@
 use tokio::sync::oneshot;
 
 use crate::instance::Instance;
-use crate::peers::{PeerMessage, decode_section, encode};
+use crate::peers::{PeerMessage, decode_section};
 
 /// Timeout for a response of the quota holder. A machine that has used up its
 /// processor time may be suspended for the rest of a tenth of a second.
@@ -247,14 +247,7 @@
             shares.publish(sequence, holder, demands, &rates, proof_now)
         };
         self.log_shares();
-        match encode(&section) {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                self.log
-                    .event("digest_not_sent", json!({"reason": error.to_string()}));
-                None
-            }
-        }
+        self.encode_section(&section)
     }
 
     /// Applies the section on shares of a new digest of another instance.
@@ -264,11 +257,7 @@
             Some(Ok(section)) => Some(section),
             Some(Err(_)) if is_abridged(digest) => Some(ShareSection::default()),
             Some(Err(error)) => {
-                let sender = digest.record.name.as_str();
-                self.log.event(
-                    "digest_extension_ignored",
-                    json!({"sender": sender, "reason": error.to_string()}),
-                );
+                self.log_ignored_extension(&digest.record.name, &error);
                 None
             }
         };
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -237,7 +237,7 @@
     pub(crate) fn encode_usage_section(&self) -> Option<Vec<u8>> {
         let usage = self.usage.get()?;
         let section = usage.duty.borrow().section(self.proof_now())?;
-        encode(&section).ok()
+        self.encode_section(&section)
     }
 
     /// Learns from the digests who holds the duty.
