--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -35,6 +35,14 @@
     start + Duration::from_millis(millis)
 }
 
+/// A set with the server in its first start.
+fn set_with_server(start: Instant) -> (ServerSet, Rc<Server>) {
+    let mut servers = ServerSet::default();
+    servers.update(warm_entry(1, 80), None, start, start);
+    let server = Rc::clone(servers.get(&server_id()).expect("a server"));
+    (servers, server)
+}
+
 fn record_end(server: &Server, at: Instant) {
     server.restart.tracker.borrow_mut().record_end(at);
 }
@@ -44,9 +52,7 @@
 #[test]
 fn entry_from_before_an_end_does_not_make_a_server_warm() {
     let start = Instant::now();
-    let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    let (mut servers, earlier) = set_with_server(start);
     record_end(&earlier, at(start, 1000));
 
     servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
@@ -65,9 +71,7 @@
 #[test]
 fn end_at_an_earlier_address_does_not_concern_the_later_one() {
     let start = Instant::now();
-    let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    let (mut servers, earlier) = set_with_server(start);
     record_end(&earlier, at(start, 1000));
 
     servers.update(warm_entry(2, 81), None, at(start, 900), at(start, 1800));
@@ -80,9 +84,7 @@
 #[test]
 fn end_is_reported_after_the_next_process_is_known() {
     let start = Instant::now();
-    let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    let (mut servers, earlier) = set_with_server(start);
     servers.record_ended(&earlier, at(start, 1000));
     servers.update(warm_entry(2, 80), None, at(start, 900), at(start, 1800));
     let later = Rc::clone(servers.get(&server_id()).expect("a server"));
@@ -115,9 +117,7 @@
 #[parameterized(short = { 2000 }, long = { 20_000 })]
 fn pause_lasts_while_the_entry_is_gone(absence: u64) {
     let start = Instant::now();
-    let mut servers = ServerSet::default();
-    servers.update(warm_entry(1, 80), None, start, start);
-    let earlier = Rc::clone(servers.get(&server_id()).expect("a server"));
+    let (mut servers, earlier) = set_with_server(start);
     let pause = "60".parse().expect("a number");
     let mut gate = earlier.gate.borrow_mut();
     gate.record_pause(pause, Duration::ZERO, start);
