Ask processes in doubt whether they are cold

Cause: whether the process that runs is cold was inferred from the entries. A doubt ended when a copy from 250 ms after a connection was opened held no later start, but an entry may be written late (lossy link) or be lost in an outage that an instance does not notice. Its absence proves nothing.

A health response names the time for which its process is cold. So an instance that is in doubt, or whose request got no response, asks the process: a doubt ends when it says that it is not cold, or when one connection has shown a process that runs for longer than servers are cold. A process that says that it is cold counts as cold for that time, whatever its entry says. If new connections are refused, an open one is asked. The time of the copy, held entries and the grace after an outage are no longer needed for this.

--- a/crates/edge/src/adapter.rs
+++ b/crates/edge/src/adapter.rs
@@ -37,6 +37,11 @@
     pub not_run: &'static str,
     /// Set to 1 by a backend server that is leaving.
     pub leaving: &'static str,
+    /// The id of the backend server, in its health responses.
+    pub server_id: &'static str,
+    /// The milliseconds for which a backend server is still cold, in its health responses
+    /// and only while it is.
+    pub cold_left_ms: &'static str,
 }
 
 /// The path and query parameters of a lookup.
--- /dev/null
+++ b/crates/edge/src/cold_answers.rs
@@ -0,0 +1,116 @@
+//! Asks the processes of servers how long they are cold.
+//!
+//! A process that started again says so in its health responses from its first moment on,
+//! before its entry can be read.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tarragonpulley_policy::entry::config::HealthPath;
+
+use crate::http::client::{ExchangeProgress, RequestBytes, ServerConnection, ServerResponse};
+use crate::http::message::HeaderLookup;
+use crate::instance::Instance;
+use crate::servers::Server;
+
+/// Timeout of a health response, which waits for a slot of the server like any other.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a server's process said about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ColdAnswer {
+    Warm,
+    /// For how long it is still cold.
+    Cold(Duration),
+}
+
+impl Instance {
+    /// Asks the process at the other end of a connection whether it is cold. The
+    /// connection is used again if it still can be.
+    pub(crate) async fn ask_process(&self, server: &Server, mut connection: ServerConnection) {
+        let Some(path) = self.health_path(server) else {
+            server.return_connection(connection);
+            return;
+        };
+        self.metrics.health_requests.inc();
+        let address = server.entry.borrow().address;
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        let request = RequestBytes {
+            head: head.as_bytes(),
+            body: &[],
+        };
+        let progress = ExchangeProgress::default();
+        let asked_at = self.now();
+        let exchange = connection.exchange("GET", request, None, &progress, &self.response_budget);
+        let result = match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
+            Ok(Ok(response)) => self.cold_answer(server, &response),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(elapsed) => Err(elapsed.to_string()),
+        };
+        match result {
+            Ok(answer) => {
+                self.record_running(server, &connection);
+                self.record_cold_answer(server, answer, asked_at);
+                server.return_connection(connection);
+            }
+            Err(reason) => self.log.event(
+                "cold_unknown",
+                json!({"server": server.id().as_str(), "reason": reason}),
+            ),
+        }
+    }
+
+    /// Where servers of the same service can be asked.
+    pub(crate) fn health_path(&self, server: &Server) -> Option<HealthPath> {
+        let config = self.config.borrow();
+        let services = &config.as_ref()?.services;
+        services
+            .get(&server.entry.borrow().service)?
+            .health_path
+            .clone()
+    }
+
+    /// Reads a health response. A failing server or one that is leaving reports another
+    /// status, and a busy one may reject the request.
+    fn cold_answer(
+        &self,
+        server: &Server,
+        response: &ServerResponse,
+    ) -> Result<ColdAnswer, String> {
+        let names = self.adapter.headers();
+        let head = &response.head;
+        let responder = head.text(names.server_id);
+        if responder != Some(server.id().as_str()) {
+            return Err(format!("status {} from {responder:?}", head.status));
+        }
+        match head.text(names.cold_left_ms).map(str::parse::<u32>) {
+            Some(Ok(0)) => Ok(ColdAnswer::Warm),
+            Some(Ok(left)) => Ok(ColdAnswer::Cold(Duration::from_millis(left.into()))),
+            Some(Err(error)) => Err(format!("cold time: {error}")),
+            None if head.status == 200 => Ok(ColdAnswer::Warm),
+            None => Err(format!("status {}", head.status)),
+        }
+    }
+
+    fn record_cold_answer(&self, server: &Server, answer: ColdAnswer, asked_at: Instant) {
+        let is_cold = answer != ColdAnswer::Warm;
+        let has_ended = {
+            let mut tracker = server.restart.tracker.borrow_mut();
+            tracker.record_answer(asked_at, is_cold)
+        };
+        if has_ended {
+            self.rule_out_restart(server);
+        }
+        let ColdAnswer::Cold(left) = answer else {
+            return;
+        };
+        let now = self.now();
+        let is_new = server.extend_cold(now + left, now);
+        if is_new {
+            self.log.event(
+                "server_cold",
+                json!({"server": server.id().as_str(), "cold_left_ms": left.as_millis()}),
+            );
+        }
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod adapter;
 mod clock;
+mod cold_answers;
 mod crashes;
 mod events;
 mod follow;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -69,6 +69,7 @@
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) restart_doubts: Family<DoubtLabel, Counter>,
+    pub(crate) health_requests: Counter,
     pub(crate) retries: Counter,
     pub(crate) table_calls: Counter,
     pub(crate) table_failures: Counter,
@@ -151,6 +152,7 @@
             latency: Histogram::new(LATENCY_BUCKETS),
             connections_opened: Counter::default(),
             restart_doubts: Family::default(),
+            health_requests: Counter::default(),
             retries: Counter::default(),
             table_calls: Counter::default(),
             table_failures: Counter::default(),
@@ -214,6 +216,11 @@
             "Servers that may have started again, by whether that was suspected, known or ruled out",
             metrics.restart_doubts.clone(),
         );
+        registry.register(
+            "health_requests",
+            "Servers asked whether they are cold",
+            metrics.health_requests.clone(),
+        );
         registry.register(
             "repeats",
             "Requests sent to a second server",
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -1,13 +1,12 @@
 //! Servers that may have started again since their entry was read: the signs of it, and
 //! what ends the doubt.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -24,7 +23,7 @@
 use crate::http::client::ServerConnection;
 use crate::instance::Instance;
 use crate::metrics::DoubtLabel;
-use crate::mirror::{REWRITE_GRACE, TableMirror};
+use crate::mirror::TableMirror;
 use crate::peers::decode_section;
 use crate::servers::Server;
 use crate::table::TableKind;
@@ -47,7 +46,7 @@
 /// The shortest time between two digests that are sent for reports of ended processes.
 const END_REPORT_GAP: Duration = Duration::from_millis(100);
 
-/// The maximum number of servers that are probed at a time.
+/// The maximum number of servers of which a check begins to probe.
 const MAX_PROBES: usize = 16;
 
 /// The age of a report in digests, in milliseconds.
@@ -140,6 +139,26 @@
     }
 }
 
+/// Marks a server as being asked whether it is cold, until dropped.
+#[derive(Debug)]
+struct AskGuard {
+    server: Rc<Server>,
+}
+
+impl AskGuard {
+    fn new(server: Rc<Server>) -> Self {
+        server.restart.needs_probe.set(false);
+        server.restart.is_asked.set(true);
+        Self { server }
+    }
+}
+
+impl Drop for AskGuard {
+    fn drop(&mut self) {
+        self.server.restart.is_asked.set(false);
+    }
+}
+
 /// Marks a server as watched until dropped.
 #[derive(Debug)]
 struct WatchGuard {
@@ -288,7 +307,7 @@
             self.settle_doubts(&doubted);
             let is_due = is_requested || check.is_multiple_of(CHECKS_PER_PROBE);
             if is_due && !self.reach.borrow().is_partitioned() {
-                self.probe_processes().await;
+                self.probe_processes();
             }
             if check.is_multiple_of(CHECKS_PER_WATCH) {
                 self.update_watches();
@@ -303,47 +322,24 @@
             return;
         }
         let now = self.now();
-        let read_at = self.servers_read_at();
-        let held = self.held_servers();
         for server in doubted {
             let cold_period = self.cold_period(server);
-            let read_at = read_at.filter(|_| !held.contains(&server.id()));
             let mut tracker = server.restart.tracker.borrow_mut();
-            if tracker.settle(read_at, cold_period, now) {
-                let mut servers = self.servers.borrow_mut();
-                servers.take_back_ended(server);
-                server.restart.is_end_reported.set(false);
-                self.count_doubt("ruled_out");
-                self.log
-                    .event("restart_ruled_out", json!({"server": server.id().as_str()}));
+            let has_ended = tracker.settle(cold_period, now);
+            drop(tracker);
+            if has_ended {
+                self.rule_out_restart(server);
             }
         }
     }
 
-    /// The servers whose known entry is kept instead of one in a restored table.
-    fn held_servers(&self) -> BTreeSet<ServerId> {
-        let mirrors = self.mirrors.borrow();
-        let mirror = mirrors.get(&TableKind::Servers);
-        mirror
-            .into_iter()
-            .flat_map(TableMirror::held)
-            .filter_map(|key| self.adapter.server_id(key))
-            .collect()
-    }
-
-    /// The time up to which the copy of the servers' entries contains all changes; `None`
-    /// while servers may not have written again what the table service lost or did not
-    /// accept.
-    fn servers_read_at(&self) -> Option<Instant> {
-        let (now, proof_now) = (self.now(), self.proof_now());
-        let recovered_at = self.table_recovered_at.get();
-        let restored_at = self.restored_at(TableKind::Servers);
-        if recovered_at.is_some_and(|at| now < at + REWRITE_GRACE)
-            || restored_at.is_some_and(|at| proof_now < at + REWRITE_GRACE)
-        {
-            return None;
-        }
-        self.servers_copied_at()
+    /// Records that a server is no longer in doubt, as its process is not cold.
+    pub(crate) fn rule_out_restart(&self, server: &Server) {
+        self.servers.borrow_mut().take_back_ended(server);
+        server.restart.is_end_reported.set(false);
+        self.count_doubt("ruled_out");
+        self.log
+            .event("restart_ruled_out", json!({"server": server.id().as_str()}));
     }
 
     /// The time up to which the copy of the servers' entries contains all changes of the
@@ -358,45 +354,57 @@
         self.now().checked_sub(age)
     }
 
-    /// Opens connections to servers whose process may have ended, to a part of them at
-    /// random if there are many.
-    async fn probe_processes(&self) {
+    /// Probes servers whose process may have ended, a part of them at random if there are
+    /// many.
+    fn probe_processes(self: &Rc<Self>) {
         let now = self.now();
         let needs_probe = |server: &&Rc<Server>| {
-            server.is_available(now)
-                && (server.restart.needs_probe.get()
-                    || server.restart.tracker.borrow().needs_probe())
+            server.is_available(now) && !server.restart.is_asked.get() && self.needs_probe(server)
         };
         let mut targets: Vec<Rc<Server>> = {
             let servers = self.servers.borrow();
             servers.all().filter(needs_probe).cloned().collect()
         };
         targets.shuffle(&mut rand::rng());
-        let probes = targets.iter().take(MAX_PROBES);
-        join_all(probes.map(|server| self.probe_process(server))).await;
+        for server in targets.into_iter().take(MAX_PROBES) {
+            let probe = Rc::clone(self).probe_process(AskGuard::new(server));
+            actix_rt::spawn(probe);
+        }
     }
 
-    async fn probe_process(&self, server: &Server) {
-        server.restart.needs_probe.set(false);
-        if let Some(connection) = self.open_to_process(server).await {
-            server.return_connection(connection);
+    fn needs_probe(&self, server: &Server) -> bool {
+        let tracker = server.restart.tracker.borrow();
+        server.restart.needs_probe.get()
+            || tracker.needs_probe()
+            || tracker.needs_answer() && self.health_path(server).is_some()
+    }
+
+    /// Asks a server's process whether it is cold. A server may refuse new connections
+    /// while open ones work.
+    async fn probe_process(self: Rc<Self>, guard: AskGuard) {
+        let server = &guard.server;
+        let connection = match self.open_to_process(server).await {
+            Ok(connection) => Some(connection),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                server.take_connection(Duration::MAX, "")
+            }
+            Err(_silent) => None,
+        };
+        if let Some(connection) = connection {
+            self.ask_process(server, connection).await;
         }
     }
 
     /// Opens a connection to learn whether the server's process runs.
-    async fn open_to_process(&self, server: &Server) -> Option<ServerConnection> {
+    async fn open_to_process(&self, server: &Server) -> io::Result<ServerConnection> {
         let address = server.entry.borrow().address;
         self.metrics.connections_opened.inc();
-        match ServerConnection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => {
-                self.record_running(server, &connection);
-                Some(connection)
-            }
-            Err(error) => {
-                self.suspect_restart(server, &error);
-                None
-            }
+        let result = ServerConnection::open(address, CONNECT_TIMEOUT).await;
+        match &result {
+            Ok(connection) => self.record_running(server, connection),
+            Err(error) => self.suspect_restart(server, error),
         }
+        result
     }
 
     /// Decides which servers this instance watches, and starts to watch them.
@@ -457,7 +465,7 @@
         while is_to_watch() {
             let opened = self.now();
             if !self.reach.borrow().is_partitioned()
-                && let Some(connection) = self.open_to_process(server).await
+                && let Ok(connection) = self.open_to_process(server).await
             {
                 let closed = connection.closed();
                 let mut closed = pin!(closed);
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -79,6 +79,8 @@
     pub(crate) is_to_watch: Cell<bool>,
     /// Whether a task of this instance does so.
     pub(crate) is_watched: Cell<bool>,
+    /// Whether this instance is asking the server whether it is cold.
+    pub(crate) is_asked: Cell<bool>,
 }
 
 /// One backend server from its start on; a restarted server is a new value.
@@ -141,6 +143,14 @@
             || self.restart.tracker.borrow().is_in_doubt()
     }
 
+    /// Records that the server is cold until a time. A shorter time does not end a longer
+    /// one. Returns whether the server was not known to be cold.
+    pub(crate) fn extend_cold(&self, until: Instant, now: Instant) -> bool {
+        let known = self.cold_until.get().filter(|known| now < *known);
+        self.cold_until.set(known.max(Some(until)));
+        known.is_none()
+    }
+
     /// Whether new requests may be sent to the server.
     pub(crate) fn is_available(&self, now: Instant) -> bool {
         !self.entry.borrow().draining
--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -61,9 +61,9 @@
 
     let mut tracker = server.restart.tracker.borrow_mut();
     tracker.record_running(at(start, 2000), at(start, 2000));
-    tracker.settle(Some(at(start, 900)), COLD_PERIOD, at(start, 2100));
-    assert!(tracker.is_in_doubt(), "the copy is older than the process");
-    tracker.settle(Some(at(start, 2300)), COLD_PERIOD, at(start, 2400));
+    tracker.settle(COLD_PERIOD, at(start, 4900));
+    assert!(tracker.is_in_doubt(), "the process may still be cold");
+    tracker.settle(COLD_PERIOD, at(start, 5000));
     assert!(!tracker.is_in_doubt());
 }
 
--- a/crates/policy/src/entry/config.rs
+++ b/crates/policy/src/entry/config.rs
@@ -118,9 +118,58 @@
     pub reason: String,
 }
 
+/// The maximum length of the path at which servers report their state, in bytes.
+pub const MAX_HEALTH_PATH_BYTES: usize = 1024;
+
+/// The error for text that is not the path of a request.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is not a path of 1 to {MAX_HEALTH_PATH_BYTES} visible characters")]
+pub struct HealthPathError {
+    /// The text.
+    pub text: String,
+}
+
+/// The path at which a service's servers report their state. It can be written into the
+/// first line of a request as it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthPath(Rc<str>);
+
+impl HealthPath {
+    /// The path as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for HealthPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for HealthPath {
+    type Err = HealthPathError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_path = text.starts_with('/')
+            && text.len() <= MAX_HEALTH_PATH_BYTES
+            && text.bytes().all(|byte| byte.is_ascii_graphic());
+        if is_path {
+            Ok(Self(text.into()))
+        } else {
+            Err(HealthPathError {
+                text: text.to_owned(),
+            })
+        }
+    }
+}
+
 /// Properties of the backend servers of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceRule {
+    /// Where servers report their state; `None` if they cannot be asked.
+    pub health_path: Option<HealthPath>,
     /// How long a server counts as cold after its start.
     pub cold_period: Duration,
     /// The requests per second that a cold server can take from all instances
--- a/crates/policy/src/entry/restart.rs
+++ b/crates/policy/src/entry/restart.rs
@@ -2,10 +2,11 @@
 //!
 //! A server that starts again under its id is cold, but its entry says so only when it is
 //! read, up to the interval of the reads later. That its process ended is known before, as
-//! it refuses connections. From then on the server counts as cold, until a read of the
-//! entries shows that the process which runs now is the known one: a process writes its
-//! entry when it starts, so a read from after a connection to it was opened contains that
-//! entry. No clocks of different machines are compared.
+//! it refuses connections. From then on the server counts as cold, until its process says
+//! that it is not, or one connection has shown a process that runs for longer than servers
+//! are cold. A copy of the entries without a later start proves nothing: on a lossy link,
+//! or after an outage of the table service, the entry of a process is written late. No
+//! clocks of different machines are compared.
 //!
 //! A server without requests could be down for a moment without any instance trying to
 //! reach it. So a few instances near it keep a connection open, which ends with the
@@ -15,10 +16,6 @@
 
 use super::placement::mix;
 
-/// The time in which a process that accepts connections has written its entry. Servers
-/// write it as they start; the table service may be slow.
-pub const REGISTRATION_DELAY: Duration = Duration::from_millis(250);
-
 /// The time after which a response on a connection from before a sign of an end shows that
 /// the process still runs. Earlier, the response may have been under way.
 pub const EVIDENCE_DELAY: Duration = Duration::from_millis(200);
@@ -88,7 +85,9 @@
     /// The last sign that the process ended, until it turned out to be wrong.
     ended_at: Option<Instant>,
     running: Option<RunningProcess>,
-    /// Until when the process was certainly the known one.
+    /// When a process that answered was last asked whether it is cold.
+    asked_at: Option<Instant>,
+    /// Until when the process was certainly not a later one.
     known_until: Option<Instant>,
 }
 
@@ -127,21 +126,31 @@
         self.is_in_doubt() && self.running_since().is_none()
     }
 
-    /// Ends the doubt if the process that runs now is the known one, or has been running
-    /// for longer than servers are cold. `read_at` is the time up to which the copy of the
-    /// entries contains all changes. Returns whether the doubt has ended.
-    pub fn settle(
-        &mut self,
-        read_at: Option<Instant>,
-        cold_period: Duration,
-        now: Instant,
-    ) -> bool {
+    /// Whether no process has said since the last sign of an end whether it is cold.
+    #[must_use]
+    pub fn needs_answer(&self) -> bool {
+        self.is_in_doubt() && self.asked_at <= self.ended_at
+    }
+
+    /// Records that a process which was asked at `asked_at` said whether it is cold.
+    /// Returns whether the doubt has ended.
+    pub fn record_answer(&mut self, asked_at: Instant, is_cold: bool) -> bool {
+        self.asked_at = self.asked_at.max(Some(asked_at));
+        if is_cold || self.ended_at.is_none_or(|ended_at| asked_at <= ended_at) {
+            return false;
+        }
+        self.ended_at = None;
+        self.known_until = Some(asked_at);
+        true
+    }
+
+    /// Ends the doubt if the process that runs now has been running for longer than servers
+    /// are cold. Returns whether the doubt has ended.
+    pub fn settle(&mut self, cold_period: Duration, now: Instant) -> bool {
         let Some(since) = self.running_since().filter(|_| self.is_in_doubt()) else {
             return false;
         };
-        let is_known = read_at.is_some_and(|read_at| read_at >= since + REGISTRATION_DELAY);
-        let is_warm = now >= since + cold_period;
-        if !is_known && !is_warm {
+        if now < since + cold_period {
             return false;
         }
         self.ended_at = None;
--- a/crates/policy/tests/entry/restart.rs
+++ b/crates/policy/tests/entry/restart.rs
@@ -17,11 +17,15 @@
     End(u64),
     /// A connection opened at the first time works at the second.
     Running(u64, u64),
-    /// At the second time, a read that includes all changes up to the first one is applied.
-    Read(u64, u64),
+    /// It is checked whether the doubt has ended.
+    Check(u64),
+    /// A process that was asked at this time says that it is cold.
+    Cold(u64),
+    /// The same, that it is not.
+    Warm(u64),
 }
 
-use Step::{End, Read, Running};
+use Step::{Check, Cold, End, Running, Warm};
 
 fn at(start: Instant, millis: u64) -> Instant {
     start + Duration::from_millis(millis)
@@ -35,8 +39,14 @@
                 tracker.record_end(at(start, time));
             }
             Running(since, now) => tracker.record_running(at(start, since), at(start, now)),
-            Read(read, now) => {
-                tracker.settle(Some(at(start, read)), COLD_PERIOD, at(start, now));
+            Check(now) => {
+                tracker.settle(COLD_PERIOD, at(start, now));
+            }
+            Cold(asked) => {
+                tracker.record_answer(at(start, asked), true);
+            }
+            Warm(asked) => {
+                tracker.record_answer(at(start, asked), false);
             }
         }
     }
@@ -45,26 +55,48 @@
 
 /// Whether the server is in doubt after these steps.
 #[parameterized(
-    never_in_doubt = { &[Running(0, 100), Read(500, 600)], false },
+    never_in_doubt = { &[Running(0, 100), Check(600)], false },
     ended = { &[End(1000)], true },
-    ended_for_long = { &[End(1000), Read(9000, 9100)], true },
-    read_before_it_ran_again = { &[End(1000), Running(2000, 2000), Read(1900, 2500)], true },
-    read_while_it_may_register = { &[End(1000), Running(2000, 2000), Read(2200, 2600)], true },
-    read_after_it_registered = { &[End(1000), Running(2000, 2000), Read(2300, 2600)], false },
-    earliest_connection_counts = { &[End(1000), Running(2000, 2000), Running(3000, 3000), Read(2300, 3100)], false },
-    cold_for_no_longer = { &[End(1000), Running(2000, 2000), Read(0, 5000)], false },
-    still_cold_without_reads = { &[End(1000), Running(2000, 2000), Read(0, 4900)], true },
-    connection_from_before_works = { &[End(1000), Running(400, 1300), Read(700, 1400)], false },
-    response_from_before_the_end = { &[End(1000), Running(400, 1100), Read(900, 1200)], true },
-    ended_again = { &[End(1000), Running(2000, 2000), End(2500), Read(3000, 3100)], true },
-    late_report_of_the_same_end = { &[End(1000), Running(2000, 2000), Read(2300, 2600), End(1300)], false },
-    new_end_after_a_read = { &[End(1000), Running(2000, 2000), Read(2300, 2600), End(2700)], true },
+    ended_for_long = { &[End(1000), Check(9100)], true },
+    still_cold = { &[End(1000), Running(2000, 2000), Check(4900)], true },
+    cold_for_no_longer = { &[End(1000), Running(2000, 2000), Check(5000)], false },
+    earliest_connection_counts = { &[End(1000), Running(2000, 2000), Running(3000, 3000), Check(5000)], false },
+    connection_from_before_works = { &[End(4000), Running(400, 4300), Check(4400)], false },
+    recent_connection_from_before_works = { &[End(1000), Running(400, 1300), Check(3300)], true },
+    response_from_before_the_end = { &[End(1000), Running(400, 1100), Check(9000)], true },
+    ended_again = { &[End(1000), Running(2000, 2000), End(2500), Check(9000)], true },
+    late_report_of_the_same_end = { &[End(1000), Running(2000, 2000), Check(5000), End(1300)], false },
+    new_end_after_the_doubt = { &[End(1000), Running(2000, 2000), Check(5000), End(5100)], true },
+    says_that_it_is_warm = { &[End(1000), Warm(1100)], false },
+    says_that_it_is_cold = { &[End(1000), Running(1100, 1100), Cold(1100), Check(1200)], true },
+    was_asked_before_the_end = { &[End(1000), Warm(900)], true },
+    earlier_process_answers_late = { &[End(1000), Cold(1100), Warm(900)], true },
+    ended_again_before_it_answered = { &[End(1000), End(1200), Warm(1100)], true },
+    late_report_of_the_same_end_after_an_answer = { &[End(1000), Warm(1100), End(1050)], false },
+    new_end_after_an_answer = { &[End(1000), Warm(1100), End(1150)], true },
 )]
-fn servers_are_in_doubt_until_a_read_shows_the_known_process(steps: &[Step], expected: bool) {
+fn servers_are_in_doubt_until_a_process_says_that_it_is_warm_or_must_be(
+    steps: &[Step],
+    expected: bool,
+) {
     let tracker = tracker_after(steps, Instant::now());
     assert_eq!(tracker.is_in_doubt(), expected);
 }
 
+/// Guards against servers that are asked again and again, or never.
+#[parameterized(
+    never_in_doubt = { &[Running(0, 100)], false },
+    ended = { &[End(1000)], true },
+    only_accepts_connections = { &[End(1000), Running(1100, 1100)], true },
+    has_answered = { &[End(1000), Cold(1100)], false },
+    answered_before_the_end = { &[Cold(900), End(1000)], true },
+    ended_again = { &[End(1000), Cold(1100), End(2000)], true },
+)]
+fn servers_in_doubt_are_asked_until_they_answer(steps: &[Step], expected: bool) {
+    let tracker = tracker_after(steps, Instant::now());
+    assert_eq!(tracker.needs_answer(), expected);
+}
+
 /// Guards against instances that report one end again and again.
 #[parameterized(
     first = { &[], 1000, true },
@@ -72,7 +104,7 @@
     refused_again = { &[End(1000)], 1500, false },
     repeated_report_after_it_ran = { &[End(1000), Running(2000, 2000)], 1100, false },
     ended_after_it_ran = { &[End(1000), Running(2000, 2000)], 2500, true },
-    other_connection_ended_before = { &[End(1000), Running(1500, 1500), Running(2300, 2300), Read(2100, 2400)], 1900, true },
+    other_connection_ended_before = { &[End(1000), Running(1500, 1500), Running(2300, 2300), Check(4500)], 1900, true },
 )]
 fn only_new_ends_are_new(steps: &[Step], at_ms: u64, expected: bool) {
     let start = Instant::now();
