Report servers whose process says that it is cold

Cause: a server that is silent refuses nothing. Only the instance whose own request or connection timed out doubted it, and told nobody, since a timeout may be the network or load; the others read the entry up to 1.4 s later.

A process that says that it is cold leaves no doubt. So the instance that it tells reports it in a section of the digest, at once, unless the end of the server is reported already; the others count the server as cold for that time. Builds that do not know the section skip it. The time is bounded by that for which servers of the service are cold.

--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -1,16 +1,20 @@
 //! Asks the processes of servers how long they are cold.
 //!
 //! A process that started again says so in its health responses from its first moment on,
-//! before its entry can be read.
+//! before its entry can be read. The instance that learns of it tells the others.
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::config::HealthPath;
+use tarragonpulley_policy::entry::digest::{InstanceDigest, SectionTag, ServerKey};
 
 use crate::http::client::{ExchangeProgress, RequestBytes, ServerConnection, ServerResponse};
 use crate::http::message::HeaderLookup;
 use crate::instance::Instance;
+use crate::peers::decode_section;
+use crate::restarts::WireMillis;
 use crate::servers::Server;
 
 /// Timeout of a health response, which waits for a slot of the server like any other.
@@ -24,6 +28,13 @@
     Cold(Duration),
 }
 
+/// The section of a digest with the servers whose process said that it is cold.
+#[derive(Debug, Serialize, Deserialize)]
+struct ColdSection {
+    /// The last value is the time for which the server is still cold.
+    servers: Vec<(ServerKey, WireMillis)>,
+}
+
 impl Instance {
     /// Asks the process at the other end of a connection whether it is cold. The
     /// connection is used again if it still can be.
@@ -104,13 +115,67 @@
         let ColdAnswer::Cold(left) = answer else {
             return;
         };
+        // No server is cold for longer, whatever it says.
+        let left = left.min(self.cold_period(server));
         let now = self.now();
-        let is_new = server.extend_cold(now + left, now);
-        if is_new {
+        let cold_until = now + left;
+        if !server.extend_cold(cold_until, now) {
+            return;
+        }
+        // The other instances count it as cold already if its end was reported.
+        let is_reported = !server.restart.is_end_reported.get();
+        if is_reported {
+            let mut servers = self.servers.borrow_mut();
+            servers.record_cold(server, cold_until, now);
+            self.restart_reported.notify_one();
+        }
+        self.log.event(
+            "server_cold",
+            json!({"server": server.id().as_str(), "cold_left_ms": left.as_millis(),
+                "is_reported": is_reported}),
+        );
+    }
+
+    /// The section of the digest with the servers whose process said that it is cold.
+    pub(crate) fn encode_cold_section(&self, now: Instant) -> Option<Vec<u8>> {
+        let reports = self.servers.borrow().cold_reports(now);
+        if reports.is_empty() {
+            return None;
+        }
+        let servers = reports
+            .into_iter()
+            .map(|(server, left)| (server, left.into()))
+            .collect();
+        self.encode_section(&ColdSection { servers })
+    }
+
+    /// Records the servers whose process told another instance that it is cold. The time on
+    /// the way makes them cold for longer, never for less.
+    pub(crate) fn receive_cold(&self, digest: &InstanceDigest, now: Instant) {
+        let reporter = &digest.record.name;
+        let section = match decode_section::<ColdSection>(digest, SectionTag::COLD_SERVERS) {
+            None => return,
+            Some(Ok(section)) => section,
+            Some(Err(error)) => {
+                self.log_ignored_extension(reporter, &error);
+                return;
+            }
+        };
+        for (key, left) in section.servers {
+            let left = Duration::from(left);
+            let server = self.servers.borrow().of_key(key);
+            let Some(server) = server.filter(|server| server.extend_cold(now + left, now)) else {
+                continue;
+            };
             self.log.event(
                 "server_cold",
-                json!({"server": server.id().as_str(), "cold_left_ms": left.as_millis()}),
+                json!({"server": server.id().as_str(), "cold_left_ms": left.as_millis(),
+                    "reporter": reporter.as_str()}),
             );
+            // The delegate passes the report on to the other data centres at once.
+            if self.peers.borrow().is_delegate(now) {
+                self.restart_reported.notify_one();
+            }
         }
     }
 }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -112,7 +112,7 @@
     /// Requests a probe of servers at once.
     pub(crate) reach_doubted: tokio::sync::Notify,
     /// Requests a digest with new reports of ended processes.
-    pub(crate) end_reported: tokio::sync::Notify,
+    pub(crate) restart_reported: tokio::sync::Notify,
     /// Requests a probe of the servers whose process may have ended.
     pub(crate) probe_requested: tokio::sync::Notify,
     /// Whether an entry or a configuration was applied since the watched servers were
@@ -201,7 +201,7 @@
             table_changed: tokio::sync::Notify::new(),
             reach: RefCell::default(),
             reach_doubted: tokio::sync::Notify::new(),
-            end_reported: tokio::sync::Notify::new(),
+            restart_reported: tokio::sync::Notify::new(),
             probe_requested: tokio::sync::Notify::new(),
             has_new_servers: Cell::default(),
             digest_requested: tokio::sync::Notify::new(),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -450,6 +450,7 @@
             (SectionTag::DUTIES, self.encode_usage_section()),
             (SectionTag::LINK, self.encode_link_section(now)),
             (SectionTag::ENDED_SERVERS, self.encode_ended_section(now)),
+            (SectionTag::COLD_SERVERS, self.encode_cold_section(now)),
         ];
         sections
             .into_iter()
@@ -627,6 +628,7 @@
             if self.peers.borrow_mut().receive(digest.clone(), direct, now) {
                 self.receive_shares(&digest);
                 self.receive_ended(&digest, now);
+                self.receive_cold(&digest, now);
                 fresh.push(digest);
             }
         }
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -49,19 +49,19 @@
 /// The maximum number of servers of which a check begins to probe.
 const MAX_PROBES: usize = 16;
 
-/// The age of a report in digests, in milliseconds.
+/// A short time in digests, in milliseconds.
 #[derive(Debug, Serialize, Deserialize)]
-struct WireAge(u16);
+pub(crate) struct WireMillis(u16);
 
-impl From<Duration> for WireAge {
-    fn from(age: Duration) -> Self {
-        Self(u16::try_from(age.as_millis()).unwrap_or(u16::MAX))
+impl From<Duration> for WireMillis {
+    fn from(span: Duration) -> Self {
+        Self(u16::try_from(span.as_millis()).unwrap_or(u16::MAX))
     }
 }
 
-impl From<WireAge> for Duration {
-    fn from(age: WireAge) -> Self {
-        Self::from_millis(age.0.into())
+impl From<WireMillis> for Duration {
+    fn from(span: WireMillis) -> Self {
+        Self::from_millis(span.0.into())
     }
 }
 
@@ -181,7 +181,8 @@
 /// The section of a digest with the servers whose process has ended.
 #[derive(Debug, Serialize, Deserialize)]
 struct EndedSection {
-    servers: Vec<(ServerKey, ServerIncarnation, WireAge)>,
+    /// The last value is the age of the report.
+    servers: Vec<(ServerKey, ServerIncarnation, WireMillis)>,
 }
 
 impl Instance {
@@ -207,7 +208,7 @@
         if is_reported {
             let mut servers = self.servers.borrow_mut();
             servers.record_ended(server, now);
-            self.end_reported.notify_one();
+            self.restart_reported.notify_one();
         }
         if is_new || is_reported {
             self.log.event(
@@ -282,7 +283,7 @@
     }
 
     /// How long servers of the same service are cold after a start.
-    fn cold_period(&self, server: &Server) -> Duration {
+    pub(crate) fn cold_period(&self, server: &Server) -> Duration {
         let config = self.config.borrow();
         let rule = config
             .as_ref()
@@ -484,7 +485,7 @@
     /// end together, so reports that follow each other share a digest.
     pub(crate) async fn send_end_reports(self: Rc<Self>) {
         loop {
-            self.end_reported.notified().await;
+            self.restart_reported.notified().await;
             self.digest_requested.notify_one();
             actix_rt::time::sleep(END_REPORT_GAP).await;
         }
@@ -533,7 +534,7 @@
             );
             // The delegate passes the report on to the other data centres at once.
             if self.peers.borrow().is_delegate(now) {
-                self.end_reported.notify_one();
+                self.restart_reported.notify_one();
             }
         }
     }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -49,6 +49,10 @@
 /// three intervals between data centres.
 const LEAVING_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
+/// How long it is reported to the other instances that a server's process is cold: three
+/// intervals between data centres.
+const COLD_REPORT_PERIOD: Duration = Duration::from_secs(3);
+
 /// The region of a server's data centre, from the settings.
 #[derive(Debug)]
 pub(crate) struct ServerRegion {
@@ -300,6 +304,16 @@
     /// Servers of which this instance has seen that their process ended, and when. Kept
     /// when they start again: others may read the new entry later.
     ended: BTreeMap<ServerKey, EndedStart>,
+    /// Servers whose process told this instance that it is cold, and until when, while that
+    /// is reported to the others.
+    cold: BTreeMap<ServerKey, ColdReport>,
+}
+
+/// What a server's process told this instance.
+#[derive(Debug, Clone, Copy)]
+struct ColdReport {
+    at: Instant,
+    cold_until: Instant,
 }
 
 /// The end of a server's process, as this instance has seen it.
@@ -500,6 +514,29 @@
             .collect()
     }
 
+    /// Records that a server's process told this instance until when it is cold, so that
+    /// the others are told.
+    pub(crate) fn record_cold(&mut self, server: &Server, cold_until: Instant, now: Instant) {
+        self.cold
+            .retain(|_, report| now.saturating_duration_since(report.at) < COLD_REPORT_PERIOD);
+        let report = ColdReport {
+            at: now,
+            cold_until,
+        };
+        self.cold.insert(ServerKey::new(server.hash), report);
+    }
+
+    /// The servers whose process said that it is cold, and for how much longer, for the
+    /// digest.
+    pub(crate) fn cold_reports(&self, now: Instant) -> Vec<(ServerKey, Duration)> {
+        self.cold
+            .iter()
+            .filter(|(_, report)| now.saturating_duration_since(report.at) < COLD_REPORT_PERIOD)
+            .map(|(server, report)| (*server, report.cold_until.saturating_duration_since(now)))
+            .filter(|(_, left)| !left.is_zero())
+            .collect()
+    }
+
     /// Closes the unusable idle connections of all servers.
     pub(crate) fn close_unusable_connections(&self) {
         for server in self.servers.values() {
--- a/crates/policy/src/entry/digest.rs
+++ b/crates/policy/src/entry/digest.rs
@@ -168,6 +168,8 @@
     pub const LINK: Self = Self(6);
     /// Servers whose process has ended.
     pub const ENDED_SERVERS: Self = Self(7);
+    /// Servers whose process said that it is cold, though their entry does not.
+    pub const COLD_SERVERS: Self = Self(8);
 }
 
 /// Why an instance does not use a backend server.
