Test what health responses and health paths say

The reading of a health response is a function of its head, with an error type of its own instead of text.

--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -3,14 +3,18 @@
 //! A process that started again says so in its health responses from its first moment on,
 //! before its entry can be read. The instance that learns of it tells the others.
 
+use std::num::ParseIntError;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragonpulley_policy::entry::config::HealthPath;
 use tarragonpulley_policy::entry::digest::{InstanceDigest, SectionTag, ServerKey};
+use tarragonpulley_policy::entry::names::ServerId;
 
-use crate::http::client::{ExchangeProgress, RequestBytes, ServerConnection, ServerResponse};
+use crate::adapter::HeaderNames;
+use crate::http::client::{ExchangeError, ExchangeProgress, RequestBytes, ServerConnection};
+use crate::http::framing::ResponseHead;
 use crate::http::message::HeaderLookup;
 use crate::instance::Instance;
 use crate::peers::decode_section;
@@ -22,12 +26,56 @@
 
 /// What a server's process said about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ColdAnswer {
+pub(crate) enum ColdAnswer {
     Warm,
     /// For how long it is still cold.
     Cold(Duration),
 }
 
+/// Why it is not known whether a server's process is cold.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AnswerError {
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+    #[error("no health response within {ANSWER_TIMEOUT:?}")]
+    Timeout,
+    #[error("health response with status {status} from {responder:?}")]
+    OtherServer {
+        status: u16,
+        /// The id that the response names.
+        responder: Option<String>,
+    },
+    #[error("health response with status {0} and without a cold time")]
+    Status(u16),
+    #[error("cold time in a health response: {0}")]
+    ColdTime(#[from] ParseIntError),
+}
+
+impl ColdAnswer {
+    /// Reads the health response of the server `id`. A server that fails or is leaving
+    /// reports another status, and a busy one may reject the request.
+    pub(crate) fn from_head(
+        head: &ResponseHead,
+        names: &HeaderNames,
+        id: &ServerId,
+    ) -> Result<Self, AnswerError> {
+        let responder = head.text(names.server_id);
+        if responder != Some(id.as_str()) {
+            return Err(AnswerError::OtherServer {
+                status: head.status,
+                responder: responder.map(str::to_owned),
+            });
+        }
+        match head.text(names.cold_left_ms).map(str::parse::<u32>) {
+            Some(Ok(0)) => Ok(Self::Warm),
+            Some(Ok(left)) => Ok(Self::Cold(Duration::from_millis(left.into()))),
+            Some(Err(error)) => Err(error.into()),
+            None if head.status == 200 => Ok(Self::Warm),
+            None => Err(AnswerError::Status(head.status)),
+        }
+    }
+}
+
 /// The section of a digest with the servers whose process said that it is cold.
 #[derive(Debug, Serialize, Deserialize)]
 struct ColdSection {
@@ -54,9 +102,12 @@
         let asked_at = self.now();
         let exchange = connection.exchange("GET", request, None, &progress, &self.response_budget);
         let result = match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
-            Ok(Ok(response)) => self.cold_answer(server, &response),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(elapsed) => Err(elapsed.to_string()),
+            Ok(Ok(response)) => {
+                let names = self.adapter.headers();
+                ColdAnswer::from_head(&response.head, &names, &server.id())
+            }
+            Ok(Err(error)) => Err(error.into()),
+            Err(_elapsed) => Err(AnswerError::Timeout),
         };
         match result {
             Ok(answer) => {
@@ -64,9 +115,9 @@
                 self.record_cold_answer(server, answer, asked_at);
                 server.return_connection(connection);
             }
-            Err(reason) => self.log.event(
+            Err(error) => self.log.event(
                 "cold_unknown",
-                json!({"server": server.id().as_str(), "reason": reason}),
+                json!({"server": server.id().as_str(), "reason": error.to_string()}),
             ),
         }
     }
@@ -81,28 +132,6 @@
             .clone()
     }
 
-    /// Reads a health response. A failing server or one that is leaving reports another
-    /// status, and a busy one may reject the request.
-    fn cold_answer(
-        &self,
-        server: &Server,
-        response: &ServerResponse,
-    ) -> Result<ColdAnswer, String> {
-        let names = self.adapter.headers();
-        let head = &response.head;
-        let responder = head.text(names.server_id);
-        if responder != Some(server.id().as_str()) {
-            return Err(format!("status {} from {responder:?}", head.status));
-        }
-        match head.text(names.cold_left_ms).map(str::parse::<u32>) {
-            Some(Ok(0)) => Ok(ColdAnswer::Warm),
-            Some(Ok(left)) => Ok(ColdAnswer::Cold(Duration::from_millis(left.into()))),
-            Some(Err(error)) => Err(format!("cold time: {error}")),
-            None if head.status == 200 => Ok(ColdAnswer::Warm),
-            None => Err(format!("status {}", head.status)),
-        }
-    }
-
     fn record_cold_answer(&self, server: &Server, answer: ColdAnswer, asked_at: Instant) {
         let is_cold = answer != ColdAnswer::Warm;
         let has_ended = {
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -3,6 +3,7 @@
 
 mod account;
 mod budget;
+mod cold_answers;
 mod connections;
 mod exchanges;
 mod framing;
