Delete released claims soon after the table has recovered

Cause: the interval between two attempts to delete a claim whose request was not sent doubled with every attempt, also when the row was known to exist and the table had failed. After an outage the row stayed for about as long again as the outage had lasted. Until it is deleted, retries of its caller get "still running" for a request that was rejected as "not run", and an instance that stops waits for it. In the test, whose faults are for any commit, a deletion that had failed five times met the last fault of the queue and was next tried 8 s later.

The interval now grows only while the table answers that there is no row, which is the case it was made for. A row that is known to exist, and a check that the table did not answer, are tried again at the retry delay of the table, also those that come after a failed check in the same round. A round ends at the first failure of a deletion, as it did at that of a read, so that an outage costs one call a round.

The check and the bound of the mixed test are unchanged.

--- a/crates/daemon/src/claims/results.rs
+++ b/crates/daemon/src/claims/results.rs
@@ -30,8 +30,11 @@
 /// above the deadline of a table call.
 const LATE_INSERT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Initial interval between two checks of a claim that is to be deleted. It
-/// doubles with each check, since an outage may leave many such claims.
+/// Minimum interval between two checks of a claim that is to be deleted. It
+/// doubles with each check that finds no row, since an outage may leave many
+/// claims whose insert may still be applied. It does not grow while a row is
+/// known to exist or the table fails: until the row is deleted, retries of its
+/// request are rejected.
 const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Clone)]
@@ -47,11 +50,24 @@
     /// Whether the row is known to have been inserted. Its absence then means
     /// that it has been deleted.
     inserted: bool,
-    /// When to check the row next, and the interval after that check.
     next_check: Instant,
+    /// Interval to the next check if that one finds no row.
     backoff: Duration,
 }
 
+/// Result of checking the row of a released claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReleaseCheck {
+    /// The row is deleted, or belongs to another claim.
+    Done,
+    /// There is no row, but the insert may still be applied.
+    Absent,
+    /// The row was modified before it could be deleted.
+    Modified,
+    /// The table failed.
+    Failed,
+}
+
 /// Writes that have not yet been applied to the table.
 #[derive(Debug)]
 pub(super) struct ResultQueue {
@@ -210,43 +226,69 @@
 
     /// Deletes released claims. Returns whether the table was reached.
     async fn delete_released(&self) -> bool {
-        let now = Instant::now();
-        let mut due = Vec::new();
-        for (key, release) in self.releases.borrow_mut().iter_mut() {
-            if release.next_check <= now {
-                release.next_check = now + release.backoff;
-                release.backoff *= 2;
-                due.push((key.clone(), release.clone()));
-            }
-        }
-        for (key, release) in due {
-            let done = match read_row(&*self.table, &key).await {
-                ReadResult::Failed => return false,
-                ReadResult::Found { row, modified } if row.nonce == release.row.nonce => {
-                    if let Some(known) = self.releases.borrow_mut().get_mut(&key) {
-                        known.inserted = true;
-                    }
-                    self.delete(&key, modified).await
-                }
-                ReadResult::Found { .. } => true,
-                ReadResult::Absent => {
-                    release.inserted || release.released_at.elapsed() > LATE_INSERT_TIMEOUT
-                }
-            };
-            if done {
+        for (key, release) in self.due_releases() {
+            let check = self.delete_one(&key, &release).await;
+            if check == ReleaseCheck::Done {
                 self.releases.borrow_mut().remove(&key);
+                continue;
+            }
+            self.postpone(&key, check);
+            if check == ReleaseCheck::Failed {
+                return false;
             }
         }
         true
     }
 
-    async fn delete(&self, key: &RowKey, modified: u64) -> bool {
+    /// The releases to check now. Those that have waited longest come first, so
+    /// that a row whose check always fails does not keep the others from theirs.
+    fn due_releases(&self) -> Vec<(RowKey, PendingRelease)> {
+        let now = Instant::now();
+        let releases = self.releases.borrow();
+        let due = releases.iter().filter(|(_, r)| r.next_check <= now);
+        let mut due: Vec<_> = due.map(|(k, r)| (k.clone(), r.clone())).collect();
+        due.sort_by_key(|(_, release)| release.next_check);
+        due
+    }
+
+    fn postpone(&self, key: &RowKey, check: ReleaseCheck) {
+        if let Some(release) = self.releases.borrow_mut().get_mut(key) {
+            let mut interval = RELEASE_CHECK_INTERVAL;
+            if check == ReleaseCheck::Absent {
+                interval = release.backoff;
+                release.backoff *= 2;
+            }
+            release.next_check = Instant::now() + interval;
+        }
+    }
+
+    async fn delete_one(&self, key: &RowKey, release: &PendingRelease) -> ReleaseCheck {
+        let modified = match read_row(&*self.table, key).await {
+            ReadResult::Failed => return ReleaseCheck::Failed,
+            ReadResult::Found { row, modified } if row.nonce == release.row.nonce => modified,
+            ReadResult::Found { .. } => return ReleaseCheck::Done,
+            ReadResult::Absent => {
+                let decided =
+                    release.inserted || release.released_at.elapsed() > LATE_INSERT_TIMEOUT;
+                return if decided {
+                    ReleaseCheck::Done
+                } else {
+                    ReleaseCheck::Absent
+                };
+            }
+        };
+        if let Some(known) = self.releases.borrow_mut().get_mut(key) {
+            known.inserted = true;
+        }
         self.metrics.claim_writes.inc();
         let transaction = TableTransaction {
             conditions: vec![RowCondition::Unchanged(key.clone(), modified)],
             changes: vec![RowChange::Delete(key.clone())],
         };
-        let outcome = self.table.commit(transaction).await;
-        matches!(outcome, CommitOutcome::Committed(_))
+        match self.table.commit(transaction).await {
+            CommitOutcome::Committed(_) => ReleaseCheck::Done,
+            CommitOutcome::Conflict => ReleaseCheck::Modified,
+            CommitOutcome::NotApplied(_) | CommitOutcome::Unknown(_) => ReleaseCheck::Failed,
+        }
     }
 }
--- a/crates/daemon/tests/unit/bookings.rs
+++ b/crates/daemon/tests/unit/bookings.rs
@@ -152,6 +152,39 @@
     assert_eq!(backend.runs.get(), 1);
 }
 
+/// Guards against a deletion of a claim that waits longer the more often the
+/// table failed before, so that retries of its caller are rejected long after the
+/// table has recovered.
+#[parameterized(
+    refused_deletions = { 0, 7 },
+    failed_reads = { 8, 0 },
+)]
+fn a_claim_is_released_soon_after_failures_of_the_table(reads: u32, deletions: usize) {
+    actix_rt::System::new().block_on(async {
+        let backend = Backend::start().await;
+        let instance = TestInstance::start(&[backend.address]).await;
+        backend.script(&[Action::Shed]);
+        let table = &instance.table;
+        // The claim is inserted without a response. It is read back and held, or
+        // rejected if the first of the failing reads is its own.
+        let faults = std::iter::once(TableFault::LoseResponse)
+            .chain(std::iter::repeat_n(TableFault::Down, deletions));
+        table.faults.borrow_mut().extend(faults);
+        table.failing_claim_reads.set(reads);
+        let response = book(&instance, "pram").await;
+        assert_eq!(
+            (response.status.as_u16(), response.outcome.as_str()),
+            (503, "not_run")
+        );
+        wait_until("release", || table.text(ROW).is_empty()).await;
+        assert!(table.faults.borrow().is_empty());
+        assert_eq!(table.failing_claim_reads.get(), 0);
+        backend.script(&[]);
+        assert_eq!(book(&instance, "pram").await.status, 200);
+        assert_eq!(backend.runs.get(), 1);
+    });
+}
+
 /// Guards against a booking that is sent after its key was withdrawn, its
 /// proof expired or its deadline passed while the claim was being written.
 #[parameterized(
--- a/crates/daemon/tests/unit/fakes.rs
+++ b/crates/daemon/tests/unit/fakes.rs
@@ -182,6 +182,8 @@
     pub(super) rows: RefCell<BTreeMap<RowKey, TableRow>>,
     revision: Cell<u64>,
     pub(super) faults: RefCell<VecDeque<TableFault>>,
+    /// Number of the next reads of claims that fail.
+    pub(super) failing_claim_reads: Cell<u32>,
     pub(super) commits: Cell<u32>,
     pub(super) delay: Cell<Duration>,
 }
@@ -220,6 +222,12 @@
 
 impl TableService for FakeTable {
     fn read(&self, prefix: RowKey) -> LocalBoxFuture<'_, Result<TableSnapshot, PlatformError>> {
+        let failures = self.failing_claim_reads.get();
+        if failures > 0 && prefix.as_str().starts_with("claim/") {
+            self.failing_claim_reads.set(failures - 1);
+            let error = PlatformError::NoResponse("fake".to_owned());
+            return Box::pin(ready(Err(error)));
+        }
         let rows = self.rows.borrow();
         let found = rows
             .iter()
