Keep the release of a late insert beside that of a retry

Found by reading beside the failure of mixed::guarantees_hold_under_mixed_faults, not its cause. The queue of released claims had one entry a row. A booking whose insert got no response is rejected as "not run" and its claim queued for deletion, should the insert be applied late. If its caller's retry was claimed and not run either, the entry of the retry replaced that of the first insert, and a late first insert left a row that nobody deleted: every later retry got "outcome unknown" for a request that never ran. A check in progress could likewise remove the entry of the retry.

Entries are now kept by row and nonce. A check that finds the running claim of another nonce no longer drops a late insert, since that row may be deleted first; a recorded row stays, so a late insert fails on it.

--- a/crates/daemon/src/claims/results.rs
+++ b/crates/daemon/src/claims/results.rs
@@ -45,7 +45,6 @@
 
 #[derive(Debug, Clone)]
 struct PendingRelease {
-    row: ClaimRow,
     released_at: Instant,
     /// Whether the row is known to have been inserted. Its absence then means
     /// that it has been deleted.
@@ -58,9 +57,9 @@
 /// Result of checking the row of a released claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReleaseCheck {
-    /// The row is deleted, or belongs to another claim.
+    /// The row is deleted and will not be inserted.
     Done,
-    /// There is no row, but the insert may still be applied.
+    /// The claim has no row, but its insert may still be applied.
     Absent,
     /// The row was modified before it could be deleted.
     Modified,
@@ -68,13 +67,17 @@
     Failed,
 }
 
+/// The row and the nonce of a released claim. An insert that is applied late may
+/// follow the release of a later claim of the same row.
+type ReleaseKey = (RowKey, String);
+
 /// Writes that have not yet been applied to the table.
 #[derive(Debug)]
 pub(super) struct ResultQueue {
     table: Rc<dyn TableService>,
     metrics: RequestMetrics,
     results: RefCell<BTreeMap<RowKey, PendingResult>>,
-    releases: RefCell<BTreeMap<RowKey, PendingRelease>>,
+    releases: RefCell<BTreeMap<ReleaseKey, PendingRelease>>,
 }
 
 impl ResultQueue {
@@ -102,7 +105,11 @@
     }
 
     pub(super) fn is_releasing(&self, key: &RowKey) -> bool {
-        self.releases.borrow().contains_key(key)
+        let releases = self.releases.borrow();
+        let mut from_key = releases.range((key.clone(), String::new())..);
+        from_key
+            .next()
+            .is_some_and(|((row_key, _), _)| row_key == key)
     }
 
     /// Queues the result of a claim whose row was last written at revision
@@ -116,14 +123,14 @@
     /// `inserted` says whether its row is known to exist.
     pub(super) fn release(&self, key: RowKey, row: ClaimRow, inserted: bool) {
         let now = Instant::now();
+        let release_key = (key, row.nonce);
         let release = PendingRelease {
-            row,
             released_at: now,
             inserted,
             next_check: now,
             backoff: RELEASE_CHECK_INTERVAL,
         };
-        self.releases.borrow_mut().insert(key, release);
+        self.releases.borrow_mut().insert(release_key, release);
     }
 
     pub(super) async fn run(&self) {
@@ -242,7 +249,7 @@
 
     /// The releases to check now. Those that have waited longest come first, so
     /// that a row whose check always fails does not keep the others from theirs.
-    fn due_releases(&self) -> Vec<(RowKey, PendingRelease)> {
+    fn due_releases(&self) -> Vec<(ReleaseKey, PendingRelease)> {
         let now = Instant::now();
         let releases = self.releases.borrow();
         let due = releases.iter().filter(|(_, r)| r.next_check <= now);
@@ -251,7 +258,7 @@
         due
     }
 
-    fn postpone(&self, key: &RowKey, check: ReleaseCheck) {
+    fn postpone(&self, key: &ReleaseKey, check: ReleaseCheck) {
         if let Some(release) = self.releases.borrow_mut().get_mut(key) {
             let mut interval = RELEASE_CHECK_INTERVAL;
             if check == ReleaseCheck::Absent {
@@ -262,12 +269,17 @@
         }
     }
 
-    async fn delete_one(&self, key: &RowKey, release: &PendingRelease) -> ReleaseCheck {
-        let modified = match read_row(&*self.table, key).await {
+    async fn delete_one(&self, key: &ReleaseKey, release: &PendingRelease) -> ReleaseCheck {
+        let (row_key, nonce) = key;
+        let modified = match read_row(&*self.table, row_key).await {
             ReadResult::Failed => return ReleaseCheck::Failed,
-            ReadResult::Found { row, modified } if row.nonce == release.row.nonce => modified,
-            ReadResult::Found { .. } => return ReleaseCheck::Done,
-            ReadResult::Absent => {
+            ReadResult::Found { row, modified } if row.nonce == *nonce => modified,
+            // Recorded rows are never deleted, so a late insert fails.
+            ReadResult::Found { row, .. } if row.state != ClaimState::Running => {
+                return ReleaseCheck::Done;
+            }
+            // The row of another claim may be deleted before a late insert.
+            ReadResult::Found { .. } | ReadResult::Absent => {
                 let decided =
                     release.inserted || release.released_at.elapsed() > LATE_INSERT_TIMEOUT;
                 return if decided {
@@ -282,8 +294,8 @@
         }
         self.metrics.claim_writes.inc();
         let transaction = TableTransaction {
-            conditions: vec![RowCondition::Unchanged(key.clone(), modified)],
-            changes: vec![RowChange::Delete(key.clone())],
+            conditions: vec![RowCondition::Unchanged(row_key.clone(), modified)],
+            changes: vec![RowChange::Delete(row_key.clone())],
         };
         match self.table.commit(transaction).await {
             CommitOutcome::Committed(_) => ReleaseCheck::Done,
--- a/crates/daemon/tests/unit/bookings.rs
+++ b/crates/daemon/tests/unit/bookings.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tarragonpulley_backing::CommitOutcome;
 use yare::parameterized;
 
 use super::backend::{Action, Backend};
@@ -185,6 +186,36 @@
     });
 }
 
+/// Guards against a claim that is inserted late and then kept, because a retry of
+/// its caller was claimed and released meanwhile.
+#[actix_rt::test]
+async fn a_claim_that_is_inserted_after_that_of_a_retry_is_released() {
+    let backend = Backend::start().await;
+    let instance = TestInstance::start(&[backend.address]).await;
+    backend.script(&[Action::Shed]);
+    let table = &instance.table;
+    table.faults.borrow_mut().push_back(TableFault::Late);
+    let first = book(&instance, "pram").await;
+    assert_eq!(
+        first.rejection(),
+        (503, "not_run", "table_unavailable".to_owned())
+    );
+    let retry = book(&instance, "pram").await;
+    assert_eq!(
+        retry.rejection(),
+        (503, "not_run", "no_capacity".to_owned())
+    );
+    wait_until("release", || table.text(ROW).is_empty()).await;
+    let outcomes = table.apply_late();
+    assert!(
+        matches!(outcomes[..], [CommitOutcome::Committed(_)]),
+        "{outcomes:?}"
+    );
+    wait_until("second release", || table.text(ROW).is_empty()).await;
+    assert_eq!(book(&instance, "pram").await.status, 200);
+    assert_eq!(backend.runs.get(), 1);
+}
+
 /// Guards against a booking that is sent after its key was withdrawn, its
 /// proof expired or its deadline passed while the claim was being written.
 #[parameterized(
--- a/crates/daemon/tests/unit/fakes.rs
+++ b/crates/daemon/tests/unit/fakes.rs
@@ -175,6 +175,8 @@
     Down,
     /// The commit is applied, but its response is lost.
     LoseResponse,
+    /// There is no response, and the commit is applied by [`FakeTable::apply_late`].
+    Late,
 }
 
 #[derive(Debug, Default)]
@@ -182,6 +184,7 @@
     pub(super) rows: RefCell<BTreeMap<RowKey, TableRow>>,
     revision: Cell<u64>,
     pub(super) faults: RefCell<VecDeque<TableFault>>,
+    late: RefCell<Vec<TableTransaction>>,
     /// Number of the next reads of claims that fail.
     pub(super) failing_claim_reads: Cell<u32>,
     pub(super) commits: Cell<u32>,
@@ -213,6 +216,12 @@
         CommitOutcome::Committed(modified)
     }
 
+    /// Applies the late commits. Returns their outcomes.
+    pub(super) fn apply_late(&self) -> Vec<CommitOutcome> {
+        let late = self.late.take();
+        late.into_iter().map(|t| self.apply(t)).collect()
+    }
+
     pub(super) fn text(&self, key: &str) -> String {
         let rows = self.rows.borrow();
         let row = rows.get(&RowKey::new(key));
@@ -251,6 +260,10 @@
                     self.apply(transaction);
                     CommitOutcome::Unknown(PlatformError::NoResponse("fake".to_owned()))
                 }
+                Some(TableFault::Late) => {
+                    self.late.borrow_mut().push(transaction);
+                    CommitOutcome::Unknown(PlatformError::NoResponse("fake".to_owned()))
+                }
             }
         })
     }
