Report a second start of a server that is still cold

Cause: what a process said about its cold time was passed on only if the server did not count as cold yet. After a second start the time from the first one was still running, so that the others went on when it was over.

A cold time that ends more than 500 ms later than known, the age that reports have when they arrive, is of a later start and is passed on. The new row later_start of the unit test failed before.

--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -148,11 +148,13 @@
         let left = left.min(self.cold_period(server));
         let now = self.now();
         let cold_until = now + left;
+        let was_cold = server.cold_until.get().is_some_and(|known| now < known);
         if !server.extend_cold(cold_until, now) {
             return;
         }
-        // The other instances count it as cold already if its end was reported.
-        let is_reported = !server.restart.is_end_reported.get();
+        // The other instances count it as cold already if its end was reported, unless that
+        // was the end before an earlier start.
+        let is_reported = was_cold || !server.restart.is_end_reported.get();
         if is_reported {
             let mut servers = self.servers.borrow_mut();
             servers.record_cold(server, cold_until, now);
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -53,6 +53,10 @@
 /// intervals between data centres.
 const COLD_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
+/// By how much the ends of one cold time may differ: reports of it are up to this old when
+/// they are received.
+const SAME_START_MARGIN: Duration = Duration::from_millis(500);
+
 /// The region of a server's data centre, from the settings.
 #[derive(Debug)]
 pub(crate) struct ServerRegion {
@@ -148,11 +152,11 @@
     }
 
     /// Records that the server is cold until a time. A shorter time does not end a longer
-    /// one. Returns whether the server was not known to be cold.
+    /// one. Returns whether it is cold because of a start that was not known.
     pub(crate) fn extend_cold(&self, until: Instant, now: Instant) -> bool {
         let known = self.cold_until.get().filter(|known| now < *known);
         self.cold_until.set(known.max(Some(until)));
-        known.is_none()
+        known.is_none_or(|known| until > known + SAME_START_MARGIN)
     }
 
     /// Whether new requests may be sent to the server.
--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -79,6 +79,26 @@
     assert!(!server.is_cold(at(start, 1800)));
 }
 
+/// Guards against a second start that nobody is told of, because the time for which the
+/// server is cold after its first one is not over yet.
+#[parameterized(
+    was_warm = { None, 3000, true },
+    same_start = { Some(3000), 3000, false },
+    same_start_heard_later = { Some(3000), 3400, false },
+    later_start = { Some(3000), 4500, true },
+    was_cold_before = { Some(900), 3000, true },
+    shorter = { Some(3000), 2000, false },
+)]
+fn later_start_of_a_cold_server_is_new(known: Option<u64>, until: u64, expected: bool) {
+    let start = Instant::now();
+    let (_servers, server) = set_with_server(start);
+    server.cold_until.set(known.map(|known| at(start, known)));
+    let now = at(start, 1000);
+    assert_eq!(server.extend_cold(at(start, until), now), expected);
+    let longest = known.max(Some(until)).map(|longest| at(start, longest));
+    assert_eq!(server.cold_until.get(), longest);
+}
+
 /// Guards against reports of an end that stop when its successor is known here: others may
 /// read the new entry later.
 #[test]
