Keep what a process said about its cold time when an entry is read

An instance that was told that a server's process is cold counted the server as warm again once it read an entry of an earlier process: a late write with less cold time of the known start replaced the time, and an entry of a start between dropped it. Only the instance that was in doubt still counted it as cold; those that had the report from it did not.

What a process says is now kept beside the time of the entry, and passes on to a later start at the same address. Entries still replace the time of entries.

Evidence: entry_does_not_shorten_the_time_that_a_process_named failed in both cases before (a server cold until 5000 ms was warm at 4900 ms), and passes now.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -177,8 +177,7 @@
     ) {
         let peers = self.peers.borrow();
         let cold_left = server
-            .cold_until
-            .get()
+            .known_cold_until()
             .map(|until| until.saturating_duration_since(now).as_millis());
         self.log.event(
             "cold_send",
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -102,7 +102,10 @@
     pub(crate) known_since: Instant,
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
+    /// Until when the server is cold by its entry.
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Until when its process said that it is cold. The entry may be that of an earlier one.
+    stated_cold_until: Cell<Option<Instant>>,
     pub(crate) restart: RestartState,
     /// Whether a later start of the server has replaced this value in the set. Attempts in
     /// progress still hold it.
@@ -122,6 +125,7 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
+            stated_cold_until: Cell::default(),
             restart: RestartState::default(),
             removed_at: Cell::new(None),
             is_replaced: Cell::new(false),
@@ -143,15 +147,21 @@
 
     /// Whether the server is cold, or may be because it may have started again.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.get().is_some_and(|until| now < until)
+        self.known_cold_until().is_some_and(|until| now < until)
             || self.restart.tracker.borrow().is_in_doubt()
     }
 
-    /// Records that the server is cold until a time. A shorter time does not end a longer
-    /// one. Returns whether the server was not known to be cold.
+    /// Until when the server is cold by its entry and by what its process said.
+    pub(crate) fn known_cold_until(&self) -> Option<Instant> {
+        self.cold_until.get().max(self.stated_cold_until.get())
+    }
+
+    /// Records that the server's process said that it is cold until a time. A shorter time
+    /// does not end a longer one. Returns whether the server was not known to be cold.
     pub(crate) fn extend_cold(&self, until: Instant, now: Instant) -> bool {
-        let known = self.cold_until.get().filter(|known| now < *known);
-        self.cold_until.set(known.max(Some(until)));
+        let known = self.known_cold_until().filter(|known| now < *known);
+        let stated = self.stated_cold_until.get();
+        self.stated_cold_until.set(stated.max(Some(until)));
         known.is_none()
     }
 
@@ -382,6 +392,9 @@
             // The new entry may be an old one that arrived late, of a process that ended too.
             if earlier.entry.borrow().address == server.entry.borrow().address {
                 server.restart.tracker = RefCell::new(tracker.clone());
+                server
+                    .stated_cold_until
+                    .set(earlier.stated_cold_until.get());
             }
         }
         if self.leaving.contains_key(&server.incarnation) {
--- a/crates/edge/src/tests/servers.rs
+++ b/crates/edge/src/tests/servers.rs
@@ -131,3 +131,22 @@
     assert!(server.is_available(returns_at));
     assert!(server.gate.borrow().paused_until(returns_at).is_some());
 }
+
+/// Guards against an entry from before a process said that it is cold, which ends that.
+#[parameterized(
+    of_the_known_start = { 1, 500 },
+    of_a_later_start = { 2, 0 },
+)]
+fn entry_does_not_shorten_the_time_that_a_process_named(started: i64, cold_left: u64) {
+    let start = Instant::now();
+    let (mut servers, known) = set_with_server(start);
+    known.extend_cold(at(start, 5000), at(start, 2000));
+
+    let entry = ServerEntry {
+        cold_remaining: Duration::from_millis(cold_left),
+        ..warm_entry(started, 80)
+    };
+    servers.update(entry, None, at(start, 2000), at(start, 2500));
+    let server = servers.get(&server_id()).expect("a server");
+    assert!(server.is_cold(at(start, 4900)));
+}
