Report cold servers whose cold time is known to be shorter

A server that was known to be cold and silently started again got up to 42 requests in a second (9.5 allowed): the instance that asked its process was told the later end of the cold time, but reported it only if it had not known the server to be cold at all. The others sent at the rate of a warm server once the time that they knew was over.

A time that is more than 500 ms longer than the known one is now reported too. Less may be the same cold time, as entries and digests are on their way for so long.

--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -53,6 +53,10 @@
 /// intervals between data centres.
 const COLD_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
+/// The difference up to which two statements may mean the same cold time: digests and
+/// health responses are on their way for up to about so long.
+const COLD_TIME_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// The region of a server's data centre, from the settings.
 #[derive(Debug)]
 pub(crate) struct ServerRegion {
@@ -157,12 +161,13 @@
     }
 
     /// Records that the server's process said that it is cold until a time. A shorter time
-    /// does not end a longer one. Returns whether the server was not known to be cold.
+    /// does not end a longer one. Returns whether the server was not known to be cold, or
+    /// for clearly less time.
     pub(crate) fn extend_cold(&self, until: Instant, now: Instant) -> bool {
         let known = self.known_cold_until().filter(|known| now < *known);
         let stated = self.stated_cold_until.get();
         self.stated_cold_until.set(stated.max(Some(until)));
-        known.is_none()
+        known.is_none_or(|known| until > known + COLD_TIME_TOLERANCE)
     }
 
     /// Whether new requests may be sent to the server.
