Ask a server at most four times a second whether it is cold

A full server that was in doubt got 109 health requests in 2 s from four instances, as each request that failed at any other server requested a check, and each check asked all servers in doubt that had not answered. Health requests wait for slots or are rejected as others are, so failures at some servers loaded those that were full already.

A server is now probed again after 250 ms at the earliest. Signs that arrive in between are kept for the next check.

--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -46,6 +46,10 @@
 /// The shortest time between two digests that are sent for reports of ended processes.
 const END_REPORT_GAP: Duration = Duration::from_millis(100);
 
+/// The shortest time between two probes of a server. Failed requests to any server request
+/// a check, and a full server rejects each question.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The maximum number of servers of which a check begins to probe.
 const MAX_PROBES: usize = 16;
 
@@ -146,9 +150,10 @@
 }
 
 impl AskGuard {
-    fn new(server: Rc<Server>) -> Self {
+    fn new(server: Rc<Server>, now: Instant) -> Self {
         server.restart.needs_probe.set(false);
         server.restart.is_asked.set(true);
+        server.restart.probed_at.set(Some(now));
         Self { server }
     }
 }
@@ -360,7 +365,14 @@
     fn probe_processes(self: &Rc<Self>) {
         let now = self.now();
         let needs_probe = |server: &&Rc<Server>| {
-            server.is_available(now) && !server.restart.is_asked.get() && self.needs_probe(server)
+            server.is_available(now)
+                && !server.restart.is_asked.get()
+                && server
+                    .restart
+                    .probed_at
+                    .get()
+                    .is_none_or(|at| now >= at + MIN_PROBE_INTERVAL)
+                && self.needs_probe(server)
         };
         let mut targets: Vec<Rc<Server>> = {
             let servers = self.servers.borrow();
@@ -368,7 +380,7 @@
         };
         targets.shuffle(&mut rand::rng());
         for server in targets.into_iter().take(MAX_PROBES) {
-            let probe = Rc::clone(self).probe_process(AskGuard::new(server));
+            let probe = Rc::clone(self).probe_process(AskGuard::new(server, now));
             actix_rt::spawn(probe);
         }
     }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -89,6 +89,8 @@
     pub(crate) is_watched: Cell<bool>,
     /// Whether this instance is asking the server whether it is cold.
     pub(crate) is_asked: Cell<bool>,
+    /// When this instance last began to.
+    pub(crate) probed_at: Cell<Option<Instant>>,
 }
 
 /// One backend server from its start on; a restarted server is a new value.
