Count exchanges without an id when a connection is used again

After a health request a connection counted as unused. A second copy of its response, which has no id, was taken for the response to the next request, which failed then though its own response was on the way.

Evidence: a_late_copy_of_a_response_without_an_id_is_not_that_of_the_next_request got the copy before and fails with Unidentified now.

--- a/crates/edge/src/http/client.rs
+++ b/crates/edge/src/http/client.rs
@@ -125,6 +125,8 @@
     idle_since: Instant,
     keep_alive: Duration,
     reusable: bool,
+    /// Whether a request was sent, perhaps without an id.
+    is_used: bool,
     /// The id of the last request.
     last_id: Option<String>,
     /// The ids of the requests that got an error here. They may be sent again, while all
@@ -148,6 +150,7 @@
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
             reusable: true,
+            is_used: false,
             last_id: None,
             failed_ids: BTreeSet::new(),
         })
@@ -206,7 +209,7 @@
         // The connection is not reusable until the exchange completes, also
         // when the future is dropped.
         self.reusable = false;
-        let is_reused = self.last_id.is_some();
+        let is_reused = std::mem::replace(&mut self.is_used, true);
         self.last_id = id.map(|(_, value)| value.to_owned());
         let mut written = 0;
         let mut write_error = None;
--- a/crates/edge/src/tests/exchanges.rs
+++ b/crates/edge/src/tests/exchanges.rs
@@ -130,3 +130,42 @@
         result.map(|response| response.head)
     );
 }
+
+/// Guards against a late second copy of a health response, which has no id, that is taken
+/// for the response to the next request on the connection.
+#[test]
+fn a_late_copy_of_a_response_without_an_id_is_not_that_of_the_next_request() {
+    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwarm";
+    let address = start_server(move |mut stream| {
+        stream.write_all(response).expect("an open connection");
+        stream.read_exact(&mut [0]).expect("the next request");
+        stream.write_all(response).expect("an open connection");
+    });
+    let result = actix_rt::System::new().block_on(async {
+        let mut connection = ServerConnection::open(address, TEST_TIMEOUT)
+            .await
+            .expect("a connection");
+        let budget = BufferBudget::new(LONG_BODY_BYTES);
+        let progress = ExchangeProgress::default();
+        let health = RequestBytes {
+            head: b"GET /health HTTP/1.1\r\n\r\n",
+            body: &[],
+        };
+        connection
+            .exchange("GET", health, None, &progress, &budget)
+            .await
+            .expect("a health response");
+        let next = RequestBytes {
+            head: b"GET / HTTP/1.1\r\nX-Request: request-1\r\n\r\n",
+            body: &[],
+        };
+        let id = Some((ID_FIELD, REQUEST_ID));
+        connection
+            .exchange("GET", next, id, &progress, &budget)
+            .await
+    });
+    assert!(
+        matches!(result, Err(ExchangeError::Unidentified)),
+        "{result:?}"
+    );
+}
