--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -148,7 +148,7 @@
         let left = left.min(self.cold_period(server));
         let now = self.now();
         let cold_until = now + left;
-        let was_cold = server.cold_until.get().is_some_and(|known| now < known);
+        let was_cold = server.known_cold_until().is_some_and(|known| now < known);
         if !server.extend_cold(cold_until, now) {
             return;
         }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -53,9 +53,9 @@
 /// intervals between data centres.
 const COLD_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
-/// By how much the ends of one cold time may differ: reports of it are up to this old when
-/// they are received.
-const SAME_START_MARGIN: Duration = Duration::from_millis(500);
+/// The difference up to which two statements may mean the same cold time: digests and
+/// health responses are on their way for up to about so long.
+const COLD_TIME_TOLERANCE: Duration = Duration::from_millis(500);
 
 /// The region of a server's data centre, from the settings.
 #[derive(Debug)]
@@ -89,6 +89,8 @@
     pub(crate) is_watched: Cell<bool>,
     /// Whether this instance is asking the server whether it is cold.
     pub(crate) is_asked: Cell<bool>,
+    /// When this instance last began to.
+    pub(crate) probed_at: Cell<Option<Instant>>,
 }
 
 /// One backend server from its start on; a restarted server is a new value.
@@ -106,7 +108,10 @@
     pub(crate) known_since: Instant,
     /// The limit that the last log line named.
     pub(crate) logged_limit: Cell<Option<LimitRate>>,
+    /// Until when the server is cold by its entry.
     pub(crate) cold_until: Cell<Option<Instant>>,
+    /// Until when its process said that it is cold. The entry may be that of an earlier one.
+    stated_cold_until: Cell<Option<Instant>>,
     pub(crate) restart: RestartState,
     /// Whether a later start of the server has replaced this value in the set. Attempts in
     /// progress still hold it.
@@ -126,6 +131,7 @@
             region: RefCell::new(region.map(ServerRegion::from)),
             hash: text_hash(entry.id.as_str()),
             cold_until: Cell::new(cold_until(&entry, now)),
+            stated_cold_until: Cell::default(),
             restart: RestartState::default(),
             removed_at: Cell::new(None),
             is_replaced: Cell::new(false),
@@ -147,16 +153,23 @@
 
     /// Whether the server is cold, or may be because it may have started again.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.get().is_some_and(|until| now < until)
+        self.known_cold_until().is_some_and(|until| now < until)
             || self.restart.tracker.borrow().is_in_doubt()
     }
 
-    /// Records that the server is cold until a time. A shorter time does not end a longer
-    /// one. Returns whether it is cold because of a start that was not known.
+    /// Until when the server is cold by its entry and by what its process said.
+    pub(crate) fn known_cold_until(&self) -> Option<Instant> {
+        self.cold_until.get().max(self.stated_cold_until.get())
+    }
+
+    /// Records that the server's process said that it is cold until a time. A shorter time
+    /// does not end a longer one. Returns whether the server was not known to be cold, or
+    /// for clearly less time.
     pub(crate) fn extend_cold(&self, until: Instant, now: Instant) -> bool {
-        let known = self.cold_until.get().filter(|known| now < *known);
-        self.cold_until.set(known.max(Some(until)));
-        known.is_none_or(|known| until > known + SAME_START_MARGIN)
+        let known = self.known_cold_until().filter(|known| now < *known);
+        let stated = self.stated_cold_until.get();
+        self.stated_cold_until.set(stated.max(Some(until)));
+        known.is_none_or(|known| until > known + COLD_TIME_TOLERANCE)
     }
 
     /// Whether new requests may be sent to the server.
@@ -386,6 +399,9 @@
             // The new entry may be an old one that arrived late, of a process that ended too.
             if earlier.entry.borrow().address == server.entry.borrow().address {
                 server.restart.tracker = RefCell::new(tracker.clone());
+                server
+                    .stated_cold_until
+                    .set(earlier.stated_cold_until.get());
             }
         }
         if self.leaving.contains_key(&server.incarnation) {
