Give requests a response when the process ends, so that those behind them get theirs

Callers that send several requests on a connection lost those whose servers had long completed them, bookings among them: responses are sent in order, and one that waited behind a request that took longer than the stop was cut with it.

A request that is in progress when the process ends now gets status 504, or 503 if nothing was sent to a server, and the responses behind it are sent. The wait for the end no longer exceeds it by up to 50 ms.

planned_stop_cuts_no_request_but_those_that_servers_work_on sends about 290 requests through the whole grace, on new and open connections and behind others, with work of 20 ms to 12 s.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -328,13 +328,20 @@
         )
     }
 
-    /// Makes attempts until a response is final or the deadline passes.
+    /// Makes attempts until a response is final, the deadline passes or the process ends.
     async fn run_with_timeout(&self, forward: &ForwardRequest) -> CallerResponse {
         let exchange_started = Rc::new(Cell::new(false));
         let attempts = self.run_attempts(forward, &exchange_started);
-        match tokio::time::timeout_at(forward.deadline.into(), attempts).await {
-            Ok(response) => response,
-            Err(_elapsed) => {
+        let attempts = tokio::time::timeout_at(forward.deadline.into(), attempts);
+        let result = tokio::select! {
+            biased;
+            result = attempts => Some(result),
+            () = self.stop_ended.notified() => None,
+        };
+        match result {
+            Some(Ok(response)) => response,
+            None => self.end_at_stop(forward, exchange_started.get()),
+            Some(Err(_elapsed)) => {
                 self.log.event(
                     "timed_out",
                     json!({"request": forward.id, "route": forward.route.name,
@@ -347,6 +354,22 @@
         }
     }
 
+    /// The response to a request that is still in progress when the process ends. Without
+    /// one, the responses to the requests behind it on its connection would be lost too.
+    fn end_at_stop(&self, forward: &ForwardRequest, was_sent: bool) -> CallerResponse {
+        if !was_sent {
+            let after = jittered_retry_after(DEFAULT_RETRY_AFTER, rand::random());
+            return self.reject(&forward.id, Rejection::Stopping, Some(after), &json!({}));
+        }
+        self.log.event(
+            "ended_at_stop",
+            json!({"request": forward.id, "route": forward.route.name, "repeatable": forward.route.retryable,
+                "after_ms": forward.request.received.elapsed().as_millis()}),
+        );
+        self.count_outcome(504, "stopped");
+        CallerResponse::empty(504)
+    }
+
     async fn run_attempts(
         &self,
         forward: &ForwardRequest,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -540,8 +540,11 @@
             .caller_deadline
             .saturating_duration_since(now)
             .as_millis();
+        let stop = self.instance.stop_schedule.get();
         let result = if timed_out {
             "no_answer"
+        } else if stop.is_some_and(|stop| now >= stop.ends_at()) {
+            "ended_at_stop"
         } else {
             "caller_left"
         };
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -99,6 +99,8 @@
     pub(crate) leaving: Cell<bool>,
     /// The times of the shutdown, once it has begun.
     pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
+    /// Ends the requests in progress, right before the process ends.
+    pub(crate) stop_ended: tokio::sync::Notify,
     pub(crate) table_failed_at: Cell<Option<Instant>>,
     pub(crate) table_recovered_at: Cell<Option<Instant>>,
     /// The latest era of the table service that any table was read in.
@@ -194,6 +196,7 @@
             splitters: RefCell::default(),
             leaving: Cell::new(false),
             stop_schedule: Cell::new(None),
+            stop_ended: tokio::sync::Notify::new(),
             table_failed_at: Cell::new(None),
             table_recovered_at: Cell::new(None),
             table_era: Cell::new(None),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -226,15 +226,21 @@
     actix_rt::time::sleep(drain_period).await;
     shutdown.send_replace(ShutdownPhase::Closing);
     // Each connection holds a receiver until its last response is written.
-    while shutdown.receiver_count() > 1 && instance.now() < schedule.ends_at() {
-        actix_rt::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
+    loop {
+        let left = schedule.ends_at().saturating_duration_since(instance.now());
+        if shutdown.receiver_count() <= 1 || left.is_zero() {
+            break;
+        }
+        actix_rt::time::sleep(SHUTDOWN_CHECK_INTERVAL.min(left)).await;
     }
+    // Their connections then carry the responses that have waited behind them.
+    instance.stop_ended.notify_waiters();
     instance.hand_in_last_usage().await;
     instance.log.event(
         "stopped",
         json!({"connections_left": shutdown.receiver_count().saturating_sub(1)}),
     );
-    // Lets the log writer write the last lines.
+    // Lets connections carry the last responses, and the log writer write the last lines.
     actix_rt::time::sleep(SHUTDOWN_MARGIN / 2).await;
 }
 
