Let no request wait in the queue of a server when the process ends

A read that was received in the first part of a stop was sent if it was expected to complete. If its server had no free slot and the requests before it took longer than expected, it was cut in the queue. The users' rule (LOST) excuses a cut request only if its server works on it.

While an instance stops, a request that may wait in a queue is sent only if its deadline is before the end of the process, as those that must not be repeated are. Otherwise it is rejected at once, and another instance serves it.

--- a/crates/edge/src/forward/place.rs
+++ b/crates/edge/src/forward/place.rs
@@ -127,6 +127,7 @@
         let stopping_request = StoppingRequest {
             received: forward.request.received,
             repeatable: forward.route.retryable,
+            may_queue: view.load + 1.0 > f64::from(view.slots),
             expected_latency: expected_latency(&view, false, &request.work),
             deadline: forward.deadline,
         };
--- a/crates/policy/src/entry/stopping.rs
+++ b/crates/policy/src/entry/stopping.rs
@@ -7,7 +7,8 @@
 //! body, and another instance serves it at once. It is accepted only if it certainly
 //! completes, as an estimate can be wrong and a request that is cut may have run. The
 //! same holds throughout the stop for requests that must not be repeated: once cut, they
-//! are lost to their callers, while a rejected one is sent to another instance.
+//! are lost to their callers, while a rejected one is sent to another instance. And for
+//! those that may wait in the queue of their server, where a cut one has not even run.
 
 use std::time::{Duration, Instant};
 
@@ -44,7 +45,9 @@
     /// Whether a request may be sent to a server at `now`.
     #[must_use]
     pub fn accepts(&self, request: &StoppingRequest, now: Instant) -> bool {
-        let longest = if request.repeatable && request.received < self.closes_at {
+        let may_be_cut =
+            request.repeatable && !request.may_queue && request.received < self.closes_at;
+        let longest = if may_be_cut {
             request.expected_latency
         } else {
             request.deadline.saturating_duration_since(now)
@@ -60,6 +63,9 @@
     pub received: Instant,
     /// Whether it may be sent again after it may have run.
     pub repeatable: bool,
+    /// Whether the selected server may have no free slot. A request that waits in a queue
+    /// when the process ends is lost without any work on it.
+    pub may_queue: bool,
     /// The expected latency at the selected server.
     pub expected_latency: Duration,
     /// When it gets a response at the latest.
--- a/crates/policy/tests/entry/stopping.rs
+++ b/crates/policy/tests/entry/stopping.rs
@@ -11,7 +11,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_millis(5850);
 
 /// Guards against a request that is sent because of a wrong estimate and is cut when the
-/// process ends. One that must not be repeated needs to be certain in both parts of a stop.
+/// process ends. One that must not be repeated, or that may wait in a queue, needs to be
+/// certain in both parts of a stop.
 #[parameterized(
     early_and_short = { 100, 100, 500, 8000, true, false },
     early_and_certain = { 100, 100, 500, 4000, true, true },
@@ -34,15 +35,25 @@
 ) {
     let start = Instant::now();
     let schedule = StopSchedule::new(start, DRAIN_PERIOD, STOP_TIMEOUT);
-    for (repeatable, accepted) in [(true, accepted_if_repeatable), (false, accepted_otherwise)] {
+    let cases = [
+        (true, false, accepted_if_repeatable),
+        (true, true, accepted_otherwise),
+        (false, false, accepted_otherwise),
+        (false, true, accepted_otherwise),
+    ];
+    for (repeatable, may_queue, accepted) in cases {
         let request = StoppingRequest {
             received: at(start, received),
             repeatable,
+            may_queue,
             expected_latency: Duration::from_millis(expected_ms),
             deadline: at(start, received + timeout_ms),
         };
         let found = schedule.accepts(&request, at(start, now));
-        assert_eq!(found, accepted, "repeatable: {repeatable}");
+        assert_eq!(
+            found, accepted,
+            "repeatable: {repeatable}, may queue: {may_queue}"
+        );
     }
 }
 
