Ask a server whether it is cold when the connection of a watch ends

An idle server that crashed and started again got 71 to 89 requests in a second (9.5 allowed) when its process closed its connections a moment before it stopped accepting others. The watchers connected again at once, to the process that was ending, and the end of that connection was no sign: they waited for 500 ms and then reached the new process. Nobody was refused, so nobody asked.

The end of a watch's connection now leads to a question, and a question whose connection breaks is asked again by a later check.

Evidence: restarted_idle_server_that_closed_connections_first_gets_no_more_than_the_cold_rate failed with 89 requests in a second before and gets 7 now.

--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -55,7 +55,11 @@
         let exchange = connection.exchange("GET", request, None, &progress, &self.response_budget);
         let result = match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
             Ok(Ok(response)) => self.cold_answer(server, &response),
-            Ok(Err(error)) => Err(error.to_string()),
+            Ok(Err(error)) => {
+                // The process may have ended; the next check asks again.
+                server.restart.needs_probe.set(true);
+                Err(error.to_string())
+            }
             Err(elapsed) => Err(elapsed.to_string()),
         };
         match result {
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -487,6 +487,10 @@
                         .await
                         .is_err()
                 {}
+                // The next connection may reach the process right before its end.
+                if is_to_watch() {
+                    self.request_probe(server);
+                }
             }
             let lasted = self.now().saturating_duration_since(opened);
             actix_rt::time::sleep(WATCH_RETRY_DELAY.saturating_sub(lasted)).await;
