Merge the end of a watch that leads to a question

A question whose connection breaks is repeated once, so that a server which breaks all of them is not asked for ever. Cold times from other instances are bounded as those from processes are.

--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -106,11 +106,17 @@
                 let names = self.adapter.headers();
                 ColdAnswer::from_head(&response.head, &names, &server.id())
             }
-            Ok(Err(error)) => Err(error.into()),
+            Ok(Err(error)) => {
+                // The process may have ended; the next check asks its successor, once.
+                let is_retried = server.restart.is_ask_retried.replace(true);
+                server.restart.needs_probe.set(!is_retried);
+                Err(error.into())
+            }
             Err(_elapsed) => Err(AnswerError::Timeout),
         };
         match result {
             Ok(answer) => {
+                server.restart.is_ask_retried.set(false);
                 self.record_running(server, &connection);
                 self.record_cold_answer(server, answer, asked_at);
                 server.return_connection(connection);
@@ -193,11 +199,13 @@
             }
         };
         for (key, left) in section.servers {
-            let left = Duration::from(left);
-            let server = self.servers.borrow().of_key(key);
-            let Some(server) = server.filter(|server| server.extend_cold(now + left, now)) else {
+            let Some(server) = self.servers.borrow().of_key(key) else {
                 continue;
             };
+            let left = Duration::from(left).min(self.cold_period(&server));
+            if !server.extend_cold(now + left, now) {
+                continue;
+            }
             self.log.event(
                 "server_cold",
                 json!({"server": server.id().as_str(), "cold_left_ms": left.as_millis(),
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -43,8 +43,9 @@
 /// Time between two connections of a watch that do not last.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// The shortest time between two digests that are sent for reports of ended processes.
-const END_REPORT_GAP: Duration = Duration::from_millis(100);
+/// The shortest time between two digests that are sent for reports of ended and cold
+/// processes.
+const REPORT_GAP: Duration = Duration::from_millis(100);
 
 /// The shortest time between two probes of a server. Failed requests to any server request
 /// a check, and a full server rejects each question.
@@ -487,6 +488,10 @@
                         .await
                         .is_err()
                 {}
+                // The next connection may reach the process right before its end.
+                if is_to_watch() {
+                    self.request_probe(server);
+                }
             }
             let lasted = self.now().saturating_duration_since(opened);
             actix_rt::time::sleep(WATCH_RETRY_DELAY.saturating_sub(lasted)).await;
@@ -495,11 +500,11 @@
 
     /// Has digests sent when there are new reports, until the process ends. Servers often
     /// end together, so reports that follow each other share a digest.
-    pub(crate) async fn send_end_reports(self: Rc<Self>) {
+    pub(crate) async fn send_restart_reports(self: Rc<Self>) {
         loop {
             self.restart_reported.notified().await;
             self.digest_requested.notify_one();
-            actix_rt::time::sleep(END_REPORT_GAP).await;
+            actix_rt::time::sleep(REPORT_GAP).await;
         }
     }
 
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -89,7 +89,9 @@
     pub(crate) is_watched: Cell<bool>,
     /// Whether this instance is asking the server whether it is cold.
     pub(crate) is_asked: Cell<bool>,
-    /// When this instance last began to.
+    /// Whether the last question was repeated, as its connection broke.
+    pub(crate) is_ask_retried: Cell<bool>,
+    /// When this instance last began to ask it.
     pub(crate) probed_at: Cell<Option<Instant>>,
 }
 
