--- a/crates/edge/src/tests/cold_answers.rs
+++ b/crates/edge/src/tests/cold_answers.rs
@@ -23,7 +23,7 @@
         not_run: "Not-Run",
         leaving: "Leaving",
         server_id: "Server-Id",
-        cold_left_ms: "Cold-Left",
+        cold_left_ms: "Cold-For",
     }
 }
 
@@ -31,15 +31,15 @@
 /// or a malformed response said.
 #[parameterized(
     warm = { 200, "Server-Id: i-0\r\n", Some(ColdAnswer::Warm) },
-    cold = { 200, "Server-Id: i-0\r\nCold-Left: 2990\r\n", Some(ColdAnswer::Cold(Duration::from_millis(2990))) },
-    cold_no_longer = { 200, "Server-Id: i-0\r\nCold-Left: 0\r\n", Some(ColdAnswer::Warm) },
-    leaving_and_cold = { 503, "Server-Id: i-0\r\nCold-Left: 10\r\n", Some(ColdAnswer::Cold(Duration::from_millis(10))) },
+    cold = { 200, "Server-Id: i-0\r\nCold-For: 2990\r\n", Some(ColdAnswer::Cold(Duration::from_millis(2990))) },
+    cold_no_longer = { 200, "Server-Id: i-0\r\nCold-For: 0\r\n", Some(ColdAnswer::Warm) },
+    leaving_and_cold = { 503, "Server-Id: i-0\r\nCold-For: 10\r\n", Some(ColdAnswer::Cold(Duration::from_millis(10))) },
     failing = { 503, "Server-Id: i-0\r\n", None },
     rejected = { 503, "Not-Run: 1\r\n", None },
     other_server = { 200, "Server-Id: i-1\r\n", None },
     unnamed = { 200, "", None },
-    not_a_number = { 200, "Server-Id: i-0\r\nCold-Left: soon\r\n", None },
-    negative = { 200, "Server-Id: i-0\r\nCold-Left: -1\r\n", None },
+    not_a_number = { 200, "Server-Id: i-0\r\nCold-For: soon\r\n", None },
+    negative = { 200, "Server-Id: i-0\r\nCold-For: -1\r\n", None },
 )]
 fn only_the_process_itself_says_whether_it_is_cold(
     status: u16,
