--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -108,8 +108,9 @@
             }
             Ok(Err(error)) => {
                 // The process may have ended; the next check asks its successor, once.
-                let is_retried = server.restart.is_ask_retried.replace(true);
-                server.restart.needs_probe.set(!is_retried);
+                if !server.restart.is_ask_retried.replace(true) {
+                    server.restart.needs_probe.set(true);
+                }
                 Err(error.into())
             }
             Err(_elapsed) => Err(AnswerError::Timeout),
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -51,7 +51,7 @@
 /// a check, and a full server rejects each question.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The maximum number of servers of which a check begins to probe.
+/// The maximum number of probes that a check begins.
 const MAX_PROBES: usize = 16;
 
 /// A short time in digests, in milliseconds.
