--- a/crates/edge/src/cold_answers.rs
+++ b/crates/edge/src/cold_answers.rs
@@ -17,7 +17,6 @@
 use crate::http::framing::ResponseHead;
 use crate::http::message::HeaderLookup;
 use crate::instance::Instance;
-use crate::peers::decode_section;
 use crate::restarts::WireMillis;
 use crate::servers::Server;
 
@@ -191,13 +190,9 @@
     /// the way makes them cold for longer, never for less.
     pub(crate) fn receive_cold(&self, digest: &InstanceDigest, now: Instant) {
         let reporter = &digest.record.name;
-        let section = match decode_section::<ColdSection>(digest, SectionTag::COLD_SERVERS) {
-            None => return,
-            Some(Ok(section)) => section,
-            Some(Err(error)) => {
-                self.log_ignored_extension(reporter, &error);
-                return;
-            }
+        let Some(section) = self.read_section::<ColdSection>(digest, SectionTag::COLD_SERVERS)
+        else {
+            return;
         };
         for (key, left) in section.servers {
             let Some(server) = self.servers.borrow().of_key(key) else {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -469,6 +469,18 @@
         result.ok()
     }
 
+    /// Reads a section of another instance's digest. One that cannot be decoded is logged
+    /// and counts as missing.
+    pub(crate) fn read_section<T: DeserializeOwned>(
+        &self,
+        digest: &InstanceDigest,
+        tag: SectionTag,
+    ) -> Option<T> {
+        decode_section(digest, tag)?
+            .inspect_err(|error| self.log_ignored_extension(&digest.record.name, error))
+            .ok()
+    }
+
     /// Logs that a part of another instance's digest cannot be decoded.
     pub(crate) fn log_ignored_extension(&self, sender: &dyn Display, error: &dyn Error) {
         self.log.event(
--- a/crates/edge/src/restarts.rs
+++ b/crates/edge/src/restarts.rs
@@ -24,7 +24,6 @@
 use crate::instance::Instance;
 use crate::metrics::DoubtLabel;
 use crate::mirror::TableMirror;
-use crate::peers::decode_section;
 use crate::servers::Server;
 use crate::table::TableKind;
 
@@ -524,13 +523,9 @@
     /// Records the servers whose process another instance reports as ended.
     pub(crate) fn receive_ended(&self, digest: &InstanceDigest, now: Instant) {
         let reporter = &digest.record.name;
-        let section = match decode_section::<EndedSection>(digest, SectionTag::ENDED_SERVERS) {
-            None => return,
-            Some(Ok(section)) => section,
-            Some(Err(error)) => {
-                self.log_ignored_extension(reporter, &error);
-                return;
-            }
+        let Some(section) = self.read_section::<EndedSection>(digest, SectionTag::ENDED_SERVERS)
+        else {
+            return;
         };
         for (key, incarnation, age) in section.servers {
             let server = self.servers.borrow().of_key(key);
