--- a/review/src-2/standins.rs
+++ b/review/src-2/standins.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -236,11 +236,32 @@
     busy: Mutex<usize>,
     freed: Condvar,
     answer: Mutex<Answer>,
-    runs: Arc<Mutex<Vec<String>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+/// A request at an upstream.
+struct Run {
+    upstream: String,
+    /// The first characters of the attempt's id.
+    attempt: String,
+    arrived: Instant,
+    /// When the upstream completed it, or dropped it because its connection closed.
+    ended: Instant,
+}
+
+/// Whether the other side has closed the connection. Waits for some milliseconds.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
+    let result = stream.peek(&mut [0]);
+    let _ = stream.set_read_timeout(None);
+    match result {
+        Ok(count) => count == 0,
+        Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+    }
 }
 
 impl Upstream {
-    fn start(id: &str, slots: usize, work: Duration, runs: &Arc<Mutex<Vec<String>>>) -> Outcome<(Arc<Self>, SocketAddr)> {
+    fn start(id: &str, slots: usize, work: Duration, runs: &Arc<Mutex<Vec<Run>>>) -> Outcome<(Arc<Self>, SocketAddr)> {
         let upstream = Arc::new(Self {
             id: id.to_owned(),
             work,
@@ -259,39 +280,71 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
-            let response = self.respond(&request);
+            let response = self.respond(&request, &writer);
+            let Some(response) = response else { return };
             if writer.write_all(response.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    fn respond(&self, request: &Message) -> String {
+    /// The response to a request; `None` if its connection closes before.
+    fn respond(&self, request: &Message, stream: &TcpStream) -> Option<String> {
         let target = request.start.split(' ').nth(1).unwrap_or_default();
         let keep_alive = "Keep-Alive: timeout=10\r\n";
         if target == "/health" {
-            return format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,{}\r\n{keep_alive}Content-Length: 0\r\n\r\n", self.id, self.slots);
+            return Some(format!(
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,{}\r\n{keep_alive}Content-Length: 0\r\n\r\n",
+                self.id, self.slots
+            ));
         }
-        let attempt = request.field("x-attempt-id").unwrap_or_default().to_owned();
+        let attempt = request.field("x-attempt-id").unwrap_or_default();
         if request.field("x-expect-instance").is_some_and(|id| id != self.id) {
-            return format!("HTTP/1.1 421 x\r\nX-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return Some(format!("HTTP/1.1 421 x\r\nX-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+        }
+        let arrived = Instant::now();
+        let is_completed = self.work(stream);
+        let run = Run {
+            upstream: self.id.clone(),
+            attempt: attempt.chars().take(20).collect(),
+            arrived,
+            ended: Instant::now(),
+        };
+        self.runs.lock().unwrap().push(run);
+        if !is_completed {
+            return None;
         }
-        let free = self.busy.lock().unwrap();
-        let mut busy = self.freed.wait_while(free, |busy| *busy >= self.slots).unwrap();
-        *busy += 1;
-        let running = *busy;
-        drop(busy);
-        let shown: String = attempt.chars().take(40).collect();
-        self.runs.lock().unwrap().push(format!("{} {} {target} {shown}", self.id, request.start.split(' ').next().unwrap_or_default()));
-        thread::sleep(self.work);
-        *self.busy.lock().unwrap() -= 1;
-        self.freed.notify_one();
         let answer = *self.answer.lock().unwrap();
         let body = format!("{} {target}", self.id);
-        format!(
-            "HTTP/1.1 {}\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: s.{}\r\nX-Server-Load: {},0,{}\r\n{keep_alive}Content-Length: {}\r\n\r\n{body}",
-            answer.status(), self.id, running - 1, self.slots, body.len()
-        )
+        let running = *self.busy.lock().unwrap();
+        Some(format!(
+            "HTTP/1.1 {}\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: s.{}\r\nX-Server-Load: {running},0,{}\r\n{keep_alive}Content-Length: {}\r\n\r\n{body}",
+            answer.status(), self.id, self.slots, body.len()
+        ))
+    }
+
+    /// Waits for a slot and works. Returns whether the work was completed; it is dropped
+    /// when the connection closes.
+    fn work(&self, stream: &TcpStream) -> bool {
+        loop {
+            let mut busy = self.busy.lock().unwrap();
+            if *busy < self.slots {
+                *busy += 1;
+                break;
+            }
+            drop(self.freed.wait_timeout(busy, Duration::from_millis(20)).unwrap());
+            if is_closed(stream) {
+                return false;
+            }
+        }
+        let until = Instant::now() + self.work;
+        let mut is_open = true;
+        while is_open && Instant::now() < until {
+            is_open = !is_closed(stream);
+        }
+        *self.busy.lock().unwrap() -= 1;
+        self.freed.notify_one();
+        is_open
     }
 }
 
@@ -434,13 +487,14 @@
 /// A store and upstreams.
 struct Site {
     upstreams: Vec<Arc<Upstream>>,
-    runs: Arc<Mutex<Vec<String>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
     /// The address of the store.
     store: SocketAddr,
 }
 
 impl Site {
-    fn start(services: &[(&str, usize)], slots: usize, work: Duration) -> Outcome<Self> {
+    /// Each upstream of a service takes `step` longer than the one before.
+    fn start(services: &[(&str, usize)], slots: usize, work: Duration, step: Duration) -> Outcome<Self> {
         let (store, store_address) = Store::start()?;
         let names: Vec<&str> = services.iter().map(|(name, _)| *name).collect();
         store.put("op", "config", &config(&names));
@@ -449,7 +503,7 @@
         for (service, count) in services {
             for index in 0..*count {
                 let id = format!("i-{service}-{index}");
-                let (upstream, address) = Upstream::start(&id, slots, work, &runs)?;
+                let (upstream, address) = Upstream::start(&id, slots, work + step * index as u32, &runs)?;
                 store.put("servers", &id, &server_row(service, address, slots));
                 upstreams.push(upstream);
             }
@@ -487,7 +541,7 @@
     const MACHINES: usize = 2;
     const ROUNDS: usize = 3;
     let limit = u64::from(MEMORY_MB) * 1024;
-    let site = Site::start(&SERVICES, 3, Duration::from_millis(30))?;
+    let site = Site::start(&SERVICES, 3, Duration::from_millis(30), Duration::ZERO)?;
     for upstream in &site.upstreams {
         *upstream.answer.lock().unwrap() = Answer::NotFound;
     }
@@ -580,6 +634,85 @@
     (peak, counts)
 }
 
+/// Some clients send safe requests ahead and leave before their deadline. The requests that
+/// were not answered must not go on at upstreams.
+fn gone(record: &mut Record, has_trouble: bool) -> Outcome<bool> {
+    const ROUNDS: usize = 12;
+    const STAYING: usize = 3;
+    const SENT_AHEAD: usize = 60;
+    /// Half of the target latency of the route is 400 ms.
+    const LEAVES_AFTER: Duration = Duration::from_millis(300);
+    const HALF_SECOND: Duration = Duration::from_millis(500);
+    const FEW: usize = 5;
+    const SHORTEST_WORK: Duration = Duration::from_millis(1000);
+    let site = Site::start(&[("wear", 12)], 3, SHORTEST_WORK, Duration::from_millis(20))?;
+    let entry = Entry::start(1, site.store, 260)?;
+    let started = Instant::now();
+    let cookie = format!("Cookie: X-Affinity-Key=17; session={}\r\n\r\n", "0123456789abcdef".repeat(56));
+    let call = |id: &str| request("GET", "/wear/safe/x", id, 12_000).replace("\r\n\r\n", &format!("\r\n{cookie}"));
+    record.line(&format!(
+        "{ROUNDS} rounds: {STAYING} clients with 1 request each, and one that sends {SENT_AHEAD} requests of {} bytes ahead{}",
+        call("r0-0").len(),
+        if has_trouble { " and leaves" } else { "" }
+    ));
+    let mut left: Vec<(String, Instant)> = Vec::new();
+    let mut answered = 0;
+    for round in 0..ROUNDS {
+        thread::scope(|scope| {
+            for client in 0..STAYING {
+                let call = call(&format!("s{round}-{client}"));
+                let front = entry.front;
+                scope.spawn(move || Caller::open(front).and_then(|mut caller| caller.call(&call)));
+            }
+            let mut caller = Caller::open(entry.front)?;
+            let calls: String = (0..SENT_AHEAD).map(|number| call(&format!("r{round}-{number}"))).collect();
+            caller.writer.write_all(calls.as_bytes()).map_err(|error| error.to_string())?;
+            if has_trouble {
+                thread::sleep(LEAVES_AFTER);
+                drop(caller);
+                left.push((format!("r{round}-"), Instant::now()));
+                thread::sleep(Duration::from_millis(2500));
+            } else {
+                for _ in 0..SENT_AHEAD {
+                    answered += usize::from(read_message(&mut caller.reader).is_some());
+                }
+            }
+            Outcome::Ok(())
+        })?;
+    }
+    let runs = site.runs.lock().unwrap();
+    let (mut late, mut lasting, mut at_work) = (0, 0, 0);
+    for (prefix, closed) in &left {
+        let of_client = || runs.iter().filter(|run| run.attempt.starts_with(prefix));
+        let late_here = of_client().filter(|run| run.arrived > *closed + HALF_SECOND).count();
+        // At work when the client left, and not done by itself half a second later.
+        let is_lasting = |run: &&Run| run.arrived <= *closed && run.arrived + SHORTEST_WORK > *closed + HALF_SECOND;
+        let lasting_here = of_client().filter(is_lasting).count();
+        let at_work_here = of_client().filter(is_lasting).filter(|run| run.ended > *closed + HALF_SECOND).count();
+        record.line(&format!(
+            "{:7.3} s  client {prefix} has left: of {lasting_here} requests at work {at_work_here} are at work half a second later; {late_here} reach an upstream after that",
+            closed.saturating_duration_since(started).as_secs_f64()
+        ));
+        late += late_here;
+        lasting += lasting_here;
+        at_work += at_work_here;
+    }
+    for run in runs.iter().filter(|run| run.attempt.starts_with("r0-")) {
+        record.line(&format!(
+            "{} at {}: {:.3} to {:.3} s",
+            run.attempt, run.upstream,
+            run.arrived.saturating_duration_since(started).as_secs_f64(),
+            run.ended.saturating_duration_since(started).as_secs_f64()
+        ));
+    }
+    record.line(&format!("answers to requests sent ahead: {answered}; runs at upstreams: {}", runs.len()));
+    record.line(&format!("clients that left: {}; still at work half a second later: {at_work} of {lasting}; reached an upstream later than that: {late}", left.len()));
+    if runs.is_empty() {
+        return Err("nothing ran".to_owned());
+    }
+    Ok(late > FEW || 4 * at_work > lasting)
+}
+
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
@@ -588,6 +721,7 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let outcome = match case.as_str() {
         "memory" => memory(&mut record, has_trouble),
+        "gone" => gone(&mut record, has_trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     let code = match &outcome {
