--- a/review/src-2/standins.rs
+++ b/review/src-2/standins.rs
@@ -478,10 +478,33 @@
 
     /// The highest resident memory so far, in kilobytes; `None` if the process has ended.
     fn peak_kb(&self) -> Option<u64> {
+        self.status_kb("VmHWM:")
+    }
+
+    /// The resident memory, in kilobytes; `None` if the process has ended.
+    fn resident_kb(&self) -> Option<u64> {
+        self.status_kb("VmRSS:")
+    }
+
+    fn status_kb(&self, name: &str) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let line = status.lines().find(|line| line.starts_with(name))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
+
+    /// What has arrived from callers and was not read, in kilobytes.
+    fn unread_kb(&self) -> u64 {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let port = format!(":{:04X}", self.front.port());
+        let bytes = table.lines().skip(1).filter_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            // 0A is the state of a listener.
+            let is_open = fields.get(1)?.ends_with(&port) && *fields.get(3)? != "0A";
+            let (_, unread) = fields.get(4)?.split_once(':')?;
+            is_open.then(|| u64::from_str_radix(unread, 16).unwrap_or(0))
+        });
+        bytes.sum::<u64>() / 1024
+    }
 }
 
 /// A client's connection.
@@ -835,6 +858,161 @@
     Ok(late > FEW || 4 * at_work > lasting)
 }
 
+/// Clients that come at a time.
+struct Group {
+    /// The number of clients that leave before the next group comes, and the size of their bodies.
+    leaving: usize,
+    size: usize,
+    /// The size of the bodies of clients that stay, one for every so many that leave.
+    staying_size: usize,
+    leaving_per_staying: usize,
+}
+
+/// The bodies of a group, with those that have stayed, hold less than half of a machine's memory.
+const GROUPS: [Group; 4] = [
+    Group {
+        leaving: 3,
+        size: 8_000_000,
+        staying_size: 20_000,
+        leaving_per_staying: 1,
+    },
+    Group {
+        leaving: 88,
+        size: 1_400_000,
+        staying_size: 20_000,
+        leaving_per_staying: 1,
+    },
+    Group {
+        leaving: 48,
+        size: 2_000_000,
+        staying_size: 1_450_000,
+        leaving_per_staying: 4,
+    },
+    Group {
+        leaving: 11,
+        size: 9_000_000,
+        staying_size: 20_000,
+        leaving_per_staying: 11,
+    },
+];
+
+/// Two machines get clients whose bodies stop just short of their end, three times each. Most
+/// clients of a group leave before the next one comes. A process that exceeds the memory of its machine is killed and started again, as the platform does.
+/// Without the trouble, all clients send whole bodies and read the answers.
+fn bodies(record: &mut Record, has_trouble: bool) -> Outcome<bool> {
+    const MEMORY_MB: u32 = 260;
+    const MACHINES: usize = 2;
+    const ROUNDS: usize = 3;
+    let limit = u64::from(MEMORY_MB) * 1024;
+    let site = Site::start(&SERVICES, 3, Duration::from_millis(30), Duration::ZERO)?;
+    record.line(&format!(
+        "{MACHINES} machines of {MEMORY_MB} MB ({limit} kB); bodies {}",
+        if has_trouble {
+            "lack their last byte"
+        } else {
+            "are complete"
+        }
+    ));
+    let mut failed_machines = 0;
+    for index in 1..=MACHINES {
+        let mut entry = Entry::start(index, site.store, MEMORY_MB)?;
+        let mut ends = 0;
+        for round in 1..=ROUNDS {
+            record.line(&format!("machine {index}, round {round}"));
+            let mut sender = BodySender {
+                entry: &entry,
+                prefix: format!("m{index}-{round}"),
+                has_trouble,
+                sent: 0,
+                answers: BTreeMap::new(),
+            };
+            sender.play(record)?;
+            let answers = &sender.answers;
+            let peak = entry.peak_kb();
+            record.line(&format!(
+                "  answers by status {answers:?} (0: none); peak memory {peak:?} kB"
+            ));
+            if peak.is_none_or(|peak| peak > limit) {
+                ends += 1;
+                record.line("  the process is over its memory and is killed");
+                let ports = entry.ports;
+                drop(entry);
+                entry = Entry::start_at(index, site.store, MEMORY_MB, ports)?;
+            }
+        }
+        record.line(&format!("machine {index}: {ends} ends"));
+        failed_machines += usize::from(ends >= ROUNDS);
+    }
+    record.line(&format!(
+        "runs at upstreams: {}",
+        site.runs.lock().unwrap().len()
+    ));
+    Ok(failed_machines >= MACHINES)
+}
+
+/// Sends bodies to a process, each on a connection of its own.
+struct BodySender<'a> {
+    entry: &'a Entry,
+    prefix: String,
+    has_trouble: bool,
+    sent: usize,
+    answers: BTreeMap<u16, u64>,
+}
+
+impl BodySender<'_> {
+    fn play(&mut self, record: &mut Record) -> Outcome<()> {
+        const PAUSE: Duration = Duration::from_millis(500);
+        let mut staying = Vec::new();
+        for group in GROUPS {
+            let mut leaving = Vec::new();
+            for number in 1..=group.leaving {
+                leaving.push(self.send(group.size)?);
+                if number % group.leaving_per_staying == 0 {
+                    staying.push(self.send(group.staying_size)?);
+                }
+            }
+            thread::sleep(PAUSE);
+            let (resident, unread) = (self.entry.resident_kb(), self.entry.unread_kb());
+            record.line(&format!(
+                "  {} clients with {} bytes each, {} that stay: {resident:?} kB resident, {unread} kB unread",
+                group.leaving,
+                group.size,
+                staying.len()
+            ));
+            drop(leaving);
+            thread::sleep(PAUSE);
+        }
+        Ok(())
+    }
+
+    /// Sends a request with a body; with trouble without its last byte.
+    fn send(&mut self, size: usize) -> Outcome<Option<Caller>> {
+        self.sent += 1;
+        let Ok(mut caller) = Caller::open(self.entry.front) else {
+            return Ok(None);
+        };
+        let id = format!("{}-{}", self.prefix, self.sent);
+        let head = request("POST", "/grade/safe/x", &id, 4000)
+            .replace("Content-Length: 0", &format!("Content-Length: {size}"));
+        let length = size - usize::from(self.has_trouble);
+        caller
+            .writer
+            .set_write_timeout(Some(Duration::from_secs(2)))
+            .map_err(|error| error.to_string())?;
+        let written = caller
+            .writer
+            .write_all(head.as_bytes())
+            .and_then(|()| caller.writer.write_all(&vec![b'b'; length]));
+        if !self.has_trouble {
+            let answer = read_message(&mut caller.reader);
+            let status = answer.as_ref().map_or(0, Message::status);
+            *self.answers.entry(status).or_default() += 1;
+        }
+        thread::sleep(Duration::from_millis(10));
+        Ok(written.is_ok().then_some(caller))
+    }
+}
+
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let (case, folder) = (
@@ -846,6 +1024,7 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let outcome = match case.as_str() {
         "memory" => memory(&mut record, has_trouble),
+        "bodies" => bodies(&mut record, has_trouble),
         "gone" => gone(&mut record, has_trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
