Review case 9: clients leave at their deadline

Cause: the clients of case 9 closed their connections before their deadline, and more of them than the site files allow for give_up.

--- a/review/src-2/standins.rs
+++ b/review/src-2/standins.rs
@@ -860,7 +860,7 @@
 
 /// Clients that come at a time.
 struct Group {
-    /// The number of clients that leave before the next group comes, and the size of their bodies.
+    /// The number of clients that leave at their deadline, and the size of their bodies.
     leaving: usize,
     size: usize,
     /// The size of the bodies of clients that stay, one for every so many that leave.
@@ -868,6 +868,9 @@
     leaving_per_staying: usize,
 }
 
+/// That of `lot-lookup` at jabal-mill.
+const BODY_DEADLINE_MS: u64 = 3000;
+
 /// The bodies of a group, with those that have stayed, hold less than half of a machine's memory.
 const GROUPS: [Group; 4] = [
     Group {
@@ -897,7 +900,7 @@
 ];
 
 /// Two machines get clients whose bodies stop just short of their end, three times each. Most
-/// clients of a group leave before the next one comes. A process that exceeds the memory of its machine is killed and started again, as the platform does.
+/// clients of a group leave at their deadline, before the next one comes. A process that exceeds the memory of its machine is killed and started again, as the platform does.
 /// Without the trouble, all clients send whole bodies and read the answers.
 fn bodies(record: &mut Record, has_trouble: bool) -> Outcome<bool> {
     const MEMORY_MB: u32 = 260;
@@ -963,7 +966,7 @@
     fn play(&mut self, record: &mut Record) -> Outcome<()> {
         const PAUSE: Duration = Duration::from_millis(500);
         let mut staying = Vec::new();
-        for group in GROUPS {
+        for (index, group) in GROUPS.into_iter().enumerate() {
             let mut leaving = Vec::new();
             for number in 1..=group.leaving {
                 leaving.push(self.send(group.size)?);
@@ -979,6 +982,9 @@
                 group.size,
                 staying.len()
             ));
+            if index + 1 < GROUPS.len() {
+                thread::sleep(Duration::from_millis(BODY_DEADLINE_MS).saturating_sub(PAUSE));
+            }
             drop(leaving);
             thread::sleep(PAUSE);
         }
@@ -992,7 +998,7 @@
             return Ok(None);
         };
         let id = format!("{}-{}", self.prefix, self.sent);
-        let head = request("POST", "/grade/safe/x", &id, 4000)
+        let head = request("POST", "/grade/safe/x", &id, BODY_DEADLINE_MS)
             .replace("Content-Length: 0", &format!("Content-Length: {size}"));
         let length = size - usize::from(self.has_trouble);
         caller
